Serve the whole path by separate processes

Cause: nothing existed; a request must pass from a caller through a node to an engine or plain service, each a process of its own, before anything is built upon it.

Ruled out: one binary for node and stand-ins (the laboratory's dependencies would reach the product); gRPC to the store (its client module isn't to be had, so the adapter speaks the published JSON mapping).

Before: no program.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+.PHONY: demo build test check lint generate measure
+
+VERSION ?= dev
+
+demo: build
+	@scripts/demo.sh
+
+build:
+	@go build -trimpath -ldflags "-X main.version=$(VERSION)" -o bin/knapweedgw ./cmd/knapweedgw
+	@go build -trimpath -o bin/knapweedlab ./lab/cmd/knapweedlab
+
+test:
+	go test -race ./...
+	cd lab && go test -race ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	go vet ./...
+	cd lab && go vet ./...
+	go tool staticcheck ./...
+	cd lab && go tool staticcheck ./...
+
+generate:
+	go tool wire ./node
+
+check-generated:
+	go tool wire diff ./node
+
+check: lint check-generated test
--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,37 @@
+// Package admission decides which target runs a request, so that no target
+// is loaded beyond a set multiple of the mean.
+package admission
+
+import (
+	"context"
+
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// ServiceID is the kernel name of the service that implements Admitter.
+const ServiceID kernel.ID = "admission.admitter"
+
+// Request asks for a place on a target of a pool.
+type Request struct {
+	ID        string
+	Chat      uint64 // routing key: requests of one chat share it
+	Workspace settings.WorkspaceRef
+	Priority  int // urgency as in RFC 9218: 0 highest to 7 lowest
+	Pool      settings.PoolRef
+	Exclude   []string // IDs of targets already tried
+}
+
+// Grant is a place on a target. Release must be called once the target no
+// longer works on the request.
+type Grant struct {
+	Target  targets.Target
+	Release func()
+}
+
+// Admitter grants places.
+type Admitter interface {
+	// Acquire returns a place or a *problem.Problem with ran "no".
+	Acquire(ctx context.Context, r Request) (Grant, error)
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,120 @@
+// Package config holds a node's settings, read from flags and environment
+// variables and validated as a whole.
+package config
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
+)
+
+// EnvPrefix starts the environment variable of each flag: --peer-listen is
+// KNAPWEEDGW_PEER_LISTEN.
+const EnvPrefix = "KNAPWEEDGW_"
+
+// Node is the configuration of one node.
+type Node struct {
+	NodeID          string
+	Region          string
+	FailureDomain   string
+	Listen          string
+	PeerListen      string
+	StoreEndpoints  []string
+	VMListURL       string
+	VMListInterval  time.Duration
+	LogLevel        string
+	MaxBodyBytes    int64
+	BodyTimeout     time.Duration
+	MaxAttempts     int
+	DrainGrace      time.Duration
+	DrainDeadline   time.Duration
+	IncarnationTime time.Time
+}
+
+// Defaults of the optional settings.
+const (
+	defaultVMListInterval = 500 * time.Millisecond
+	defaultMaxBodyBytes   = 4 << 20
+	defaultBodyTimeout    = 15 * time.Second
+	defaultMaxAttempts    = 3
+	defaultDrainGrace     = 2 * time.Second
+)
+
+// Bind registers the node's flags.
+func Bind(fs *pflag.FlagSet) *Node {
+	c := &Node{IncarnationTime: time.Now()}
+	fs.StringVar(&c.NodeID, "node-id", "", "unique ID of this VM in the VM list (required)")
+	fs.StringVar(&c.Region, "region", "", "region of this VM (required)")
+	fs.StringVar(&c.FailureDomain, "failure-domain", "", "failure domain of this VM (required)")
+	fs.StringVar(&c.Listen, "listen", "127.0.0.1:8080", "ip:port for callers, metrics and health")
+	fs.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:8081", "ip:port for other nodes")
+	fs.StringSliceVar(&c.StoreEndpoints, "store", nil, "URLs of the platform's key-value service (required)")
+	fs.StringVar(&c.VMListURL, "vm-list", "", "URL of the platform's VM list (required)")
+	fs.DurationVar(&c.VMListInterval, "vm-list-interval", defaultVMListInterval, "time between reads of the VM list")
+	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
+	fs.Int64Var(&c.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "largest request body in bytes")
+	fs.DurationVar(&c.BodyTimeout, "body-timeout", defaultBodyTimeout, "time a caller has to send header and body")
+	fs.IntVar(&c.MaxAttempts, "max-attempts", defaultMaxAttempts, "most targets tried for one request")
+	fs.DurationVar(&c.DrainGrace, "drain-grace", defaultDrainGrace, "time between failing readiness and closing the listener")
+	fs.DurationVar(&c.DrainDeadline, "drain-deadline", 0, "longest wait for requests in progress when stopping; 0 waits for all")
+	return c
+}
+
+// ApplyEnv sets each flag that was not given on the command line from its
+// environment variable.
+func ApplyEnv(fs *pflag.FlagSet) error {
+	var errs error
+	fs.VisitAll(func(f *pflag.Flag) {
+		name := EnvPrefix + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
+		v, ok := os.LookupEnv(name)
+		if !ok || f.Changed {
+			return
+		}
+		if err := fs.Set(f.Name, v); err != nil {
+			errs = errors.Join(errs, errors.Wrapf(err, "%s", name))
+		}
+	})
+	return errs
+}
+
+// Validate reports every fault at once, each with its remedy.
+func (c *Node) Validate() error {
+	var faults []error
+	check := func(ok bool, remedy string) {
+		if !ok {
+			faults = append(faults, errors.New(remedy))
+		}
+	}
+	check(c.NodeID != "", "--node-id is empty: set it to the VM's ID in the VM list")
+	check(c.Region != "", "--region is empty: set it to the VM's region")
+	check(c.FailureDomain != "", "--failure-domain is empty: set it to the VM's failure domain")
+	check(isIPPort(c.Listen), "--listen is not ip:port: use an IP number of this VM")
+	check(isIPPort(c.PeerListen), "--peer-listen is not ip:port: use an IP number of this VM")
+	check(len(c.StoreEndpoints) > 0, "--store is empty: list the URLs of the platform's key-value service")
+	for _, ep := range c.StoreEndpoints {
+		check(isHTTPURL(ep), "--store "+ep+" is not a URL: use http://ip:port")
+	}
+	check(isHTTPURL(c.VMListURL), "--vm-list is not a URL: use http://ip:port/path")
+	check(c.VMListInterval > 0, "--vm-list-interval is not positive: use 500ms or more")
+	check(c.MaxBodyBytes > 0, "--max-body-bytes is not positive: use 4194304 or more")
+	check(c.BodyTimeout > 0, "--body-timeout is not positive: use 15s")
+	check(c.MaxAttempts > 0, "--max-attempts is not positive: use 1 or more")
+	check(c.DrainGrace >= 0, "--drain-grace is negative: use 0 or more")
+	check(c.DrainDeadline >= 0, "--drain-deadline is negative: use 0 for none")
+	return errors.Join(faults...)
+}
+
+func isIPPort(s string) bool {
+	host, _, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil
+}
+
+func isHTTPURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/spf13/pflag"
+)
+
+func TestValidateNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	c := Bind(pflag.NewFlagSet("node", pflag.ContinueOnError))
+	c.Listen = "localhost:80"
+	c.MaxAttempts = 0
+	msg := c.Validate().Error()
+	for _, want := range []string{"--node-id", "--region", "--failure-domain", "--listen", "--store", "--vm-list", "--max-attempts"} {
+		is.True(strings.Contains(msg, want)) // every fault is named
+	}
+}
+
+func TestEnvironmentYieldsToFlags(t *testing.T) {
+	is := is.New(t)
+	fs := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	c := Bind(fs)
+	t.Setenv("KNAPWEEDGW_NODE_ID", "from-env")
+	t.Setenv("KNAPWEEDGW_REGION", "from-env")
+	is.NoErr(fs.Parse([]string{"--region", "from-flag"}))
+	is.NoErr(ApplyEnv(fs))
+	is.Equal(c.NodeID, "from-env")
+	is.Equal(c.Region, "from-flag")
+}
+
+func TestBadEnvironmentIsNamed(t *testing.T) {
+	is := is.New(t)
+	fs := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	Bind(fs)
+	t.Setenv("KNAPWEEDGW_MAX_ATTEMPTS", "many")
+	err := ApplyEnv(fs)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "KNAPWEEDGW_MAX_ATTEMPTS"))
+}
--- /dev/null
+++ b/gateway/chat.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/routing"
+)
+
+// chatRequest is the part of an OpenAI chat completion request that the
+// gateway reads; the body is forwarded as it came.
+type chatRequest struct {
+	Model          string            `json:"model"`
+	Messages       []json.RawMessage `json:"messages"`
+	Stream         bool              `json:"stream"`
+	PromptCacheKey string            `json:"prompt_cache_key"`
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (g *Gateway) serveModels(c *call, _ *restful.Request) error {
+	c.kind = "models"
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, name := range c.settings.Models(c.workspace.Team) {
+		list.Data = append(list.Data, modelInfo{ID: name, Object: "model", OwnedBy: "knapweedgw"})
+	}
+	c.w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(c.w).Encode(list)
+}
+
+func (g *Gateway) serveChat(c *call, _ *restful.Request) error {
+	c.kind = "chat"
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	chat, err := parseChat(body)
+	if err != nil {
+		return err
+	}
+	model, ok := c.settings.Model(c.workspace.Team, chat.Model)
+	if !ok {
+		return problem.New(problem.UnknownModel, problem.RanNo, chat.Model)
+	}
+	_, keyed := idempotencyKey(c.req)
+	return g.forward(c, forwardRequest{
+		admission: admission.Request{
+			ID: c.id, Chat: chatKey(c, chat), Workspace: c.workspace,
+			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: model,
+		},
+		method:     http.MethodPost,
+		path:       "/v1/chat/completions",
+		body:       body,
+		stream:     chat.Stream,
+		repeatable: !keyed,
+	})
+}
+
+func parseChat(body []byte) (chatRequest, error) {
+	var chat chatRequest
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return chat, problem.New(problem.BadRequest, problem.RanNo, "body is not a chat completion request: "+err.Error())
+	}
+	if chat.Model == "" {
+		return chat, problem.New(problem.BadRequest, problem.RanNo, "\"model\" is missing")
+	}
+	if len(chat.Messages) == 0 {
+		return chat, problem.New(problem.BadRequest, problem.RanNo, "\"messages\" is empty")
+	}
+	return chat, nil
+}
+
+// chatKey identifies the chat for routing: the caller's chat ID, else its
+// prompt_cache_key, else the chat's opening messages, which stay the same
+// when it returns. Workspaces never share a key.
+func chatKey(c *call, chat chatRequest) uint64 {
+	const openingMessages = 2
+	name := c.req.Header.Get(HeaderChatID)
+	if name == "" {
+		name = chat.PromptCacheKey
+	}
+	if name == "" {
+		for _, m := range chat.Messages[:min(openingMessages, len(chat.Messages))] {
+			name += string(m)
+		}
+	}
+	return routing.Hash(c.workspace.Team + "/" + c.workspace.Name + "/" + name)
+}
+
+func idempotencyKey(r *http.Request) (string, bool) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	return key, key != ""
+}
+
+// priority returns the urgency of an RFC 9218 Priority header.
+func priority(h string) int {
+	const defaultUrgency = 3
+	if len(h) >= 3 && h[:2] == "u=" && h[2] >= '0' && h[2] <= '7' {
+		return int(h[2] - '0')
+	}
+	return defaultUrgency
+}
--- /dev/null
+++ b/lab/cmd/knapweedlab/main.go
@@ -0,0 +1,33 @@
+// Command knapweedlab runs the stand-ins for what knapweedgw serves, and
+// sends load through its nodes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "knapweedlab:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "knapweedlab",
+		Short:         "Stand-ins and load for knapweedgw",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(platformCommand(), engineCommand(), serviceCommand(), vmCommand(), loadCommand(), portsCommand())
+	return cmd
+}
--- /dev/null
+++ b/lab/engine/http.go
@@ -0,0 +1,249 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	restful "github.com/emicklei/go-restful/v3"
+)
+
+const defaultMaxTokens = 16
+
+// ChatRequest is the part of an OpenAI chat completion request that the
+// stand-in reads.
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+}
+
+// Stats is what the engine counted.
+type Stats struct {
+	ID            string  `json:"id"`
+	Requests      int     `json:"requests"`
+	LoadSeconds   float64 `json:"load_seconds"`
+	PeakInFlight  int     `json:"peak_in_flight"`
+	CurrentFlight int     `json:"current_in_flight"`
+}
+
+type usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	Details          usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Handler returns the engine's routes: the OpenAI paths, /load (probe) and
+// /lab/* (faults and counts).
+func (e *Engine) Handler() http.Handler {
+	c := restful.NewContainer()
+	ws := new(restful.WebService)
+	ws.Route(ws.POST("/v1/chat/completions").To(e.serveChat))
+	ws.Route(ws.GET("/load").To(e.serveLoad))
+	ws.Route(ws.GET("/lab/runs").To(e.serveRuns))
+	ws.Route(ws.GET("/lab/stats").To(e.serveStats))
+	ws.Route(ws.PUT("/lab/faults").To(e.putFaults))
+	c.Add(ws)
+	return c
+}
+
+func (e *Engine) serveChat(r *restful.Request, w *restful.Response) {
+	var req ChatRequest
+	if err := json.NewDecoder(r.Request.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.MaxTokens == 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	faults, refuse, hidden := e.admission()
+	e.reportHeaders(w, faults)
+	id := r.Request.Header.Get("X-Request-Id")
+	last := r.Request.Header.Get("Last-Event-ID")
+	if last != "" {
+		e.serveResume(r, w, req, id, last)
+		return
+	}
+	if refuse {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	if hidden {
+		e.serveHiddenOverload(w)
+		return
+	}
+	s := e.start(id, urgency(r.Request.Header.Get("Priority")), req.Messages, req.MaxTokens)
+	if req.Stream {
+		e.stream(r, w, s, req.Model, 0, faults.CutAfter)
+		return
+	}
+	e.serveWhole(r, w, s, req.Model)
+}
+
+func (e *Engine) serveResume(r *restful.Request, w *restful.Response, req ChatRequest, id, last string) {
+	s, ok := e.resume(id)
+	offset, err := strconv.Atoi(last)
+	if !ok || err != nil {
+		http.Error(w, "generation not held", http.StatusGone)
+		return
+	}
+	e.stream(r, w, s, req.Model, offset, 0)
+}
+
+func (e *Engine) serveWhole(r *restful.Request, w *restful.Response, s *sequence, model string) {
+	for {
+		n, more := e.state(s)
+		if n >= len(s.answer) {
+			break
+		}
+		select {
+		case <-more:
+		case <-r.Request.Context().Done():
+			e.cancel(s)
+			return
+		}
+	}
+	stop := "stop"
+	msg := &Message{Role: "assistant", Content: join(s.answer)}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w.ResponseWriter).Encode(completion{
+		ID: s.id, Object: "chat.completion", Model: model, Usage: e.usage(s),
+		Choices: []choice{{Message: msg, FinishReason: &stop}},
+	})
+}
+
+// stream sends tokens from offset on; the event ID is the number of tokens
+// sent so far.
+func (e *Engine) stream(r *restful.Request, w *restful.Response, s *sequence, model string, offset, cutAfter int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w.ResponseWriter)
+	sent := offset
+	for sent < len(s.answer) {
+		n, more := e.state(s)
+		for ; sent < min(n, len(s.answer)); sent++ {
+			if cutAfter > 0 && sent >= cutAfter {
+				panic(http.ErrAbortHandler)
+			}
+			delta := &Message{Role: "assistant", Content: s.answer[sent]}
+			writeEvent(w, sent+1, completion{
+				ID: s.id, Object: "chat.completion.chunk", Model: model,
+				Choices: []choice{{Delta: delta}},
+			})
+		}
+		_ = rc.Flush()
+		if sent >= len(s.answer) {
+			break
+		}
+		select {
+		case <-more:
+		case <-r.Request.Context().Done():
+			e.cancel(s)
+			return
+		}
+	}
+	stop := "stop"
+	writeEvent(w, sent+1, completion{
+		ID: s.id, Object: "chat.completion.chunk", Model: model, Usage: e.usage(s),
+		Choices: []choice{{Delta: &Message{}, FinishReason: &stop}},
+	})
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *Engine) serveHiddenOverload(w *restful.Response) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprint(w, ": keepalive\n\n")
+	writeEvent(w, 1, completion{Object: "chat.completion.chunk", Choices: []choice{{Delta: &Message{Role: "assistant"}}}})
+	_, _ = fmt.Fprint(w, `data: {"error":{"type":"service_unavailable_error","code":"server_is_overloaded","message":"overloaded"}}`+"\n\n")
+}
+
+func writeEvent(w *restful.Response, id int, c completion) {
+	raw, _ := json.Marshal(c)
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, raw)
+}
+
+func (e *Engine) usage(s *sequence) *usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &usage{
+		PromptTokens: s.prompt, CompletionTokens: len(s.answer),
+		TotalTokens: s.prompt + len(s.answer), Details: usageDetails{s.cached},
+	}
+}
+
+// reportHeaders adds the load report (ORCA's JSON form) and the state.
+func (e *Engine) reportHeaders(w *restful.Response, f Faults) {
+	w.Header().Set("Endpoint-Load-Metrics", e.loadReport())
+	if f.Leaving {
+		w.Header().Set("X-Endpoint-State", "leaving")
+	}
+}
+
+func (e *Engine) loadReport() string {
+	return fmt.Sprintf(`JSON {"named_metrics":{"in_flight":%d}}`, e.reported())
+}
+
+func (e *Engine) serveLoad(_ *restful.Request, w *restful.Response) {
+	faults, _, _ := e.admission()
+	e.reportHeaders(w, faults)
+}
+
+func (e *Engine) serveRuns(_ *restful.Request, w *restful.Response) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w.ResponseWriter).Encode(e.runs)
+}
+
+func (e *Engine) serveStats(_ *restful.Request, w *restful.Response) {
+	_ = json.NewEncoder(w.ResponseWriter).Encode(e.Stats())
+}
+
+// Stats returns the engine's counts.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Stats{
+		ID: e.cfg.ID, Requests: len(e.runs),
+		LoadSeconds: e.load.sum, PeakInFlight: e.load.peak, CurrentFlight: e.load.value,
+	}
+}
+
+func (e *Engine) putFaults(r *restful.Request, w *restful.Response) {
+	var f Faults
+	if err := json.NewDecoder(r.Request.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+func urgency(h string) int {
+	const defaultUrgency = 3
+	if len(h) >= 3 && h[:2] == "u=" {
+		return int(h[2] - '0')
+	}
+	return defaultUrgency
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,55 @@
+// Package node assembles the services of one node.
+package node
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/gateway"
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/store"
+	"github.com/knapweedgw/knapweedgw/store/etcd"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/telemetry"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+const vmListTimeout = 2 * time.Second
+
+func provideLogger(cfg *config.Node, w io.Writer) (*log.Logger, error) {
+	return telemetry.NewLogger(w, cfg.LogLevel, cfg.NodeID)
+}
+
+func provideStore(cfg *config.Node) store.Store {
+	return etcd.New(cfg.StoreEndpoints, etcd.DefaultTimeout)
+}
+
+func provideVMList(cfg *config.Node) vmlist.Source {
+	return vmlist.NewClient(cfg.VMListURL, vmListTimeout)
+}
+
+func provideTargets(cfg *config.Node, src vmlist.Source, l *log.Logger) *targets.Registry {
+	return targets.NewRegistry(src, cfg.VMListInterval, l)
+}
+
+func provideHub(cfg *config.Node, l *log.Logger, reg prometheus.Registerer) *peer.Hub {
+	return peer.NewHub(cfg.PeerListen, l, reg)
+}
+
+// provideKernel registers the services in the order in which they start.
+func provideKernel(
+	hub *peer.Hub,
+	reg *targets.Registry,
+	set *settings.Watcher,
+	adm *admission.Local,
+	gw *gateway.Gateway,
+) (*kernel.Kernel, error) {
+	return kernel.New(hub, reg, set, adm, gw)
+}
--- /dev/null
+++ b/node/wire.go
@@ -0,0 +1,40 @@
+//go:build wireinject
+
+package node
+
+import (
+	"io"
+
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/gateway"
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/telemetry"
+)
+
+// services is the set of providers of a node.
+var services = wire.NewSet(
+	provideLogger,
+	telemetry.NewRegistry,
+	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+	provideStore,
+	provideVMList,
+	provideTargets,
+	provideHub,
+	settings.NewWatcher,
+	wire.Bind(new(admission.TargetSource), new(*targets.Registry)),
+	admission.NewLocal,
+	gateway.New,
+	provideKernel,
+)
+
+// New assembles a node. Logs go to logs.
+func New(cfg *config.Node, logs io.Writer) (*kernel.Kernel, error) {
+	wire.Build(services)
+	return nil, nil
+}
--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,151 @@
+// Package problem defines the refusals a caller can receive. Each is an RFC
+// 9457 problem document with two extension members: "reason", a stable code,
+// and "ran", which says whether the request reached a target.
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ContentType is the media type of a problem document (RFC 9457).
+const ContentType = "application/problem+json"
+
+// Ran says whether a refused request was run by a target.
+type Ran string
+
+// The three outcomes a refusal may state. RanNo is a promise.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+	RanYes     Ran = "yes"
+)
+
+// Reason is the stable code of a refusal; it is also the metric label.
+type Reason string
+
+// The refusal reasons, with status and remedy in the table below.
+const (
+	BadRequest         Reason = "bad_request"
+	BodyTooLarge       Reason = "body_too_large"
+	BodyTimeout        Reason = "body_timeout"
+	Unauthenticated    Reason = "unauthenticated"
+	UnknownModel       Reason = "unknown_model"
+	UnknownService     Reason = "unknown_service"
+	NotFound           Reason = "not_found"
+	Draining           Reason = "draining"
+	NoSettings         Reason = "no_settings"
+	NoTarget           Reason = "no_target"
+	Saturated          Reason = "saturated"
+	WorkspaceLimit     Reason = "workspace_limit"
+	DeadlineExceeded   Reason = "deadline_exceeded"
+	TargetFailed       Reason = "target_failed"
+	TargetRefused      Reason = "target_refused"
+	RetryBudget        Reason = "retry_budget"
+	ClaimConflict      Reason = "idempotency_conflict"
+	ClaimInProgress    Reason = "idempotency_in_progress"
+	ClaimUnknown       Reason = "idempotency_unknown"
+	ClaimsUnavailable  Reason = "claims_unavailable"
+	StreamNotResumable Reason = "stream_not_resumable"
+	Internal           Reason = "internal"
+)
+
+type class struct {
+	status int
+	title  string
+	remedy string
+}
+
+var classes = map[Reason]class{
+	BadRequest:         {http.StatusBadRequest, "The request is malformed", "Mend the named part of the request and send it again."},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, "The body is over the limit", "Send a smaller body, or ask the operator to raise --max-body-bytes."},
+	BodyTimeout:        {http.StatusRequestTimeout, "The body arrived too slowly", "Send the whole body within the node's read timeout."},
+	Unauthenticated:    {http.StatusUnauthorized, "The API key belongs to no workspace", "Send an API key listed in your workspace's settings as a bearer token."},
+	UnknownModel:       {http.StatusNotFound, "Your workspace has no such model", "Use a model listed by GET /v1/models."},
+	UnknownService:     {http.StatusNotFound, "Your workspace has no such service", "Use a service named in your team's settings."},
+	NotFound:           {http.StatusNotFound, "There is no such resource", "See the README for the paths served."},
+	Draining:           {http.StatusServiceUnavailable, "This node is stopping", "Send the request again; the balancer picks another node."},
+	NoSettings:         {http.StatusServiceUnavailable, "This node has no settings yet", "Send the request again after Retry-After."},
+	NoTarget:           {http.StatusServiceUnavailable, "No live target serves this pool", "Send the request again after Retry-After; operators: check the VM list."},
+	Saturated:          {http.StatusServiceUnavailable, "Every target of this pool is full", "Send the request again after Retry-After."},
+	WorkspaceLimit:     {http.StatusTooManyRequests, "Your workspace uses its whole share", "Send the request again after Retry-After, or ask for a larger weight."},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, "The deadline passed", "Send the request again with a later deadline."},
+	TargetFailed:       {http.StatusBadGateway, "The target failed", "Check what the target did before sending the request again unless ran is \"no\"."},
+	TargetRefused:      {http.StatusServiceUnavailable, "The targets refused the request", "Send the request again after Retry-After."},
+	RetryBudget:        {http.StatusServiceUnavailable, "Too many requests are being retried", "Send the request again after Retry-After."},
+	ClaimConflict:      {http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request", "Use a new key for a new request."},
+	ClaimInProgress:    {http.StatusConflict, "A request with this Idempotency-Key is in progress", "Ask again with the same key after Retry-After."},
+	ClaimUnknown:       {http.StatusConflict, "The outcome of an earlier attempt is unknown", "Ask the service what it ran; use a new key only if it ran nothing."},
+	ClaimsUnavailable:  {http.StatusServiceUnavailable, "Idempotency keys can't be recorded now", "Send the request again with the same key after Retry-After."},
+	StreamNotResumable: {http.StatusGone, "The stream is no longer held", "Send the whole request again without Last-Event-ID."},
+	Internal:           {http.StatusInternalServerError, "The node failed", "Report the request ID to the operator."},
+}
+
+// Reasons returns every refusal reason, in no particular order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(classes))
+	for r := range classes {
+		all = append(all, r)
+	}
+	return all
+}
+
+// Problem is a refusal. It implements error.
+type Problem struct {
+	Type       string        `json:"type"`
+	Title      string        `json:"title"`
+	Status     int           `json:"status"`
+	Detail     string        `json:"detail,omitempty"`
+	Reason     Reason        `json:"reason"`
+	Ran        Ran           `json:"ran"`
+	Remedy     string        `json:"remedy"`
+	RequestID  string        `json:"request_id,omitempty"`
+	RetryAfter time.Duration `json:"-"`
+}
+
+// New returns the refusal for a reason. The detail names what is wrong with
+// this request.
+func New(r Reason, ran Ran, detail string) *Problem {
+	c, ok := classes[r]
+	if !ok {
+		c = classes[Internal]
+	}
+	return &Problem{
+		Type:   "urn:knapweedgw:problem:" + string(r),
+		Title:  c.title,
+		Status: c.status,
+		Detail: detail,
+		Reason: r,
+		Ran:    ran,
+		Remedy: c.remedy,
+	}
+}
+
+// After sets the time after which the caller may ask again.
+func (p *Problem) After(d time.Duration) *Problem {
+	p.RetryAfter = d
+	return p
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	msg := string(p.Reason) + ": " + p.Title
+	if p.Detail != "" {
+		msg += ": " + p.Detail
+	}
+	return msg + " (remedy: " + p.Remedy + ")"
+}
+
+// Write sends the problem as the whole response. Retry-After is rounded up to
+// whole seconds.
+func (p *Problem) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", ContentType)
+	if p.RetryAfter > 0 {
+		seconds := int64((p.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/routing/rendezvous.go
@@ -0,0 +1,46 @@
+// Package routing ranks targets for a chat. It is pure: no clock, no I/O.
+package routing
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash maps a name to the 64-bit key used for ranking.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Score is the rendezvous (highest random weight) score of a target for a
+// chat. Every node computes the same score (Thaler and Ravishankar, 1998).
+func Score(chat, target uint64) uint64 {
+	return mix(chat ^ mix(target))
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+// Top appends to dst the indexes of the n highest-ranked targets for a chat,
+// best first. It scans all targets once and allocates only if dst is too
+// small.
+func Top(dst []int, chat uint64, targets []uint64, n int) []int {
+	base := len(dst)
+	for i, t := range targets {
+		s := Score(chat, t)
+		at := len(dst)
+		for at > base && Score(chat, targets[dst[at-1]]) < s {
+			at--
+		}
+		if at-base >= n {
+			continue
+		}
+		if len(dst)-base < n {
+			dst = append(dst, 0)
+		}
+		copy(dst[at+1:], dst[at:len(dst)-1])
+		dst[at] = i
+	}
+	return dst
+}
--- /dev/null
+++ b/settings/snapshot.go
@@ -0,0 +1,116 @@
+package settings
+
+import "slices"
+
+// WorkspaceRef names a workspace and its team.
+type WorkspaceRef struct {
+	Team, Name string
+	Weight     float64
+}
+
+// PoolRef is a model or service resolved to the pool that serves it.
+type PoolRef struct {
+	Name        string
+	Pool        string
+	LoadFactor  float64
+	MaxInFlight int
+	Cells       int
+	Service     *Service // nil for a model
+}
+
+// Snapshot is an immutable view of all teams' accepted settings.
+type Snapshot struct {
+	// Revision only grows.
+	Revision int64
+	Teams    map[string]Team
+
+	byKey map[string]WorkspaceRef
+}
+
+// NewSnapshot indexes the teams' documents.
+func NewSnapshot(revision int64, teams map[string]Team) *Snapshot {
+	s := &Snapshot{Revision: revision, Teams: teams, byKey: make(map[string]WorkspaceRef)}
+	for team, doc := range teams {
+		for name, ws := range doc.Workspaces {
+			ref := WorkspaceRef{Team: team, Name: name, Weight: orDefault(ws.Weight, 1)}
+			for _, digest := range ws.KeysSHA256 {
+				s.byKey[digest] = ref
+			}
+		}
+	}
+	return s
+}
+
+// Workspace returns the workspace that an API key belongs to.
+func (s *Snapshot) Workspace(key string) (WorkspaceRef, bool) {
+	ref, ok := s.byKey[KeyDigest(key)]
+	return ref, ok
+}
+
+// Model resolves a model name as seen by a team: its own, else a shared one.
+func (s *Snapshot) Model(team, name string) (PoolRef, bool) {
+	if m, ok := s.Teams[team].Models[name]; ok {
+		return m.ref(name), true
+	}
+	for _, doc := range s.Teams {
+		if m, ok := doc.Models[name]; ok && m.Shared {
+			return m.ref(name), true
+		}
+	}
+	return PoolRef{}, false
+}
+
+// Service resolves a service name as seen by a team: its own, else a shared
+// one.
+func (s *Snapshot) Service(team, name string) (PoolRef, bool) {
+	if svc, ok := s.Teams[team].Services[name]; ok {
+		return svc.ref(name), true
+	}
+	for _, doc := range s.Teams {
+		if svc, ok := doc.Services[name]; ok && svc.Shared {
+			return svc.ref(name), true
+		}
+	}
+	return PoolRef{}, false
+}
+
+// Models returns the sorted names of the models a team may use.
+func (s *Snapshot) Models(team string) []string {
+	var names []string
+	for owner, doc := range s.Teams {
+		for name, m := range doc.Models {
+			if owner == team || m.Shared {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (m Model) ref(name string) PoolRef {
+	return PoolRef{
+		Name: name, Pool: orDefault(m.Pool, name),
+		LoadFactor:  orDefault(m.LoadFactor, DefaultLoadFactor),
+		MaxInFlight: orDefault(m.MaxInFlight, DefaultMaxInFlight),
+		Cells:       orDefault(m.Cells, 1),
+	}
+}
+
+func (s Service) ref(name string) PoolRef {
+	return PoolRef{
+		Name: name, Pool: orDefault(s.Pool, name),
+		LoadFactor:  orDefault(s.LoadFactor, DefaultLoadFactor),
+		MaxInFlight: orDefault(s.MaxInFlight, DefaultMaxInFlight),
+		Cells:       orDefault(s.Cells, 1),
+		Service:     &s,
+	}
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,102 @@
+// Package store defines what a node needs from the platform's key-value
+// service: reads, compare-and-swap transactions, leases and watches.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxValueBytes is the largest value the platform's service accepts.
+const MaxValueBytes = 1 << 20
+
+// Typed failures. Test with errors.Is.
+var (
+	// ErrUnavailable means that the service didn't take the call; a write
+	// had no effect.
+	ErrUnavailable = errors.New("store: unavailable; try again later")
+	// ErrUncertain means that the answer was lost; a write may have taken
+	// effect. Read back before writing again.
+	ErrUncertain = errors.New("store: answer lost; read back before trying again")
+	// ErrCompacted means that a watch has missed changes. List again.
+	ErrCompacted = errors.New("store: revision compacted; list again")
+	// ErrLeaseNotFound means that the lease has lapsed. Grant a new one.
+	ErrLeaseNotFound = errors.New("store: lease not found; grant a new one")
+)
+
+// LeaseID names a lease; 0 is none.
+type LeaseID int64
+
+// KV is one key with its value and the revision of its last change.
+type KV struct {
+	Key         string
+	Value       []byte
+	ModRevision int64
+	Lease       LeaseID
+}
+
+// Compare requires that Key was last changed at ModRevision; 0 requires that
+// the key doesn't exist.
+type Compare struct {
+	Key         string
+	ModRevision int64
+}
+
+// Op is one write of a transaction: a put, or a delete if Delete is set.
+// A delete with Prefix set removes every key that starts with Key.
+type Op struct {
+	Key    string
+	Value  []byte
+	Lease  LeaseID
+	Delete bool
+	Prefix bool
+}
+
+// Txn applies all Ops in one step if every Compare holds.
+type Txn struct {
+	Compares []Compare
+	Ops      []Op
+}
+
+// Page is the result of a List: the keys, ordered, and the store's revision
+// at which they were read.
+type Page struct {
+	KVs      []KV
+	Revision int64
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	KV      KV
+	Deleted bool
+}
+
+// Batch is the events of one revision or more, in order. Revision is the
+// newest one included. Err ends the watch.
+type Batch struct {
+	Events   []Event
+	Revision int64
+	Err      error
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get returns the key's value; ok is false if there is none.
+	Get(ctx context.Context, key string) (kv KV, ok bool, err error)
+	// List returns the keys that start with prefix.
+	List(ctx context.Context, prefix string) (Page, error)
+	// Commit runs a transaction. It returns the store's revision and whether
+	// the compares held. On ErrUncertain the write may have taken effect.
+	Commit(ctx context.Context, t Txn) (revision int64, ok bool, err error)
+	// Grant makes a lease that lapses ttl after its last renewal.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew renews a lease; ErrLeaseNotFound if it has lapsed.
+	Renew(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, id LeaseID) error
+	// Watch sends the changes under prefix from revision from on, until ctx
+	// ends or a Batch carries an error; then the channel is closed.
+	Watch(ctx context.Context, prefix string, from int64) (<-chan Batch, error)
+}
