--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 	go tool wire diff ./node
 
 check: lint check-generated test
+
+measure: build
+	@bin/knapweedlab measure $(if $(JSON),--json $(JSON))
--- /dev/null
+++ b/lab/cmd/knapweedlab/measure.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedgw/knapweedgw/lab/measure"
+)
+
+// sections are the measurements, in the order in which they run; the one
+// whose summary closes the output is last.
+var sections = []measure.Section{}
+
+func measureCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "measure [SECTION...]",
+		Short:   "Run the seeded measurements on virtual time",
+		Example: "  knapweedlab measure --json results.jsonl",
+	}
+	file := cmd.Flags().String("json", "", "file for the same rows as JSON lines")
+	seed := cmd.Flags().Uint64("seed", 1, "seed of every measurement")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var lines io.Writer
+		if *file != "" {
+			f, err := os.Create(*file)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = f.Close() }()
+			lines = f
+		}
+		r := measure.NewReporter(cmd.OutOrStdout(), lines)
+		for _, s := range sections {
+			if len(args) > 0 && !slices.Contains(args, s.Name()) {
+				continue
+			}
+			summary, err := s.Run(cmd.Context(), r, *seed)
+			if err != nil {
+				return err
+			}
+			if err := r.Flush(); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), summary)
+		}
+		return nil
+	}
+	return cmd
+}
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/store"
@@ -43,13 +44,22 @@
 	return peer.NewHub(cfg.PeerListen, l, reg)
 }
 
+func provideMembers(cfg *config.Node, reg *targets.Registry) *membership.Members {
+	self := membership.Node{
+		ID: cfg.NodeID, PeerAddr: cfg.PeerListen, Region: cfg.Region,
+		FailureDomain: cfg.FailureDomain, Incarnation: cfg.IncarnationTime.UnixNano(),
+	}
+	return membership.New(self, reg)
+}
+
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
 	hub *peer.Hub,
 	reg *targets.Registry,
+	mem *membership.Members,
 	set *settings.Watcher,
 	adm *admission.Local,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(hub, reg, set, adm, gw)
+	return kernel.New(hub, mem, reg, set, adm, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -26,6 +26,7 @@
 	provideVMList,
 	provideTargets,
 	provideHub,
+	provideMembers,
 	settings.NewWatcher,
 	wire.Bind(new(admission.TargetSource), new(*targets.Registry)),
 	admission.NewLocal,
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -31,11 +31,12 @@
 	hub := provideHub(cfg, logger, registry)
 	source := provideVMList(cfg)
 	targetsRegistry := provideTargets(cfg, source, logger)
+	members := provideMembers(cfg, targetsRegistry)
 	store := provideStore(cfg)
 	watcher := settings.NewWatcher(store, logger)
 	local := admission.NewLocal(targetsRegistry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, watcher, local, gatewayGateway)
+	kernelKernel, err := provideKernel(hub, targetsRegistry, members, watcher, local, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -49,5 +50,6 @@
 	provideLogger, telemetry.NewRegistry, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)), provideStore,
 	provideVMList,
 	provideTargets,
-	provideHub, settings.NewWatcher, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, gateway.New, provideKernel,
+	provideHub,
+	provideMembers, settings.NewWatcher, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, gateway.New, provideKernel,
 )
