Measure capacity slopes of the routing, admission, settings and peer code

Cause: docs/CAPACITY.md has to be worked out from measured slopes, and the command that reruns them has to stand before the parts it measures grow.

Ruled out: testing.Benchmark (wall time of one goroutine; it misses garbage collection and the other end of a connection). The process's CPU time counts all of them.

Before: nothing.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo build test check lint generate measure
+.PHONY: demo build test check check-generated lint generate measure capacity
 
 VERSION ?= dev
 
@@ -30,3 +30,6 @@
 
 measure: build
 	@bin/knapweedlab measure $(if $(JSON),--json $(JSON))
+
+capacity: build
+	@bin/knapweedlab capacity
--- /dev/null
+++ b/lab/capacity/usage.go
@@ -0,0 +1,33 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// cpuTime returns the CPU time the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapOf returns the live heap bytes that the value made by build holds.
+func heapOf[T any](build func() T) float64 {
+	before := liveHeap()
+	v := build()
+	after := liveHeap()
+	runtime.KeepAlive(v)
+	return float64(after) - float64(before)
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
