Work out role costs at the target size from the slopes

Cause: slopes alone don't say which limit breaks first.

The message sizes of the admission row are still assumed, not measured.

--- /dev/null
+++ b/lab/capacity/model.go
@@ -0,0 +1,104 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+)
+
+// Cost is what one role takes of a node at the target, on average.
+type Cost struct {
+	Role      string
+	Mechanism string
+	CPU       float64 // share of one core
+	Memory    float64 // bytes
+	BytesIn   float64 // a second
+	BytesOut  float64 // a second
+	Messages  float64 // a second, in and out
+	// StoreReads and StoreWrites are calls a second of the whole fleet.
+	StoreReads, StoreWrites float64
+}
+
+const (
+	nanosecond = 1e-9
+	// Sizes of the messages of an admission on the wire, with framing.
+	acquireBytes = 230
+	grantBytes   = 90
+	releaseBytes = 110
+	// callsPerAdmission is an acquire with its answer and a release, which is
+	// half a call.
+	callsPerAdmission = 1.5
+	enginesPerCell    = 12
+)
+
+// Model works out each role's cost at the target from the measured slopes.
+func Model(r *Results) []Cost {
+	return []Cost{rankingCost(r), admissionCost(r), settingsCost(r)}
+}
+
+func rankingCost(r *Results) Cost {
+	return Cost{
+		Role:      "entry: ranking",
+		Mechanism: "rendezvous order of the region's pool, computed by each node",
+		CPU:       requestsPerNode * r.At(RankCPU, enginesPerPool) * nanosecond,
+	}
+}
+
+// admissionCost counts a node both as entry (asks) and as owner (answers);
+// each message leaves one node and reaches another.
+func admissionCost(r *Results) Cost {
+	bytes := float64(acquireBytes + grantBytes + releaseBytes)
+	calls := requestsPerNode * callsPerAdmission * r.At(PeerCPU, acquireBytes)
+	decisions := requestsPerNode * r.At(CellCPU, enginesPerCell)
+	return Cost{
+		Role:      "admission: entry and owner",
+		Mechanism: "one owner a cell, picked by rendezvous, counts requests in flight",
+		CPU:       (calls + decisions) * nanosecond,
+		Memory:    r.At(CellMemory, inFlightPerNode),
+		BytesIn:   requestsPerNode * bytes,
+		BytesOut:  requestsPerNode * bytes,
+		Messages:  requestsPerNode * 2 * 3,
+	}
+}
+
+func settingsCost(r *Results) Cost {
+	document := r.At(SettingsBytes, Workspaces) / (Workspaces / workspacesPerTeam)
+	return Cost{
+		Role:      "settings: follower",
+		Mechanism: "accepted revisions pushed by relays, healed by anti-entropy",
+		CPU:       changesPerSec * r.At(SettingsCPU, Workspaces) * nanosecond,
+		Memory:    r.At(SettingsMemory, Workspaces),
+		BytesIn:   changesPerSec * document,
+		Messages:  changesPerSec,
+	}
+}
+
+// WriteModel prints the roles and their sum against the limits as a Markdown
+// table.
+func WriteModel(w io.Writer, costs []Cost) {
+	fmt.Fprintln(w, "| role | carried by | CPU, % of a core | memory, MB | in, B/s | out, B/s | messages/s | store reads/s | store writes/s |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	var sum Cost
+	for _, c := range costs {
+		writeCost(w, c)
+		sum.add(c)
+	}
+	sum.Role = "**sum**"
+	writeCost(w, sum)
+	fmt.Fprintf(w, "| **limit** | | %.1f | %d | %d together | | | %d | several hundred |\n",
+		100*LimitControlCPU, LimitControlMem>>20, LimitControlBytes, LimitStoreReads)
+}
+
+func writeCost(w io.Writer, c Cost) {
+	fmt.Fprintf(w, "| %s | %s | %.3f | %.2f | %.0f | %.0f | %.2f | %.1f | %.1f |\n",
+		c.Role, c.Mechanism, 100*c.CPU, c.Memory/(1<<20), c.BytesIn, c.BytesOut, c.Messages, c.StoreReads, c.StoreWrites)
+}
+
+func (c *Cost) add(d Cost) {
+	c.CPU += d.CPU
+	c.Memory += d.Memory
+	c.BytesIn += d.BytesIn
+	c.BytesOut += d.BytesOut
+	c.Messages += d.Messages
+	c.StoreReads += d.StoreReads
+	c.StoreWrites += d.StoreWrites
+}
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -32,18 +32,13 @@
 // Sizes derived from the target. An answer has TokensPerSec/RequestsPerSec
 // tokens and takes that many times LimitTokenGap.
 const (
-	secondsPerDay     = 86_400
-	answerTokens      = float64(TokensPerSec) / RequestsPerSec
-	answerSeconds     = answerTokens * 0.047
-	inFlight          = RequestsPerSec * answerSeconds
-	inFlightPerNode   = inFlight / Nodes
-	requestsPerNode   = float64(RequestsPerSec) / Nodes
-	tokensPerNode     = float64(TokensPerSec) / Nodes
-	chatsPerNode      = float64(ReturningChats) / Nodes
-	nodesPerRegion    = float64(Nodes) / Regions
-	enginesPerRegion  = float64(Engines) / Regions
-	enginesPerPool    = enginesPerRegion / Models
-	changesPerSec     = float64(ChangesPerDay) / secondsPerDay
-	vmChangesPerSec   = 2 * float64(VMsReplaced) / secondsPerDay // gone and come
-	requestsPerRegion = float64(RequestsPerSec) / Regions
+	secondsPerDay    = 86_400
+	answerTokens     = float64(TokensPerSec) / RequestsPerSec
+	answerSeconds    = answerTokens * 0.047
+	inFlight         = RequestsPerSec * answerSeconds
+	inFlightPerNode  = inFlight / Nodes
+	requestsPerNode  = float64(RequestsPerSec) / Nodes
+	enginesPerRegion = float64(Engines) / Regions
+	enginesPerPool   = enginesPerRegion / Models
+	changesPerSec    = float64(ChangesPerDay) / secondsPerDay
 )
--- a/lab/cmd/knapweedlab/capacity.go
+++ b/lab/cmd/knapweedlab/capacity.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedgw/knapweedgw/lab/capacity"
@@ -21,6 +23,8 @@
 				return err
 			}
 			r.WriteSlopes(cmd.OutOrStdout())
+			fmt.Fprintln(cmd.OutOrStdout())
+			capacity.WriteModel(cmd.OutOrStdout(), capacity.Model(r))
 			return nil
 		},
 	}
