Give the cell memory of chats, fairness, urgency and takeover

Cause: the cell only knew the rendezvous order and the bound. It counted in a map, summed all targets at each decision and sorted them all.

Ask gains Returning; Verdict gains Reason; Config gains NewFactor, Reserve, Memory and MaxPause (zero means the default). Resync now keeps a place granted since the holder's previous Resync, since its answer may have crossed the list; two Resyncs heal any drift (before, a list made before the grant arrived erased the place from the count).

--- /dev/null
+++ b/admission/cell/admit.go
@@ -0,0 +1,64 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/routing"
+)
+
+// maxUrgency is the value of the least urgent request (RFC 9218).
+const maxUrgency = 7
+
+// The Retry-After of a refusal lies in [retryMin, retryMin+retrySpread), twice
+// that for the least urgent.
+const (
+	retryMin    = time.Second
+	retrySpread = 4 * time.Second
+)
+
+// admit refuses an Ask that the whole pool has no room for. It returns Granted
+// if the Ask may be placed.
+func (c *Cell) admit(now time.Time, a Ask) Verdict {
+	c.checkPause(now)
+	if c.trust.recovering() {
+		return Verdict{Outcome: Full, Reason: ReasonRecovering, RetryAfter: retryAfter(now, a)}
+	}
+	hard := c.own.Capacity * c.cfg.MaxInFlight
+	over := c.shares.over(a.Workspace, a.Weight, hard)
+	fill := c.fill()
+	if over && fill > ceiling(c.cfg.Reserve, a.Urgency, true) {
+		return Verdict{Outcome: Refused, Reason: ReasonWorkspaceLimit, RetryAfter: retryAfter(now, a)}
+	}
+	if fill > ceiling(c.cfg.Reserve, a.Urgency, false) {
+		return Verdict{Outcome: Refused, Reason: ReasonSaturated, RetryAfter: retryAfter(now, a)}
+	}
+	return Verdict{Outcome: Granted}
+}
+
+// fill is the used share of the pool's hard capacity with one more request.
+func (c *Cell) fill() float64 {
+	own := c.Totals()
+	hard := (own.Capacity + c.others.Capacity) * c.cfg.MaxInFlight
+	if hard == 0 {
+		return 0
+	}
+	return float64(own.InFlight+c.others.InFlight+1) / float64(hard)
+}
+
+// ceiling is the share of the pool's hard capacity that a request may use: all
+// of it at urgency 0, less in proportion to the urgency, and less by another
+// reserve for a workspace over its fair share.
+func ceiling(reserve float64, urgency int, over bool) float64 {
+	c := 1 - reserve*float64(min(max(urgency, 0), maxUrgency))/maxUrgency
+	if over {
+		c -= reserve
+	}
+	return c
+}
+
+// retryAfter spreads refused callers out, by a hash of the request.
+func retryAfter(now time.Time, a Ask) time.Duration {
+	h := routing.Rank(routing.Hash(a.Request), uint64(now.UnixNano()))
+	d := retryMin + time.Duration(h%uint64(retrySpread))
+	return d + d*time.Duration(min(max(a.Urgency, 0), maxUrgency))/maxUrgency
+}
--- /dev/null
+++ b/admission/cell/bench_test.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, n := range []int{18, 196, 786, 5500} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			c := loaded(n, 18)
+			h := Holder{Node: "bench"}
+			requests := make([]string, 64)
+			for i := range requests {
+				requests[i] = fmt.Sprint("request-", i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				r := requests[i%len(requests)]
+				c.Release(h, r)
+				// Another chat each time, so that no memory shortens the scan.
+				c.Acquire(epoch, Ask{Holder: h, Request: r, Chat: uint64(i), Workspace: "w", Urgency: 3})
+			}
+		})
+	}
+}
+
+// loaded returns a cell of n targets with a number of requests on each.
+func loaded(n, each int) *Cell {
+	c := New(Config{LoadFactor: 1.25, MaxInFlight: 64})
+	targets := make([]Target, n)
+	var holds []Hold
+	for i := range targets {
+		targets[i] = Target{ID: fmt.Sprintf("engine-%04d", i), Capacity: 1}
+		for j := range each {
+			holds = append(holds, Hold{Request: fmt.Sprint(i, "/", j), Target: targets[i].ID, Chat: uint64(i*each + j)})
+		}
+	}
+	c.SetTargets(targets)
+	c.Resync(Holder{Node: "load"}, holds)
+	return c
+}
+
+// BenchmarkMemory reports the heap bytes of one remembered chat.
+func BenchmarkMemory(b *testing.B) {
+	const chats = 1 << 17
+	for b.Loop() {
+		before := heap()
+		m := newMemory(chats)
+		for i := range uint64(chats) {
+			m.put(i*0x9e3779b97f4a7c15, "engine-0001")
+		}
+		after := heap()
+		b.ReportMetric(float64(after-before)/chats, "B/chat")
+		runtime.KeepAlive(m)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -5,7 +5,6 @@
 package cell
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -17,138 +16,143 @@
 	return int(routing.Hash(target) % uint64(max(cells, 1)))
 }
 
-// Target is a target of the cell.
-type Target struct {
-	ID       string
-	Capacity int // relative to other targets; at least 1
-	Leaving  bool
-}
-
-// Config is what the pool's settings say.
-type Config struct {
-	LoadFactor  float64 // c; the bound is ceil(c × mean × capacity)
-	MaxInFlight int     // most requests a target of capacity 1 may run
-}
-
-// Totals is the load of a set of targets.
-type Totals struct {
-	InFlight int
-	Capacity int // sum over the targets that aren't leaving
-}
-
-// Holder names one run of a node; a node that restarts is another holder.
-type Holder struct {
-	Node        string
-	Incarnation int64
-}
-
-// Ask asks for a place.
-type Ask struct {
-	Holder    Holder
-	Request   string
-	Chat      uint64
-	Workspace string
-	Weight    float64
-	Urgency   int // RFC 9218: 0 highest to 7 lowest
-	Exclude   []string
+// Cell is the owner's state for one cell. It isn't safe for concurrent use.
+type Cell struct {
+	cfg    Config
+	slots  []slot
+	index  map[string]int // target ID to its slot
+	own    Totals
+	others Totals
+	holds  map[Holder]map[string]hold
+	shares shares
+	memory *memory
+	trust  trust
+}
+
+// hold is a place. A fresh one was granted after the holder's last Resync, so
+// that the holder may not have known it when it made its list.
+type hold struct {
+	Hold
+	fresh bool
+}
+
+// slot is a target and the number of requests in flight on it. A target that
+// is gone keeps its slot while it has any.
+type slot struct {
+	id       string
+	key      uint64
+	count    int
+	capacity int
+	usable   bool // listed and not leaving
 }
 
-// Outcome is the kind of a Verdict.
-type Outcome int
-
-// The outcomes of an Ask.
-const (
-	Granted Outcome = iota
-	// Full means that no target of the cell is under its bound: ask the
-	// owner of another cell.
-	Full
-	// Refused means that the caller is to be refused, whatever other cells say.
-	Refused
-)
-
-// Verdict answers an Ask.
-type Verdict struct {
-	Outcome    Outcome
-	Target     string
-	RetryAfter time.Duration
+// New returns a cell without targets.
+func New(cfg Config) *Cell {
+	cfg = withDefaults(cfg)
+	return &Cell{
+		cfg:    cfg,
+		index:  make(map[string]int),
+		holds:  make(map[Holder]map[string]hold),
+		shares: newShares(),
+		memory: newMemory(cfg.Memory),
+	}
 }
 
-// Hold is one place that a holder says it has.
-type Hold struct {
-	Request   string
-	Target    string
-	Workspace string
-	Chat      uint64
+// Configure changes the pool's settings.
+func (c *Cell) Configure(cfg Config) {
+	cfg = withDefaults(cfg)
+	if cfg.Memory != c.cfg.Memory {
+		c.memory.resize(cfg.Memory)
+	}
+	c.cfg = cfg
 }
 
-// Cell is the owner's state for one cell.
-type Cell struct {
-	cfg     Config
-	targets []Target
-	hashes  []uint64
-	others  Totals
-	counts  map[string]int
-	holds   map[Holder]map[string]Hold
+func withDefaults(cfg Config) Config {
+	cfg.NewFactor = orDefault(cfg.NewFactor, DefaultNewFactor)
+	cfg.Reserve = max(orDefault(cfg.Reserve, DefaultReserve), 0)
+	cfg.Memory = orDefault(cfg.Memory, DefaultMemory)
+	cfg.MaxPause = orDefault(cfg.MaxPause, DefaultMaxPause)
+	return cfg
 }
 
-// New returns a cell without targets.
-func New(cfg Config) *Cell {
-	return &Cell{cfg: cfg, counts: make(map[string]int), holds: make(map[Holder]map[string]Hold)}
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
 }
 
-// Configure changes the pool's settings.
-func (c *Cell) Configure(cfg Config) { c.cfg = cfg }
-
 // SetTargets replaces the cell's targets. Requests on targets that are gone
 // stay counted until released.
 func (c *Cell) SetTargets(targets []Target) {
-	c.targets = slices.Clone(targets)
-	c.hashes = make([]uint64, len(targets))
-	for i, t := range targets {
-		c.hashes[i] = routing.Hash(t.ID)
+	old := c.slots
+	c.slots = make([]slot, 0, len(targets))
+	c.index = make(map[string]int, len(targets))
+	for _, t := range targets {
+		c.addSlot(slot{id: t.ID, capacity: max(t.Capacity, 1), usable: !t.Leaving})
+	}
+	for _, s := range old {
+		if s.count == 0 {
+			continue
+		}
+		i, ok := c.index[s.id]
+		if !ok {
+			i = c.addSlot(slot{id: s.id, capacity: s.capacity})
+		}
+		c.slots[i].count = s.count
 	}
+	c.own = Totals{}
+	for _, s := range c.slots {
+		if s.usable {
+			c.own.Capacity += s.capacity
+			c.own.InFlight += s.count
+		}
+	}
+}
+
+func (c *Cell) addSlot(s slot) int {
+	s.key = routing.Key(routing.Hash(s.id))
+	c.slots = append(c.slots, s)
+	c.index[s.id] = len(c.slots) - 1
+	return len(c.slots) - 1
 }
 
 // SetOthers sets the load of the pool's other cells, as their owners last
 // reported it.
 func (c *Cell) SetOthers(t Totals) { c.others = t }
 
-// Totals returns the load of this cell.
+// Totals returns the load of this cell's usable targets. During a takeover
+// the requests of holders that haven't been heard are estimated.
 func (c *Cell) Totals() Totals {
-	var t Totals
-	for _, tg := range c.targets {
-		if !tg.Leaving {
-			t.Capacity += tg.Capacity
-			t.InFlight += c.counts[tg.ID]
-		}
-	}
-	return t
+	return Totals{InFlight: c.trust.scale(c.own.InFlight), Capacity: c.own.Capacity}
 }
 
 // Acquire decides an Ask and counts the place if granted. An Ask that is
 // repeated with the same holder and request gets the same place.
-func (c *Cell) Acquire(_ time.Time, a Ask) Verdict {
+func (c *Cell) Acquire(now time.Time, a Ask) Verdict {
 	if h, ok := c.holds[a.Holder][a.Request]; ok && !slices.Contains(a.Exclude, h.Target) {
 		return Verdict{Outcome: Granted, Target: h.Target}
 	}
-	for _, i := range routing.Top(nil, a.Chat, c.hashes, len(c.hashes)) {
-		t := c.targets[i]
-		if t.Leaving || slices.Contains(a.Exclude, t.ID) || c.counts[t.ID] >= c.limit(t) {
-			continue
-		}
-		c.add(a.Holder, Hold{Request: a.Request, Target: t.ID, Workspace: a.Workspace, Chat: a.Chat})
-		return Verdict{Outcome: Granted, Target: t.ID}
+	if v := c.admit(now, a); v.Outcome != Granted {
+		return v
+	}
+	i := c.place(a)
+	if i < 0 {
+		return c.full(now, a)
 	}
-	return Verdict{Outcome: Full, RetryAfter: time.Second}
+	id := c.slots[i].id
+	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat}, true)
+	c.shares.setWeight(a.Workspace, a.Weight)
+	return Verdict{Outcome: Granted, Target: id}
 }
 
-// limit is ceil(c × mean × capacity); the mean is that of the whole pool with
-// the request to be placed.
-func (c *Cell) limit(t Target) int {
-	own := c.Totals()
-	mean := float64(own.InFlight+c.others.InFlight+1) / float64(max(own.Capacity+c.others.Capacity, 1))
-	bound := int(math.Ceil(c.cfg.LoadFactor * mean * float64(t.Capacity)))
-	return min(bound, c.cfg.MaxInFlight*t.Capacity)
+func (c *Cell) full(now time.Time, a Ask) Verdict {
+	v := Verdict{Outcome: Full, Reason: ReasonSaturated, RetryAfter: retryAfter(now, a)}
+	if !slices.ContainsFunc(c.slots, func(s slot) bool { return s.usable && !slices.Contains(a.Exclude, s.id) }) {
+		v.Reason = ReasonNoTarget
+	}
+	return v
 }
 
 // Release ends a place; releasing an unknown one does nothing.
@@ -158,24 +162,39 @@
 		return
 	}
 	delete(c.holds[h], request)
-	c.counts[hold.Target]--
+	c.remove(hold.Hold)
 }
 
-// Resync replaces all that a holder has by what it says it has. It rebuilds
-// the count after a change of owner and heals lost releases.
+// Resync replaces what a holder has by what it says it has, but for places
+// granted since the holder's previous Resync: their answers may have crossed
+// the list, so they are kept until the next one. It rebuilds the count after a
+// change of owner, and two of them heal any lost release.
 func (c *Cell) Resync(h Holder, holds []Hold) {
-	c.Forget(h)
+	listed := make(map[string]bool, len(holds))
 	for _, hold := range holds {
-		c.add(h, hold)
+		listed[hold.Request] = true
+		c.add(h, hold, false)
+	}
+	for request, hold := range c.holder(h) {
+		switch {
+		case listed[request]:
+		case hold.fresh:
+			hold.fresh = false
+			c.holds[h][request] = hold
+		default:
+			c.Release(h, request)
+		}
 	}
+	c.trust.hear(h)
 }
 
 // Forget drops all places of a holder, for example of a node that died.
 func (c *Cell) Forget(h Holder) {
 	for _, hold := range c.holds[h] {
-		c.counts[hold.Target]--
+		c.remove(hold.Hold)
 	}
 	delete(c.holds, h)
+	c.trust.drop(h)
 }
 
 // Holders returns the holders that have a place or have had one.
@@ -187,13 +206,38 @@
 	return out
 }
 
-func (c *Cell) add(h Holder, hold Hold) {
-	if c.holds[h] == nil {
-		c.holds[h] = make(map[string]Hold)
+func (c *Cell) holder(h Holder) map[string]hold {
+	m := c.holds[h]
+	if m == nil {
+		m = make(map[string]hold)
+		c.holds[h] = m
+	}
+	return m
+}
+
+func (c *Cell) add(h Holder, place Hold, fresh bool) {
+	m := c.holder(h)
+	if old, ok := m[place.Request]; ok {
+		c.remove(old.Hold)
+	}
+	m[place.Request] = hold{Hold: place, fresh: fresh}
+	c.count(place.Target, 1)
+	c.shares.add(place.Workspace, 1)
+	c.memory.put(place.Chat, place.Target)
+}
+
+func (c *Cell) remove(place Hold) {
+	c.count(place.Target, -1)
+	c.shares.add(place.Workspace, -1)
+}
+
+func (c *Cell) count(target string, n int) {
+	i, ok := c.index[target]
+	if !ok {
+		i = c.addSlot(slot{id: target, capacity: 1})
 	}
-	if old, ok := c.holds[h][hold.Request]; ok {
-		c.counts[old.Target]--
+	c.slots[i].count += n
+	if c.slots[i].usable {
+		c.own.InFlight += n
 	}
-	c.holds[h][hold.Request] = hold
-	c.counts[hold.Target]++
 }
--- /dev/null
+++ b/admission/cell/cell_test.go
@@ -0,0 +1,265 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// machine drives a cell by random calls and checks it against its own recount.
+type machine struct {
+	c      *Cell
+	cfg    Config
+	listed []Target
+	others Totals
+}
+
+func (m *machine) init(t *rapid.T) {
+	m.cfg = Config{
+		LoadFactor:  rapid.SampledFrom([]float64{1, 1.1, 1.25, 2}).Draw(t, "c"),
+		MaxInFlight: rapid.IntRange(1, 6).Draw(t, "max"),
+		Memory:      4,
+	}
+	m.c = New(m.cfg)
+	m.SetTargets(t)
+}
+
+func (m *machine) SetTargets(t *rapid.T) {
+	m.listed = m.listed[:0]
+	for i := range rapid.IntRange(0, 6).Draw(t, "n") {
+		m.listed = append(m.listed, Target{
+			ID:       fmt.Sprintf("engine-%d", i+rapid.IntRange(0, 1).Draw(t, "skip")*6),
+			Capacity: 1 + i%2,
+			Leaving:  rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+		})
+	}
+	m.c.SetTargets(m.listed)
+}
+
+func (m *machine) SetOthers(t *rapid.T) {
+	m.others = Totals{InFlight: rapid.IntRange(0, 20).Draw(t, "inflight"), Capacity: rapid.IntRange(0, 10).Draw(t, "capacity")}
+	m.c.SetOthers(m.others)
+}
+
+func (m *machine) Acquire(t *rapid.T) {
+	a := drawAsk(t)
+	before := m.recount()
+	old, had := m.c.holds[a.Holder][a.Request]
+	v := m.c.Acquire(epoch, a)
+	is := is.New(t)
+	if had && !slices.Contains(a.Exclude, old.Target) {
+		is.Equal(v, Verdict{Outcome: Granted, Target: old.Target}) // the same place again
+	}
+	if v.Outcome != Granted {
+		is.True(v.RetryAfter > 0)
+		is.True(v.Reason != ReasonNone)
+		is.Equal(m.recount(), before)
+		return
+	}
+	if had && old.Target == v.Target {
+		is.Equal(m.recount(), before) // a repeated Ask isn't counted again
+		return
+	}
+	tg, ok := m.target(v.Target)
+	is.True(ok && !tg.Leaving)
+	inFlight, capacity := m.others.InFlight+1, m.others.Capacity
+	for _, l := range m.listed {
+		if !l.Leaving {
+			inFlight += before[l.ID]
+			capacity += l.Capacity
+		}
+	}
+	bound := math.Ceil(m.cfg.LoadFactor * float64(inFlight) / float64(capacity) * float64(tg.Capacity))
+	is.True(before[v.Target]+1 <= int(bound))
+	is.True(before[v.Target]+1 <= m.cfg.MaxInFlight*tg.Capacity)
+}
+
+func (m *machine) Release(t *rapid.T) {
+	a := drawAsk(t)
+	m.c.Release(a.Holder, a.Request)
+}
+
+func (m *machine) Forget(t *rapid.T) { m.c.Forget(drawAsk(t).Holder) }
+
+func (m *machine) Resync(t *rapid.T) {
+	var holds []Hold
+	for range rapid.IntRange(0, 4).Draw(t, "holds") {
+		a := drawAsk(t)
+		holds = append(holds, Hold{
+			Request: a.Request, Chat: a.Chat, Workspace: a.Workspace,
+			Target: fmt.Sprintf("engine-%d", rapid.IntRange(0, 12).Draw(t, "target")),
+		})
+	}
+	m.c.Resync(drawAsk(t).Holder, holds)
+}
+
+// Check recounts the holds and compares.
+func (m *machine) Check(t *rapid.T) {
+	is := is.New(t)
+	counts := m.recount()
+	inFlight, seen := 0, 0
+	for _, s := range m.c.slots {
+		is.True(s.count >= 0)
+		is.Equal(s.count, counts[s.id])
+		seen += s.count
+		if s.usable {
+			inFlight += s.count
+		}
+	}
+	all := 0
+	for _, n := range counts {
+		all += n
+	}
+	is.Equal(seen, all)
+	is.Equal(m.c.Totals().InFlight, inFlight)
+	shares := 0
+	for _, s := range m.c.shares.active {
+		is.True(s.inFlight > 0)
+		shares += s.inFlight
+	}
+	is.Equal(shares, all)
+}
+
+func (m *machine) recount() map[string]int {
+	counts := make(map[string]int)
+	for _, places := range m.c.holds {
+		for _, p := range places {
+			counts[p.Target]++
+		}
+	}
+	return counts
+}
+
+func (m *machine) target(id string) (Target, bool) {
+	for _, t := range m.listed {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+func drawAsk(t *rapid.T) Ask {
+	a := Ask{
+		Holder:    Holder{Node: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "node"), Incarnation: 1},
+		Request:   fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "request")),
+		Chat:      rapid.Uint64Range(0, 8).Draw(t, "chat"),
+		Workspace: rapid.SampledFrom([]string{"w", "x", "y"}).Draw(t, "workspace"),
+		Weight:    rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "weight"),
+		Urgency:   rapid.IntRange(0, 7).Draw(t, "urgency"),
+		Returning: rapid.Bool().Draw(t, "returning"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "excludes") == 0 {
+		a.Exclude = []string{fmt.Sprintf("engine-%d", rapid.IntRange(0, 12).Draw(t, "exclude"))}
+	}
+	return a
+}
+
+func TestCellKeepsBoundAndCounts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &machine{}
+		m.init(rt)
+		rt.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+func TestResyncTwiceHealsAnyDrift(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &machine{}
+		m.init(rt)
+		for range rapid.IntRange(0, 30).Draw(rt, "asks") {
+			m.Acquire(rt)
+		}
+		h := Holder{Node: "a", Incarnation: 1}
+		truth := []Hold{{Request: "kept", Target: "engine-1", Workspace: "w", Chat: 1}}
+		m.c.Resync(h, truth)
+		m.c.Resync(h, truth)
+		is := is.New(rt)
+		is.Equal(len(m.c.holds[h]), 1)
+		is.Equal(m.c.holds[h]["kept"].Hold, truth[0])
+		m.Check(rt)
+	})
+}
+
+func TestResyncKeepsPlaceItCrossed(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{LoadFactor: 1.25, MaxInFlight: 8})
+	c.SetTargets([]Target{{ID: "engine-1", Capacity: 1}})
+	h := Holder{Node: "a"}
+	is.Equal(c.Acquire(epoch, Ask{Holder: h, Request: "r"}).Outcome, Granted)
+	c.Resync(h, nil) // listed before the grant arrived
+	is.Equal(c.Totals().InFlight, 1)
+	c.Resync(h, nil) // now the place is gone for certain
+	is.Equal(c.Totals().InFlight, 0)
+}
+
+// The order of preference: last target, home under the soft limit, room.
+func TestPlace(t *testing.T) {
+	targets := []Target{{ID: "a", Capacity: 1}, {ID: "b", Capacity: 1}, {ID: "c", Capacity: 1}}
+	const chat = 7
+	order := rankOf(targets, chat)
+	home, second, third := order[0], order[1], order[2]
+	for _, tt := range []struct {
+		name      string
+		load      map[string]int // requests in flight; the mean follows
+		last      string
+		returning bool
+		exclude   []string
+		want      string
+	}{
+		{name: "idle pool goes home", want: home},
+		{name: "last target is preferred to home", last: third, load: map[string]int{third: 4, second: 4, home: 4}, want: third},
+		{name: "new chat isn't sent over the mean", load: map[string]int{home: 6, second: 4, third: 5}, want: second},
+		{name: "returning chat may go over the mean", load: map[string]int{home: 6, second: 4, third: 5}, returning: true, want: home},
+		{name: "full home sends a returning chat to the next", load: map[string]int{home: 9, second: 4, third: 2}, returning: true, want: second},
+		{name: "excluded last target isn't used", last: third, exclude: []string{third}, want: home},
+		{name: "full last target isn't used", last: third, load: map[string]int{home: 2, second: 2, third: 8}, want: home},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(Config{LoadFactor: 1.25, MaxInFlight: 64})
+			c.SetTargets(targets)
+			var holds []Hold
+			for id, n := range tt.load {
+				for i := range n {
+					holds = append(holds, Hold{Request: fmt.Sprint(id, i), Target: id, Chat: 1000})
+				}
+			}
+			c.Resync(Holder{Node: "n"}, holds)
+			if tt.last != "" {
+				c.memory.put(chat, tt.last)
+			}
+			v := c.Acquire(epoch, Ask{Request: "r", Chat: chat, Returning: tt.returning, Exclude: tt.exclude})
+			is.Equal(v.Target, tt.want)
+		})
+	}
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{LoadFactor: 1.25, MaxInFlight: 8})
+	c.SetTargets([]Target{{ID: "a", Capacity: 1}})
+	is.Equal(c.Acquire(epoch, Ask{Request: "1", Chat: 1}).Target, "a")
+	c.SetTargets([]Target{{ID: "a", Capacity: 1, Leaving: true}})
+	v := c.Acquire(epoch, Ask{Request: "2", Chat: 1})
+	is.Equal(v.Outcome, Full)
+	is.Equal(v.Reason, ReasonNoTarget)
+	is.Equal(c.slots[0].count, 1) // its request stays counted
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMemory(8)
+		for chat := range rapid.Uint64Range(0, 100).Draw(rt, "chats") {
+			m.put(chat, "a")
+		}
+		is.New(rt).True(m.last.Len() <= 8)
+	})
+}
--- /dev/null
+++ b/admission/cell/shares.go
@@ -0,0 +1,56 @@
+package cell
+
+// shares counts requests in flight by workspace.
+type shares struct {
+	active  map[string]share
+	weights float64 // sum over the active workspaces
+}
+
+type share struct {
+	inFlight int
+	weight   float64
+}
+
+func newShares() shares { return shares{active: make(map[string]share)} }
+
+// add counts n more requests of a workspace.
+func (s *shares) add(workspace string, n int) {
+	w, ok := s.active[workspace]
+	if !ok {
+		w.weight = 1
+		s.weights += w.weight
+	}
+	w.inFlight += n
+	if w.inFlight <= 0 {
+		s.weights -= w.weight
+		delete(s.active, workspace)
+		return
+	}
+	s.active[workspace] = w
+}
+
+// setWeight sets the weight of an active workspace; 0 means 1.
+func (s *shares) setWeight(workspace string, weight float64) {
+	w, ok := s.active[workspace]
+	if !ok {
+		return
+	}
+	weight = orDefault(weight, 1)
+	s.weights += weight - w.weight
+	w.weight = weight
+	s.active[workspace] = w
+}
+
+// over says whether one more request takes a workspace beyond its weighted
+// share of a capacity that is divided among the active workspaces. A share is
+// at least one request.
+func (s *shares) over(workspace string, weight float64, capacity int) bool {
+	weight = orDefault(weight, 1)
+	w, ok := s.active[workspace]
+	weights := s.weights + weight - w.weight
+	if !ok {
+		weights = s.weights + weight
+	}
+	fair := float64(capacity) * weight / weights
+	return float64(w.inFlight+1) > max(fair, 1)
+}
--- a/routing/rendezvous.go
+++ b/routing/rendezvous.go
@@ -9,9 +9,16 @@
 // Score is the rendezvous (highest random weight) score of a target for a
 // chat. Every node computes the same score (Thaler and Ravishankar, 1998).
 func Score(chat, target uint64) uint64 {
-	return mix(chat ^ mix(target))
+	return Rank(chat, Key(target))
 }
 
+// Key prepares a target's hash for Rank, so that it is mixed once and not for
+// each chat.
+func Key(target uint64) uint64 { return mix(target) }
+
+// Rank is Score for a target prepared by Key.
+func Rank(chat, key uint64) uint64 { return mix(chat ^ key) }
+
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
