--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -18,15 +18,8 @@
 // ServiceID is the kernel name of the Watcher.
 const ServiceID kernel.ID = "settings.watcher"
 
-// Prefix is the root of the operators' tree; a team's subtree is
-// Prefix + team + "/".
-const Prefix = "/knapweedgw/teams/"
-
 const retryInterval = time.Second
 
-// TeamKey returns the store key of a team's document.
-func TeamKey(team string) string { return Prefix + team + "/settings" }
-
 // Watcher keeps the latest settings from the store.
 type Watcher struct {
 	store store.Store
