Hold every store to one contract

Cause: the store interface had two implementations and no tests. Besides, found by reading: Get through the server told the key's revision as the store's; the client took the watch header's revision for that of the last event, which etcd documents to be ahead for a late watch; a 503 counted as proof of no effect, though etcd says "request timed out" with it; a history without bound; a scan of all leases at each call.

Ruled out: keeping every 503 as ErrUnavailable (a timed-out write may have been applied); a buffer for each watch (a slow one would hold memory or block writers; a watch reads from the bounded history instead).

--- a/store/etcd/server.go
+++ b/store/etcd/server.go
@@ -1,6 +1,7 @@
 package etcd
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -11,6 +12,13 @@
 	"github.com/knapweedgw/knapweedgw/store"
 )
 
+// maxRequestBytes bounds a request: a value of the largest size in base64,
+// and room for others.
+const maxRequestBytes = 4 * store.MaxValueBytes
+
+// invalidArgument is the gRPC status code of a malformed request.
+const invalidArgument = 3
+
 // Server serves a store.Store over the same JSON mapping that Client speaks.
 // The laboratory's platform and the contract tests use it.
 type Server struct{ store store.Store }
@@ -18,6 +26,9 @@
 // NewServer returns a server of s.
 func NewServer(s store.Store) *Server { return &Server{store: s} }
 
+// revisioner is a store that knows its revision.
+type revisioner interface{ Revision() int64 }
+
 // Routes adds the /v3 paths to ws.
 func (s *Server) Routes(ws *restful.WebService) {
 	ws.Route(ws.POST("/v3/kv/range").To(s.serveRange))
@@ -33,12 +44,17 @@
 	if !decode(r, w, &req) {
 		return
 	}
+	prefix, isPrefix := prefixOf(req.Key, req.RangeEnd)
 	var page store.Page
 	var err error
-	if req.RangeEnd == nil {
+	switch {
+	case req.RangeEnd == nil:
 		page, err = s.single(r, string(req.Key))
-	} else {
-		page, err = s.store.List(r.Request.Context(), string(req.Key))
+	case isPrefix:
+		page, err = s.store.List(r.Request.Context(), prefix)
+	default:
+		refuseRange(w)
+		return
 	}
 	resp := rangeResponse{Header: header{int64String(page.Revision)}}
 	for _, kv := range page.KVs {
@@ -47,12 +63,20 @@
 	reply(w, resp, err)
 }
 
+// single reads one key. The revision is read first, so that a change after
+// the read is never at or before it.
 func (s *Server) single(r *restful.Request, key string) (store.Page, error) {
+	var page store.Page
+	if rs, ok := s.store.(revisioner); ok {
+		page.Revision = rs.Revision()
+	}
 	kv, ok, err := s.store.Get(r.Request.Context(), key)
 	if err != nil || !ok {
-		return store.Page{}, err
+		return page, err
 	}
-	return store.Page{KVs: []store.KV{kv}, Revision: kv.ModRevision}, nil
+	page.KVs = []store.KV{kv}
+	page.Revision = max(page.Revision, kv.ModRevision)
+	return page, nil
 }
 
 func (s *Server) serveTxn(r *restful.Request, w *restful.Response) {
@@ -62,10 +86,19 @@
 	}
 	var t store.Txn
 	for _, c := range req.Compare {
+		if c.Target != "MOD" || c.Result != "EQUAL" {
+			writeError(w.ResponseWriter, http.StatusBadRequest, invalidArgument, "compare is not MOD EQUAL")
+			return
+		}
 		t.Compares = append(t.Compares, store.Compare{Key: string(c.Key), ModRevision: int64(c.ModRevision)})
 	}
 	for _, op := range req.Success {
-		t.Ops = append(t.Ops, opFromWire(op))
+		o, ok := opFromWire(op)
+		if !ok {
+			refuseRange(w)
+			return
+		}
+		t.Ops = append(t.Ops, o)
 	}
 	rev, ok, err := s.store.Commit(r.Request.Context(), t)
 	reply(w, txnResponse{Header: header{int64String(rev)}, Succeeded: ok}, err)
@@ -107,7 +140,12 @@
 		return
 	}
 	create := req.CreateRequest
-	batches, err := s.store.Watch(r.Request.Context(), string(create.Key), int64(create.StartRevision))
+	prefix, ok := prefixOf(create.Key, create.RangeEnd)
+	if !ok {
+		refuseRange(w)
+		return
+	}
+	batches, err := s.store.Watch(r.Request.Context(), prefix, int64(create.StartRevision))
 	if err != nil {
 		reply(w, nil, err)
 		return
@@ -117,58 +155,41 @@
 	_ = enc.Encode(watchResponse{Result: watchResult{Created: true}})
 	_ = rc.Flush()
 	for b := range batches {
-		if enc.Encode(watchResponse{Result: batchToWire(b)}) != nil {
+		if enc.Encode(batchToWire(b)) != nil {
 			return
 		}
 		_ = rc.Flush()
 	}
 }
 
-func batchToWire(b store.Batch) watchResult {
-	r := watchResult{Header: header{int64String(b.Revision)}, Canceled: b.Err != nil}
-	for _, e := range b.Events {
-		we := watchEvent{Type: "PUT", KV: kvToWire(e.KV)}
-		if e.Deleted {
-			we.Type = "DELETE"
-		}
-		r.Events = append(r.Events, we)
-	}
-	return r
-}
-
 func decode(r *restful.Request, w *restful.Response, v any) bool {
-	if err := json.NewDecoder(r.Request.Body).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	body := http.MaxBytesReader(w.ResponseWriter, r.Request.Body, maxRequestBytes)
+	if err := json.NewDecoder(body).Decode(v); err != nil {
+		writeError(w.ResponseWriter, http.StatusBadRequest, invalidArgument, err.Error())
 		return false
 	}
 	return true
 }
 
-func reply(w *restful.Response, v any, err error) {
-	switch {
-	case err == nil:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w.ResponseWriter).Encode(v)
-	case errors.Is(err, store.ErrLeaseNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, store.ErrUncertain):
-		http.Error(w, err.Error(), http.StatusGatewayTimeout)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	}
+func refuseRange(w *restful.Response) {
+	writeError(w.ResponseWriter, http.StatusBadRequest, invalidArgument, "range is neither one key nor a prefix")
 }
 
-func opFromWire(op requestOp) store.Op {
-	if p := op.RequestPut; p != nil {
-		return store.Op{Key: string(p.Key), Value: p.Value, Lease: store.LeaseID(p.Lease)}
+func reply(w *restful.Response, v any, err error) {
+	if err != nil {
+		r := refusalOf(err)
+		writeError(w.ResponseWriter, r.status, r.code, r.message)
+		return
 	}
-	d := op.RequestDeleteRange
-	return store.Op{Key: string(d.Key), Delete: true, Prefix: d.RangeEnd != nil}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w.ResponseWriter).Encode(v)
 }
 
-func kvToWire(kv store.KV) keyValue {
-	return keyValue{
-		Key: []byte(kv.Key), Value: kv.Value,
-		ModRevision: int64String(kv.ModRevision), Lease: int64String(kv.Lease),
+// prefixOf returns the prefix that a key range stands for.
+func prefixOf(key, end []byte) (string, bool) {
+	prefix := string(key)
+	if bytes.Equal(key, lowestKey) && bytes.Equal(end, noEnd) {
+		prefix = ""
 	}
+	return prefix, bytes.Equal(end, prefixEnd(prefix))
 }
--- a/store/etcd/wire_types.go
+++ b/store/etcd/wire_types.go
@@ -1,6 +1,10 @@
 package etcd
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
 
 // The messages below follow etcd v3's JSON mapping (etcdserverpb over the
 // gRPC gateway): bytes are base64, 64-bit integers are strings.
@@ -16,8 +20,11 @@
 		b = b[1 : len(b)-1]
 	}
 	n, err := strconv.ParseInt(string(b), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "64-bit integer")
+	}
 	*i = int64String(n)
-	return err
+	return nil
 }
 
 type header struct {
@@ -83,8 +90,9 @@
 }
 
 type leaseResponse struct {
-	ID  int64String `json:"ID"`
-	TTL int64String `json:"TTL"`
+	Header header      `json:"header"`
+	ID     int64String `json:"ID"`
+	TTL    int64String `json:"TTL"`
 }
 
 type keepAliveResponse struct {
@@ -101,6 +109,12 @@
 	StartRevision int64String `json:"start_revision,omitempty"`
 }
 
+// The types of watch events; etcd's JSON leaves PUT, the default, out.
+const (
+	eventPut    = "PUT"
+	eventDelete = "DELETE"
+)
+
 type watchEvent struct {
 	Type string   `json:"type"`
 	KV   keyValue `json:"kv"`
@@ -110,10 +124,12 @@
 	Header          header       `json:"header"`
 	Created         bool         `json:"created"`
 	Canceled        bool         `json:"canceled"`
-	CompactRevision int64String  `json:"compact_revision"`
+	CancelReason    string       `json:"cancel_reason,omitempty"`
+	CompactRevision int64String  `json:"compact_revision,omitempty"`
 	Events          []watchEvent `json:"events"`
 }
 
 type watchResponse struct {
-	Result watchResult `json:"result"`
+	Result watchResult   `json:"result"`
+	Error  *gatewayError `json:"error,omitempty"`
 }
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -4,6 +4,7 @@
 package memory
 
 import (
+	"bytes"
 	"context"
 	"sort"
 	"strings"
@@ -13,28 +14,17 @@
 	"github.com/knapweedgw/knapweedgw/store"
 )
 
-type lease struct {
-	ttl     time.Duration
-	expires time.Time
-}
-
-type revisionEvent struct {
-	revision int64
-	event    store.Event
-}
-
-// Store is a store.Store. It is safe for concurrent use.
+// Store is a store.Store. It is safe for concurrent use. Values that it
+// returns must not be modified.
 type Store struct {
 	now func() time.Time
 
-	mu        sync.Mutex
-	changed   *sync.Cond
-	revision  int64
-	compacted int64
-	kvs       map[string]store.KV
-	leases    map[store.LeaseID]lease
-	nextLease store.LeaseID
-	history   []revisionEvent
+	mu       sync.Mutex
+	changed  *sync.Cond
+	revision int64
+	kvs      map[string]store.KV
+	leases   leaseTable
+	history  history
 }
 
 var _ store.Store = (*Store)(nil)
@@ -42,14 +32,23 @@
 // New returns an empty store whose leases follow the given clock.
 func New(now func() time.Time) *Store {
 	s := &Store{
-		now:    now,
-		kvs:    make(map[string]store.KV),
-		leases: make(map[store.LeaseID]lease),
+		now:     now,
+		kvs:     make(map[string]store.KV),
+		leases:  newLeaseTable(),
+		history: history{maxEvents: DefaultHistoryEvents, maxBytes: DefaultHistoryBytes},
 	}
 	s.changed = sync.NewCond(&s.mu)
 	return s
 }
 
+// Revision returns the store's revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.revision
+}
+
 // Get implements store.Store.
 func (s *Store) Get(_ context.Context, key string) (store.KV, bool, error) {
 	s.mu.Lock()
@@ -65,17 +64,30 @@
 	defer s.mu.Unlock()
 	s.expire()
 	page := store.Page{Revision: s.revision}
-	for key, kv := range s.kvs {
+	for _, key := range s.keys(prefix) {
+		page.KVs = append(page.KVs, s.kvs[key])
+	}
+	return page, nil
+}
+
+// keys returns the keys that start with prefix, in order.
+func (s *Store) keys(prefix string) []string {
+	var keys []string
+	for key := range s.kvs {
 		if strings.HasPrefix(key, prefix) {
-			page.KVs = append(page.KVs, kv)
+			keys = append(keys, key)
 		}
 	}
-	sort.Slice(page.KVs, func(i, j int) bool { return page.KVs[i].Key < page.KVs[j].Key })
-	return page, nil
+	sort.Strings(keys)
+	return keys
 }
 
-// Commit implements store.Store.
+// Commit implements store.Store. As in etcd, a transaction that changes
+// nothing leaves the revision as it is.
 func (s *Store) Commit(_ context.Context, t store.Txn) (int64, bool, error) {
+	if err := t.Validate(); err != nil {
+		return 0, false, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -85,56 +97,67 @@
 		}
 	}
 	for _, op := range t.Ops {
-		if _, ok := s.leases[op.Lease]; op.Lease != 0 && !ok {
+		if op.Lease != 0 && !s.leases.has(op.Lease) {
 			return s.revision, false, store.ErrLeaseNotFound
 		}
 	}
-	if len(t.Ops) > 0 {
-		s.revision++
-	}
-	for _, op := range t.Ops {
-		s.apply(op)
+	s.change(func(revision int64) {
+		for _, op := range t.Ops {
+			s.apply(op, revision)
+		}
+	})
+	return s.revision, true, nil
+}
+
+// change runs f for the next revision, and begins that revision if f recorded
+// an event.
+func (s *Store) change(f func(revision int64)) {
+	next := s.revision + 1
+	f(next)
+	if s.history.newest != next {
+		return
 	}
+	s.revision = next
+	s.history.trim()
 	s.changed.Broadcast()
-	return s.revision, true, nil
 }
 
-func (s *Store) apply(op store.Op) {
+func (s *Store) apply(op store.Op, revision int64) {
 	switch {
 	case !op.Delete:
-		kv := store.KV{Key: op.Key, Value: op.Value, ModRevision: s.revision, Lease: op.Lease}
-		s.kvs[op.Key] = kv
-		s.record(store.Event{KV: kv})
+		s.put(op, revision)
 	case op.Prefix:
-		for key := range s.kvs {
-			if strings.HasPrefix(key, op.Key) {
-				s.remove(key)
-			}
+		for _, key := range s.keys(op.Key) {
+			s.remove(key, revision)
 		}
 	default:
-		s.remove(op.Key)
+		s.remove(op.Key, revision)
 	}
 }
 
-func (s *Store) remove(key string) {
-	if _, ok := s.kvs[key]; !ok {
+func (s *Store) put(op store.Op, revision int64) {
+	kv := store.KV{Key: op.Key, Value: bytes.Clone(op.Value), ModRevision: revision, Lease: op.Lease}
+	s.leases.detach(s.kvs[op.Key].Lease, op.Key)
+	s.leases.attach(op.Lease, op.Key)
+	s.kvs[op.Key] = kv
+	s.history.add(revision, store.Event{KV: kv})
+}
+
+func (s *Store) remove(key string, revision int64) {
+	kv, ok := s.kvs[key]
+	if !ok {
 		return
 	}
+	s.leases.detach(kv.Lease, key)
 	delete(s.kvs, key)
-	s.record(store.Event{KV: store.KV{Key: key, ModRevision: s.revision}, Deleted: true})
-}
-
-func (s *Store) record(e store.Event) {
-	s.history = append(s.history, revisionEvent{s.revision, e})
+	s.history.add(revision, store.Event{KV: store.KV{Key: key, ModRevision: revision}, Deleted: true})
 }
 
 // Grant implements store.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextLease++
-	s.leases[s.nextLease] = lease{ttl: ttl, expires: s.now().Add(ttl)}
-	return s.nextLease, nil
+	return s.leases.grant(ttl, s.now()), nil
 }
 
 // Renew implements store.Store.
@@ -142,20 +165,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	l, ok := s.leases[id]
-	if !ok {
-		return store.ErrLeaseNotFound
-	}
-	l.expires = s.now().Add(l.ttl)
-	s.leases[id] = l
-	return nil
+	return s.leases.renew(id, s.now())
 }
 
 // Revoke implements store.Store.
 func (s *Store) Revoke(_ context.Context, id store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.leases[id]; !ok {
+	s.expire()
+	if !s.leases.has(id) {
 		return store.ErrLeaseNotFound
 	}
 	s.drop(id)
@@ -171,23 +189,18 @@
 }
 
 func (s *Store) expire() {
-	now := s.now()
-	for id, l := range s.leases {
-		if now.After(l.expires) {
-			s.drop(id)
-		}
+	for _, id := range s.leases.lapsed(s.now()) {
+		s.drop(id)
 	}
 }
 
 func (s *Store) drop(id store.LeaseID) {
-	delete(s.leases, id)
-	s.revision++
-	for key, kv := range s.kvs {
-		if kv.Lease == id {
-			s.remove(key)
+	keys := s.leases.drop(id)
+	s.change(func(revision int64) {
+		for _, key := range keys {
+			s.remove(key, revision)
 		}
-	}
-	s.changed.Broadcast()
+	})
 }
 
 // Compact forgets the history up to the current revision, so that watches
@@ -195,68 +208,6 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compacted = s.revision
-	s.history = nil
+	s.history.forget(s.revision)
 	s.changed.Broadcast()
 }
-
-// Watch implements store.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Batch, error) {
-	out := make(chan store.Batch)
-	stop := context.AfterFunc(ctx, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.changed.Broadcast()
-	})
-	go func() {
-		defer close(out)
-		defer stop()
-		s.follow(ctx, prefix, from, out)
-	}()
-	return out, nil
-}
-
-func (s *Store) follow(ctx context.Context, prefix string, from int64, out chan<- store.Batch) {
-	next := from
-	if next == 0 {
-		s.mu.Lock()
-		next = s.revision + 1
-		s.mu.Unlock()
-	}
-	for {
-		b := s.wait(ctx, prefix, next)
-		if ctx.Err() != nil {
-			return
-		}
-		select {
-		case out <- b:
-		case <-ctx.Done():
-			return
-		}
-		if b.Err != nil {
-			return
-		}
-		next = b.Revision + 1
-	}
-}
-
-// wait blocks until a revision from next on exists, and returns its events
-// under prefix; the batch may be empty.
-func (s *Store) wait(ctx context.Context, prefix string, next int64) store.Batch {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.revision < next && ctx.Err() == nil {
-		s.changed.Wait()
-	}
-	if next <= s.compacted {
-		return store.Batch{Err: store.ErrCompacted}
-	}
-	b := store.Batch{Revision: s.revision}
-	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision >= next })
-	for _, h := range s.history[first:] {
-		if strings.HasPrefix(h.event.KV.Key, prefix) {
-			b.Events = append(b.Events, h.event)
-		}
-	}
-	return b
-}
--- a/store/store.go
+++ b/store/store.go
@@ -9,14 +9,21 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxValueBytes is the largest value the platform's service accepts.
-const MaxValueBytes = 1 << 20
+// Limits of the platform's service: the size of a value, and the compares and
+// the operations of one transaction (etcd's default --max-txn-ops).
+const (
+	MaxValueBytes = 1 << 20
+	MaxTxnOps     = 128
+)
 
 // Typed failures. Test with errors.Is.
 var (
 	// ErrUnavailable means that the service didn't take the call; a write
 	// had no effect.
 	ErrUnavailable = errors.New("store: unavailable; try again later")
+	// ErrRateLimited is an ErrUnavailable: the service has had more calls
+	// than its rate allows.
+	ErrRateLimited = errors.Wrap(ErrUnavailable, "store: rate limit reached; call less often")
 	// ErrUncertain means that the answer was lost; a write may have taken
 	// effect. Read back before writing again.
 	ErrUncertain = errors.New("store: answer lost; read back before trying again")
@@ -24,6 +31,15 @@
 	ErrCompacted = errors.New("store: revision compacted; list again")
 	// ErrLeaseNotFound means that the lease has lapsed. Grant a new one.
 	ErrLeaseNotFound = errors.New("store: lease not found; grant a new one")
+	// ErrValueTooLarge means that a value is over MaxValueBytes. Nothing was
+	// written.
+	ErrValueTooLarge = errors.New("store: value over 1 MiB; split it over several keys")
+	// ErrDuplicateKey means that a transaction writes a key twice. Nothing
+	// was written.
+	ErrDuplicateKey = errors.New("store: key written twice in a transaction; merge the two writes")
+	// ErrTooManyOps means that a transaction is over MaxTxnOps. Nothing was
+	// written.
+	ErrTooManyOps = errors.New("store: over 128 operations in a transaction; split it")
 )
 
 // LeaseID names a lease; 0 is none.
@@ -73,8 +89,10 @@
 	Deleted bool
 }
 
-// Batch is the events of one revision or more, in order. Revision is the
-// newest one included. Err ends the watch.
+// Batch is the events of one revision or more, in order; it is never empty
+// without an Err. Revision is the newest one included, so that a new watch may
+// start at Revision+1. Err ends the watch; with ErrCompacted, Revision is the
+// oldest one from which a watch may start.
 type Batch struct {
 	Events   []Event
 	Revision int64
@@ -85,10 +103,12 @@
 type Store interface {
 	// Get returns the key's value; ok is false if there is none.
 	Get(ctx context.Context, key string) (kv KV, ok bool, err error)
-	// List returns the keys that start with prefix.
+	// List returns the keys that start with prefix. A watch from the page's
+	// Revision+1 sees every later change once.
 	List(ctx context.Context, prefix string) (Page, error)
 	// Commit runs a transaction. It returns the store's revision and whether
-	// the compares held. On ErrUncertain the write may have taken effect.
+	// the compares held. On ErrUncertain the write may have taken effect; any
+	// other error means that it had no effect.
 	Commit(ctx context.Context, t Txn) (revision int64, ok bool, err error)
 	// Grant makes a lease that lapses ttl after its last renewal.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -97,6 +117,7 @@
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch sends the changes under prefix from revision from on, until ctx
-	// ends or a Batch carries an error; then the channel is closed.
+	// ends or a Batch carries an error; then the channel is closed. From 0
+	// means every change after Watch has returned.
 	Watch(ctx context.Context, prefix string, from int64) (<-chan Batch, error)
 }
