Give the platform stand-in every switch of its failures

Cause: the stand-in couldn't hang, limit its rates, cut a watch without an outage, lose lease answers, serve an older or incomplete VM list or change its faults by time, and the lost answers were picked by a racy read of a counter.

Now: hang, slowness of watches too, lost lease answers, reads and writes a second (a token bucket; a refused call is 429), watches cut at once, VM list outage, lagging replica and hidden VMs, PUT /lab/schedule, and counts of waiting watches, batches, limited calls and lost answers.

Ruled out: a fixed window for the rates (it lets two seconds' worth through at its edge); switches evaluated at each call (an outage must end open watches at its time).

A watch opened in the instant an outage begins ends at its next batch, not at once.

--- a/lab/platform/faults.go
+++ b/lab/platform/faults.go
@@ -1,153 +1,89 @@
 package platform
 
 import (
-	"context"
+	"sort"
 	"sync"
 	"time"
-
-	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // Faults are the platform's fault switches; the zero value is a healthy one.
 type Faults struct {
 	// Outage refuses every call and ends every watch.
 	Outage bool `json:"outage"`
-	// DelayMS delays every call.
+	// Hang leaves every call unanswered and every watch silent until it is
+	// switched off.
+	Hang bool `json:"hang"`
+	// DelayMS delays every call and every batch of a watch.
 	DelayMS int `json:"delay_ms"`
 	// LoseEvery loses the answer of each n-th write after it took effect.
 	LoseEvery int `json:"lose_every"`
+	// LoseLeaseEvery loses the answer of each n-th lease call after it took
+	// effect.
+	LoseLeaseEvery int `json:"lose_lease_every"`
+	// ReadsPerSecond and WritesPerSecond are rate limits, 0 for none. Opening
+	// a watch counts as a read, a lease call as a write. A second's worth may
+	// come at once.
+	ReadsPerSecond  int `json:"reads_per_second"`
+	WritesPerSecond int `json:"writes_per_second"`
 	// CompactNow forgets the watch history, so that late watches have a gap.
 	CompactNow bool `json:"compact_now"`
+	// CutWatchesNow ends the watches that are open.
+	CutWatchesNow bool `json:"cut_watches_now"`
+
+	// VMListOutage refuses reads of the VM list.
+	VMListOutage bool `json:"vm_list_outage"`
 	// VMListLagMS is how far the VM list lags.
 	VMListLagMS int `json:"vm_list_lag_ms"`
+	// VMListBack answers every other read of the VM list with the one of that
+	// many versions ago, as from a replica that lags.
+	VMListBack int `json:"vm_list_back"`
+	// VMListHide are IDs of VMs that the list leaves out.
+	VMListHide []string `json:"vm_list_hide,omitempty"`
 }
 
-// Calls counts the calls the key-value service has had.
-type Calls struct {
-	Reads   int64 `json:"reads"`
-	Writes  int64 `json:"writes"`
-	Watches int64 `json:"watches"`
-	Leases  int64 `json:"leases"`
-}
-
-// faultyStore wraps a store with fault switches and call counts.
-type faultyStore struct {
-	store.Store
-
-	mu     sync.Mutex
-	faults Faults
-	count  Calls
-	outage context.Context // ends when an outage begins
-	begin  context.CancelFunc
-}
-
-func newFaultyStore(s store.Store) *faultyStore {
-	f := &faultyStore{Store: s}
-	f.outage, f.begin = context.WithCancel(context.Background())
-	return f
-}
-
-func (f *faultyStore) set(faults Faults) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if faults.Outage {
-		f.begin()
-	} else if f.outage.Err() != nil {
-		f.outage, f.begin = context.WithCancel(context.Background())
-	}
-	f.faults = faults
-}
-
-func (f *faultyStore) calls() Calls {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.count
-}
-
-// enter counts a call, delays it and refuses it during an outage.
-func (f *faultyStore) enter(ctx context.Context, count func(*Calls)) (Faults, error) {
-	f.mu.Lock()
-	count(&f.count)
-	faults := f.faults
-	f.mu.Unlock()
-	if faults.Outage {
-		return faults, store.ErrUnavailable
-	}
-	select {
-	case <-time.After(time.Duration(faults.DelayMS) * time.Millisecond):
-		return faults, nil
-	case <-ctx.Done():
-		return faults, ctx.Err()
-	}
+// ScheduledFaults are switches that come into force at a time after the
+// schedule was set.
+type ScheduledFaults struct {
+	AfterMS int    `json:"after_ms"`
+	Faults  Faults `json:"faults"`
 }
 
-func countRead(c *Calls)  { c.Reads++ }
-func countWrite(c *Calls) { c.Writes++ }
-func countWatch(c *Calls) { c.Watches++ }
-func countLease(c *Calls) { c.Leases++ }
-
-// Get implements store.Store.
-func (f *faultyStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
-	if _, err := f.enter(ctx, countRead); err != nil {
-		return store.KV{}, false, err
-	}
-	return f.Store.Get(ctx, key)
-}
-
-// List implements store.Store.
-func (f *faultyStore) List(ctx context.Context, prefix string) (store.Page, error) {
-	if _, err := f.enter(ctx, countRead); err != nil {
-		return store.Page{}, err
-	}
-	return f.Store.List(ctx, prefix)
-}
-
-// Commit implements store.Store.
-func (f *faultyStore) Commit(ctx context.Context, t store.Txn) (int64, bool, error) {
-	faults, err := f.enter(ctx, countWrite)
-	if err != nil {
-		return 0, false, err
-	}
-	rev, ok, err := f.Store.Commit(ctx, t)
-	if err == nil && faults.LoseEvery > 0 && f.calls().Writes%int64(faults.LoseEvery) == 0 {
-		return 0, false, store.ErrUncertain
-	}
-	return rev, ok, err
-}
-
-// Grant implements store.Store.
-func (f *faultyStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	if _, err := f.enter(ctx, countLease); err != nil {
-		return 0, err
-	}
-	return f.Store.Grant(ctx, ttl)
-}
-
-// Renew implements store.Store.
-func (f *faultyStore) Renew(ctx context.Context, id store.LeaseID) error {
-	if _, err := f.enter(ctx, countLease); err != nil {
-		return err
-	}
-	return f.Store.Renew(ctx, id)
+// schedule puts faults in force as their times come.
+type schedule struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	steps []ScheduledFaults
 }
 
-// Revoke implements store.Store.
-func (f *faultyStore) Revoke(ctx context.Context, id store.LeaseID) error {
-	if _, err := f.enter(ctx, countLease); err != nil {
-		return err
+// set replaces the schedule; apply is called in the order of the times.
+func (s *schedule) set(steps []ScheduledFaults, apply func(Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
 	}
-	return f.Store.Revoke(ctx, id)
+	steps = append([]ScheduledFaults(nil), steps...)
+	sort.SliceStable(steps, func(i, j int) bool { return steps[i].AfterMS < steps[j].AfterMS })
+	s.steps = steps
+	s.arm(0, apply)
 }
 
-// Watch implements store.Store. An outage ends the watch.
-func (f *faultyStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Batch, error) {
-	if _, err := f.enter(ctx, countWatch); err != nil {
-		return nil, err
+// arm waits for the first step; elapsed is how long the schedule has run.
+func (s *schedule) arm(elapsed time.Duration, apply func(Faults)) {
+	if len(s.steps) == 0 {
+		return
 	}
-	f.mu.Lock()
-	outage := f.outage
-	f.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
-	context.AfterFunc(outage, cancel)
-	return f.Store.Watch(ctx, prefix, from)
+	at := time.Duration(s.steps[0].AfterMS) * time.Millisecond
+	var timer *time.Timer
+	timer = time.AfterFunc(at-elapsed, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.timer != timer {
+			return // replaced meanwhile
+		}
+		apply(s.steps[0].Faults)
+		s.steps = s.steps[1:]
+		s.arm(at, apply)
+	})
+	s.timer = timer
 }
