Let the service stand-in fail before and after a call takes effect

Cause: its one delay and one lost answer both came after the effect, so that a caller's timeout before the effect, a dropped connection and an answer cut in its middle could not be brought about; its counts grew without bound.

A misspelt switch is refused.

Ruled out: a plain map cleared when full (it would forget a call that is run again a moment later).

--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -12,23 +12,24 @@
 )
 
 // Faults are the service's fault switches; the zero value is a healthy one.
+// A call takes effect, that is, it is counted as run, between the two delays.
 type Faults struct {
-	// DelayMS delays every answer.
+	// DelayBeforeMS delays each call before it takes effect.
+	DelayBeforeMS int `json:"delay_before_ms"`
+	// DelayMS delays each answer after the call took effect.
 	DelayMS int `json:"delay_ms"`
-	// LoseEvery runs each n-th call but closes the connection unanswered.
-	LoseEvery int `json:"lose_every"`
 	// RefuseEvery answers each n-th call with 503 and doesn't run it.
 	RefuseEvery int `json:"refuse_every"`
+	// DropEvery closes the connection of each n-th call and doesn't run it.
+	DropEvery int `json:"drop_every"`
+	// LoseEvery runs each n-th call but closes the connection unanswered.
+	LoseEvery int `json:"lose_every"`
+	// CutEvery runs each n-th call and closes the connection inside the answer.
+	CutEvery int `json:"cut_every"`
 	// Leaving announces on every answer that the service VM is leaving.
 	Leaving bool `json:"leaving"`
 }
 
-// Runs counts calls run, by X-Request-Id and by Idempotency-Key.
-type Runs struct {
-	ByRequest map[string]int `json:"by_request"`
-	ByKey     map[string]int `json:"by_key"`
-}
-
 // Answer is the body of each answer.
 type Answer struct {
 	Service   string `json:"service"`
@@ -41,15 +42,18 @@
 type Service struct {
 	id string
 
-	mu     sync.Mutex
-	faults Faults
-	seen   int
-	runs   Runs
+	mu      sync.Mutex
+	faults  Faults
+	seen    int
+	total   int
+	refused int
+	byID    counter
+	byKey   counter
 }
 
 // New returns a service with the given VM ID.
 func New(id string) *Service {
-	return &Service{id: id, runs: Runs{ByRequest: make(map[string]int), ByKey: make(map[string]int)}}
+	return &Service{id: id, byID: newCounter(keptRuns), byKey: newCounter(keptRuns)}
 }
 
 // Handler returns the service's routes: any path, and /lab/*.
@@ -66,42 +70,66 @@
 }
 
 func (s *Service) serve(r *restful.Request, w *restful.Response) {
-	id := r.Request.Header.Get("X-Request-Id")
-	key := r.Request.Header.Get("Idempotency-Key")
-	faults, refuse, lose := s.record(id, key)
-	if faults.Leaving {
+	nth, f := s.arrive()
+	if f.Leaving {
 		w.Header().Set("X-Endpoint-State", "leaving")
 	}
-	if refuse {
+	switch {
+	case hits(nth, f.RefuseEvery):
+		s.refuse()
+		w.Header().Set("Retry-After", "1")
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
+	case hits(nth, f.DropEvery):
+		s.refuse()
+		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	if lose {
+	time.Sleep(time.Duration(f.DelayBeforeMS) * time.Millisecond)
+	id := r.Request.Header.Get("X-Request-Id")
+	s.run(id, r.Request.Header.Get("Idempotency-Key"))
+	time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+	if hits(nth, f.LoseEvery) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w.ResponseWriter).Encode(Answer{
+	s.answer(r, w, id, hits(nth, f.CutEvery))
+}
+
+// hits says whether the n-th call meets a fault of every n-th.
+func hits(nth, every int) bool { return every > 0 && nth%every == 0 }
+
+func (s *Service) answer(r *restful.Request, w *restful.Response, id string, cut bool) {
+	raw, _ := json.Marshal(Answer{
 		Service: s.id, Method: r.Request.Method, Path: r.Request.URL.Path, RequestID: id,
 	})
+	w.Header().Set("Content-Type", "application/json")
+	if cut {
+		_, _ = w.Write(raw[:len(raw)/2])
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(raw)
 }
 
-// record counts a call unless it is to be refused.
-func (s *Service) record(id, key string) (f Faults, refuse, lose bool) {
+// arrive numbers a call and returns the switches it meets.
+func (s *Service) arrive() (nth int, f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen++
-	f = s.faults
-	refuse = f.RefuseEvery > 0 && s.seen%f.RefuseEvery == 0
-	lose = f.LoseEvery > 0 && s.seen%f.LoseEvery == 0
-	if refuse {
-		return f, true, false
-	}
-	s.runs.ByRequest[id]++
-	if key != "" {
-		s.runs.ByKey[key]++
-	}
-	return f, false, lose
+	return s.seen, s.faults
+}
+
+func (s *Service) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused++
+}
+
+func (s *Service) run(id, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	s.byID.add(id)
+	s.byKey.add(key)
 }
 
 // SetFaults puts the fault switches in force.
@@ -111,15 +139,25 @@
 	s.faults = f
 }
 
-func (s *Service) serveRuns(_ *restful.Request, w *restful.Response) {
+// Runs returns what the service ran.
+func (s *Service) Runs() Runs {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w.ResponseWriter).Encode(s.runs)
+	return Runs{
+		ByRequest: s.byID.counts(), ByKey: s.byKey.counts(),
+		Total: s.total, Doubled: s.byID.doubled, DoubledKeys: s.byKey.doubled, Refused: s.refused,
+	}
+}
+
+func (s *Service) serveRuns(_ *restful.Request, w *restful.Response) {
+	_ = json.NewEncoder(w.ResponseWriter).Encode(s.Runs())
 }
 
 func (s *Service) putFaults(r *restful.Request, w *restful.Response) {
 	var f Faults
-	if err := json.NewDecoder(r.Request.Body).Decode(&f); err != nil {
+	dec := json.NewDecoder(r.Request.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
