Hold named duties under a platform lease with a fencing number

Cause: orders to engines need one issuer a pool, and an old issuer that wakes must be told from the current one.

Weighed: a counter key bumped in the creating transaction, or the revision of the creation. The revision needs no second key, and it is comparable across duties, so an engine that moves between pools never meets a smaller number from its new pool's issuer once that one has taken a newer term.

Ruled out: counting the term from the renewal's answer (the store starts it earlier), and trusting an uncertain creation without a read-back.

A pause between check and act isn't covered by any lease; TestPauseBetweenCheckAndAct states it.

--- /dev/null
+++ b/lease/keeper.go
@@ -0,0 +1,158 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/knapweedgw/knapweedgw/store"
+)
+
+// pollInterval is how often a Keeper looks at its machine without a call.
+const pollInterval = 200 * time.Millisecond
+
+// Keeper contends for a duty and holds it. It is safe for concurrent use.
+type Keeper struct {
+	store   store.Store
+	duty    string
+	holder  string
+	metrics *Metrics
+	now     func() time.Time
+
+	mu      sync.Mutex
+	machine *Machine
+}
+
+// NewKeeper returns a contender for the duty under the holder's name.
+func NewKeeper(s store.Store, cfg Config, duty, holder string, m *Metrics) *Keeper {
+	return &Keeper{
+		store: s, duty: duty, holder: holder, metrics: m, now: time.Now,
+		machine: NewMachine(cfg, uuid.NewString),
+	}
+}
+
+// Held returns the current term, checked against the clock now.
+func (k *Keeper) Held() (Term, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Held(k.now())
+}
+
+// Lose ends the term because a newer fencing number was seen; the keeper then
+// contends again for a newer one.
+func (k *Keeper) Lose() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.machine.Lose()
+}
+
+// Fenced returns the compare that makes a store transaction fail unless the
+// term with this fencing number still holds the duty.
+func (k *Keeper) Fenced(fence int64) store.Compare {
+	return store.Compare{Key: Key(k.duty), ModRevision: fence}
+}
+
+// Run contends for the duty until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.pause(ctx, k.step(ctx))
+	}
+}
+
+// Release gives the duty up. Run must have returned. It tries once: if the
+// store doesn't answer, the lease lapses by itself.
+func (k *Keeper) Release(ctx context.Context) {
+	k.mu.Lock()
+	k.machine.Release()
+	k.mu.Unlock()
+	k.step(ctx)
+}
+
+// step does the machine's next action and returns when to look again.
+func (k *Keeper) step(ctx context.Context) time.Time {
+	k.mu.Lock()
+	action := k.machine.Next(k.now())
+	k.mu.Unlock()
+	k.report()
+	if action.Call == CallNone {
+		return action.At
+	}
+	r := k.do(ctx, action)
+	k.metrics.call(action.Call, r.Err)
+	k.mu.Lock()
+	k.machine.Observe(r)
+	k.mu.Unlock()
+	k.report()
+	return time.Time{}
+}
+
+func (k *Keeper) report() {
+	k.mu.Lock()
+	_, held := k.machine.Held(k.now())
+	loss := k.machine.LastLoss()
+	k.mu.Unlock()
+	k.metrics.term(k.duty, held, loss)
+}
+
+func (k *Keeper) pause(ctx context.Context, until time.Time) {
+	d := min(until.Sub(k.now()), pollInterval)
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (k *Keeper) do(ctx context.Context, a Action) Result {
+	r := Result{Action: a, Sent: k.now()}
+	switch a.Call {
+	case CallProbe, CallReadBack:
+		r.Record, r.Found, r.Err = k.read(ctx)
+	case CallGrant:
+		r.Lease, r.Err = k.store.Grant(ctx, k.machine.cfg.TTL)
+	case CallCreate:
+		r.Revision, r.Created, r.Err = k.create(ctx, a)
+	case CallRenew:
+		r.Err = k.store.Renew(ctx, a.Lease)
+	case CallRevoke:
+		r.Err = k.store.Revoke(ctx, a.Lease)
+	}
+	r.Done = k.now()
+	return r
+}
+
+func (k *Keeper) read(ctx context.Context) (Record, bool, error) {
+	kv, ok, err := k.store.Get(ctx, Key(k.duty))
+	if err != nil || !ok {
+		return Record{}, false, err
+	}
+	rec, err := ParseRecord(kv)
+	return rec, true, err
+}
+
+func (k *Keeper) create(ctx context.Context, a Action) (int64, bool, error) {
+	raw, err := json.Marshal(Record{Holder: k.holder, WriteID: a.WriteID})
+	if err != nil {
+		return 0, false, errors.Wrap(err, "lease: encode")
+	}
+	return k.store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: Key(k.duty)}},
+		Ops:      []store.Op{{Key: Key(k.duty), Value: raw, Lease: a.Lease}},
+	})
+}
+
+// ParseRecord decodes a duty's key.
+func ParseRecord(kv store.KV) (Record, error) {
+	var rec Record
+	err := json.Unmarshal(kv.Value, &rec)
+	rec.Revision = kv.ModRevision
+	return rec, errors.Wrapf(err, "lease: %s holds no duty record; delete the key", kv.Key)
+}
--- /dev/null
+++ b/lease/observe.go
@@ -0,0 +1,146 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/store"
+)
+
+// Observe takes the outcome of the last Action.
+func (m *Machine) Observe(r Result) {
+	if m.phase == phaseStopped {
+		return
+	}
+	switch r.Action.Call {
+	case CallProbe:
+		m.observeProbe(r)
+	case CallGrant:
+		m.observeGrant(r)
+	case CallCreate:
+		m.observeCreate(r)
+	case CallReadBack:
+		m.observeReadBack(r)
+	case CallRenew:
+		m.observeRenew(r)
+	case CallRevoke:
+		m.observeRevoke(r)
+	}
+}
+
+func (m *Machine) retry(r Result) { m.wake = r.Done.Add(m.cfg.Retry) }
+
+func (m *Machine) observeProbe(r Result) {
+	if m.phase != phaseIdle {
+		return
+	}
+	if r.Err != nil {
+		m.retry(r)
+		return
+	}
+	m.holder = r.Record.Holder
+	if r.Found {
+		m.retry(r)
+		return
+	}
+	m.phase = phaseGrant
+}
+
+// observeGrant starts the lease's life at the send time: the store can't have
+// started it earlier.
+func (m *Machine) observeGrant(r Result) {
+	if m.phase != phaseGrant {
+		return
+	}
+	if r.Err != nil {
+		m.phase = phaseIdle
+		m.retry(r)
+		return
+	}
+	m.lease = r.Lease
+	m.renewed = r.Sent
+	m.write = m.writeID()
+	m.phase = phaseCreate
+}
+
+func (m *Machine) observeCreate(r Result) {
+	if m.phase != phaseCreate {
+		return
+	}
+	switch {
+	case r.Err == nil && r.Created:
+		m.hold(r.Revision)
+	case errors.Is(r.Err, store.ErrLeaseNotFound):
+		m.phase = phaseIdle
+		m.retry(r)
+	default:
+		m.phase = phaseReadBack
+	}
+}
+
+func (m *Machine) observeReadBack(r Result) {
+	if m.phase != phaseReadBack {
+		return
+	}
+	switch {
+	case r.Err != nil:
+		m.abandonOrRetry(r, phaseReadBack)
+	case !r.Found:
+		m.abandonOrRetry(r, phaseCreate)
+	case r.Record.WriteID == m.write:
+		m.hold(r.Record.Revision)
+	default:
+		m.holder = r.Record.Holder
+		m.phase = phaseRevoke
+	}
+}
+
+// abandonOrRetry goes to the next phase after a wait, or gives the lease up
+// if it is too old to be believed in.
+func (m *Machine) abandonOrRetry(r Result, next phase) {
+	if elapsed(m.renewed, r.Done) >= m.cfg.TTL-m.cfg.Margin {
+		m.phase = phaseRevoke
+		return
+	}
+	m.phase = next
+	m.retry(r)
+}
+
+func (m *Machine) hold(fence int64) {
+	m.phase = phaseHeld
+	m.fence = fence
+	m.loss = LossNone
+	m.wake = m.renewed.Add(m.cfg.RenewEvery)
+}
+
+// observeRenew counts a renewal from its send time. The lease can't have
+// lapsed in between, or the store wouldn't have renewed it.
+func (m *Machine) observeRenew(r Result) {
+	if m.phase != phaseHeld {
+		return
+	}
+	switch {
+	case r.Err == nil:
+		m.renewed = r.Sent
+		m.wake = r.Sent.Add(m.cfg.RenewEvery)
+	case errors.Is(r.Err, store.ErrLeaseNotFound):
+		m.lose(LossNotFound)
+	default:
+		m.retry(r)
+	}
+}
+
+// observeRevoke ends the term whatever the answer: a lease that wasn't
+// revoked lapses by itself.
+func (m *Machine) observeRevoke(r Result) {
+	m.lease = 0
+	m.phase = phaseIdle
+	m.wake = time.Time{}
+	switch {
+	case m.stopping:
+		m.phase = phaseStopped
+	default:
+		m.retry(r)
+	}
+}
