Merge words on leaving targets from the VM list, answers and peers

Cause: a target was known to leave by the VM list alone, which lags by up to tens of seconds, and a newer list with a late state revived it.

Weighed: a newest-wins rule by list version (peers and answers have none), a time-to-live on words (revives while a list lags longer), and a join on (incarnation, leaving), which needs no clock and gives the same result in every order. The last is in force.

After: go test -race ./targets ./damping ./vmlist passes.

--- a/node/node.go
+++ b/node/node.go
@@ -36,8 +36,8 @@
 	return vmlist.NewClient(cfg.VMListURL, vmListTimeout)
 }
 
-func provideTargets(cfg *config.Node, src vmlist.Source, l *log.Logger) *targets.Registry {
-	return targets.NewRegistry(src, cfg.VMListInterval, l)
+func provideTargets(cfg *config.Node, src vmlist.Source, l *log.Logger, reg prometheus.Registerer) *targets.Registry {
+	return targets.NewRegistry(src, cfg.VMListInterval, l, targets.WithMetrics(reg))
 }
 
 func provideHub(cfg *config.Node, l *log.Logger, reg prometheus.Registerer) *peer.Hub {
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -30,7 +30,7 @@
 	registry := telemetry.NewRegistry()
 	hub := provideHub(cfg, logger, registry)
 	source := provideVMList(cfg)
-	targetsRegistry := provideTargets(cfg, source, logger)
+	targetsRegistry := provideTargets(cfg, source, logger, registry)
 	members := provideMembers(cfg, targetsRegistry)
 	store := provideStore(cfg)
 	watcher := settings.NewWatcher(store, logger)
--- /dev/null
+++ b/targets/targets_test.go
@@ -0,0 +1,209 @@
+package targets
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedgw/knapweedgw/damping"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+// clock is a clock that tests move.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time { return c.t }
+
+func newTestRegistry(opts ...Option) *Registry {
+	return NewRegistry(nil, time.Second, log.New(io.Discard), opts...)
+}
+
+func engine(id string, incarnation int64, state vmlist.State) vmlist.VM {
+	return vmlist.VM{ID: id, Role: vmlist.RoleEngine, Pool: "p", Incarnation: incarnation, State: state}
+}
+
+func list(version int64, vms ...vmlist.VM) vmlist.List {
+	return vmlist.List{Version: version, VMs: vms}
+}
+
+func TestSourcesOfWords(t *testing.T) {
+	live, leaving := vmlist.StateLive, vmlist.StateLeaving
+	peer := func(incarnation int64) func(*Registry) {
+		return func(r *Registry) { r.Learn(Word{Target: "e", Incarnation: incarnation, Leaving: true}) }
+	}
+	answer := func(incarnation int64) func(*Registry) {
+		return func(r *Registry) { r.ObserveLeaving("e", incarnation) }
+	}
+	listed := func(version int64, vms ...vmlist.VM) func(*Registry) {
+		return func(r *Registry) { r.Apply(list(version, vms...)) }
+	}
+	cases := []struct {
+		name  string
+		steps []func(*Registry)
+		want  string
+	}{
+		{"the list says live", []func(*Registry){listed(1, engine("e", 1, live))}, "live"},
+		{"the list says leaving", []func(*Registry){listed(1, engine("e", 1, live)), listed(2, engine("e", 1, leaving))}, "leaving"},
+		{"an older list after it", []func(*Registry){listed(2, engine("e", 1, leaving)), listed(1, engine("e", 1, live))}, "leaving"},
+		{"a newer list that says live of the same incarnation", []func(*Registry){listed(1, engine("e", 1, leaving)), listed(2, engine("e", 1, live))}, "leaving"},
+		{"a new incarnation revives", []func(*Registry){listed(1, engine("e", 1, leaving)), listed(2, engine("e", 2, live))}, "live"},
+		{"its own answer", []func(*Registry){listed(1, engine("e", 1, live)), answer(1)}, "leaving"},
+		{"its own answer, then a lagging list", []func(*Registry){listed(1, engine("e", 1, live)), answer(1), listed(2, engine("e", 1, live))}, "leaving"},
+		{"a peer's word", []func(*Registry){listed(1, engine("e", 1, live)), peer(1)}, "leaving"},
+		{"a peer's word before the list", []func(*Registry){peer(1), listed(1, engine("e", 1, live))}, "leaving"},
+		{"a peer's old word", []func(*Registry){listed(1, engine("e", 2, live)), peer(1)}, "live"},
+		{"a peer knows a newer incarnation to leave", []func(*Registry){listed(1, engine("e", 1, live)), peer(2)}, "leaving"},
+		{"gone from the list", []func(*Registry){listed(1, engine("e", 1, live)), listed(2)}, "gone"},
+		{"an older list doesn't bring it back", []func(*Registry){listed(1, engine("e", 1, live)), listed(3), listed(2, engine("e", 1, live))}, "gone"},
+		{"gone and back as it was when leaving", []func(*Registry){listed(1, engine("e", 1, leaving)), listed(2), listed(3, engine("e", 1, live))}, "leaving"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRegistry()
+			for _, step := range tc.steps {
+				step(r)
+			}
+			is.Equal(stateOf(r, "e"), tc.want)
+		})
+	}
+}
+
+func stateOf(r *Registry, id string) string {
+	for _, t := range r.Snapshot().Pool("p") {
+		if t.ID == id && t.Leaving {
+			return "leaving"
+		}
+		if t.ID == id {
+			return "live"
+		}
+	}
+	return "gone"
+}
+
+var words = rapid.Custom(func(t *rapid.T) Word {
+	return Word{
+		Target:      "e",
+		Incarnation: rapid.Int64Range(1, 4).Draw(t, "incarnation"),
+		Leaving:     rapid.Bool().Draw(t, "leaving"),
+	}
+})
+
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := words.Draw(t, "a"), words.Draw(t, "b"), words.Draw(t, "c")
+		if Merge(a, a) != a || Merge(a, b) != Merge(b, a) || Merge(a, Merge(b, c)) != Merge(Merge(a, b), c) {
+			t.Fatalf("not a join: %+v %+v %+v", a, b, c)
+		}
+		if m := Merge(a, b); a.Beats(m) || b.Beats(m) {
+			t.Fatal("an input beats the merge")
+		}
+	})
+}
+
+// TestNeverRevivedByOldWord feeds lists and words in any order. Once an
+// incarnation was said to leave, by whatever source that was taken in, a
+// snapshot never shows it, or one before it, as live.
+func TestNeverRevivedByOldWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, newest, left := newTestRegistry(), int64(-1), int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			w := words.Draw(t, "word")
+			switch rapid.IntRange(0, 2).Draw(t, "source") {
+			case 0:
+				version := rapid.Int64Range(0, 30).Draw(t, "version")
+				state := vmlist.StateLive
+				if w.Leaving {
+					state = vmlist.StateLeaving
+				}
+				r.Apply(list(version, engine("e", w.Incarnation, state)))
+				if version <= newest {
+					continue
+				}
+				newest = version
+			case 1:
+				r.ObserveLeaving("e", w.Incarnation)
+				w.Leaving = true
+			default:
+				r.Learn(w)
+			}
+			if w.Leaving {
+				left = max(left, w.Incarnation)
+			}
+			for _, target := range r.Snapshot().Pool("p") {
+				if !target.Leaving && target.Incarnation <= left {
+					t.Fatalf("incarnation %d is live, though %d left", target.Incarnation, left)
+				}
+			}
+		}
+	})
+}
+
+func TestEachWordIsPassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	var passed []Word
+	r.OnLeaving(func(w Word) { passed = append(passed, w) })
+	r.Apply(list(1, engine("a", 1, vmlist.StateLive), engine("b", 1, vmlist.StateLeaving)))
+	r.ObserveLeaving("a", 1)
+	r.ObserveLeaving("a", 1)
+	r.Learn(Word{Target: "a", Incarnation: 1, Leaving: true})
+	r.Apply(list(2, engine("a", 1, vmlist.StateLeaving), engine("b", 1, vmlist.StateLeaving)))
+	is.Equal(passed, []Word{{"b", 1, true}, {"a", 1, true}})
+}
+
+func TestFlappingTargetIsHeldDown(t *testing.T) {
+	is := is.New(t)
+	c := &clock{time.Unix(1000, 0)}
+	cfg := damping.Config{Window: time.Minute, Threshold: 3, Base: 10 * time.Second, Max: time.Minute}
+	r := newTestRegistry(WithClock(c.now), WithDamping(cfg))
+	steady := []vmlist.VM{engine("a", 1, vmlist.StateLive), engine("b", 1, vmlist.StateLive), engine("c", 1, vmlist.StateLive)}
+	version := int64(0)
+	for incarnation := range int64(4) {
+		version++
+		r.Apply(list(version, append(steady, engine("e", incarnation+1, vmlist.StateLive))...))
+	}
+	is.Equal(stateOf(r, "e"), "leaving") // held
+	is.Equal(stateOf(r, "a"), "live")
+	c.t = c.t.Add(11 * time.Second)
+	r.endHolds()
+	is.Equal(stateOf(r, "e"), "live")
+}
+
+func TestAtMostAQuarterOfAPoolIsHeld(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry(WithClock((&clock{time.Unix(1000, 0)}).now))
+	for incarnation := range int64(10) {
+		var vms []vmlist.VM
+		for i := range 8 {
+			vms = append(vms, engine(fmt.Sprint("e", i), incarnation+1, vmlist.StateLive))
+		}
+		r.Apply(list(incarnation+1, vms...))
+	}
+	held := 0
+	for _, target := range r.Snapshot().Pool("p") {
+		if target.Leaving {
+			held++
+		}
+	}
+	is.Equal(held, 2)
+}
+
+func TestBookIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	for i := range 20 {
+		b.learn(Word{Target: fmt.Sprint(i), Incarnation: 1, Leaving: true})
+	}
+	b.prune(map[string]bool{"0": true, "1": true}, 5)
+	is.Equal(len(b.leaving), 7)
+	is.Equal(len(b.order), 7)
+	is.Equal(b.leaving["0"], int64(1))  // listed ones stay
+	is.Equal(b.leaving["19"], int64(1)) // the oldest go first
+	is.Equal(b.leaving["2"], int64(0))
+}
