Drain every service before any stops, and keep their context until the end

Cause: duties could only be handed over in Stop, one service after the other, after the gateway's had waited for every stream; peers were told nothing before. The context given to services also ended with the context given to Start.

Weighed: a stop signal channel for services (each would order itself) against a lifecycle phase before Stop. Drain is a phase: announce, hand over, stay usable. Stop then runs in reverse order as before, so the peer hub, registered first, answers until the streams have ended. A stop that a second signal or the drain deadline cut short exits with 1 and says so.

Shown failing first: with the services' context derived from Start's, TestDrainsThenStopsInReverseOrder fails ("drain before b: context canceled"). After: go test -race ./kernel passes.

--- a/cmd/knapweedgw/serve.go
+++ b/cmd/knapweedgw/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedgw/knapweedgw/config"
@@ -19,9 +20,11 @@
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one node until SIGTERM or SIGINT",
-		Long: "Run one node until SIGTERM or SIGINT, then finish every request in progress.\n" +
-			"Each flag can be set by environment variable: --node-id by KNAPWEEDGW_NODE_ID.\n" +
-			"A second signal stops at once.",
+		Long: "Run one node until SIGTERM or SIGINT. It then fails /readyz, tells its peers that\n" +
+			"it leaves, serves on for --drain-grace, finishes every request in progress and\n" +
+			"exits with 0. A second signal, or --drain-deadline, cuts off what is still in\n" +
+			"progress; the exit code is then 1.\n" +
+			"Each flag can be set by environment variable: --node-id by KNAPWEEDGW_NODE_ID.",
 		Example: "  knapweedgw serve --node-id entry-1 --region cantabrico --failure-domain santander-a \\\n" +
 			"    --store http://10.0.0.2:2379 --vm-list http://10.0.0.3/v1/vms",
 		Args: cobra.NoArgs,
@@ -58,7 +61,13 @@
 	return stop(k, cfg, signals)
 }
 
-// stop drains the node; a second signal or the drain deadline ends it early.
+// errCutOff means that the operator ended a stop early.
+var errCutOff = errors.WithHint(
+	errors.New("stopped before every request in progress had ended"),
+	"send one signal only and raise --drain-deadline, or set it to 0, to wait for all of them")
+
+// stop drains and stops the node; a second signal or the drain deadline ends
+// it early.
 func stop(k *kernel.Kernel, cfg *config.Node, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -70,5 +79,9 @@
 		<-signals
 		cancel()
 	}()
-	return k.Stop(ctx)
+	err := k.Stop(ctx)
+	if ctx.Err() != nil {
+		return errors.CombineErrors(errCutOff, err)
+	}
+	return err
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -1,6 +1,6 @@
 // Package kernel is the small core of a node: services register under dotted
 // IDs, find each other by name, and pass through one lifecycle together:
-// Provision, Validate, Start and, in reverse order, Stop.
+// Provision, Validate, Start and, in reverse order, Drain and Stop.
 package kernel
 
 import (
@@ -32,6 +32,13 @@
 	Start(ctx context.Context) error
 }
 
+// Drainer prepares to stop: it announces the stop, takes on no new duty and
+// hands over those it has. Drain returns soon, with the service still usable:
+// requests in progress and other nodes need it until Stop.
+type Drainer interface {
+	Drain(ctx context.Context) error
+}
+
 // Stopper ends work gracefully. Stop returns when nothing is in progress or
 // ctx has ended.
 type Stopper interface {
@@ -85,7 +92,7 @@
 
 // Start provisions and validates every service, then starts them in
 // registration order. If one fails to start, those already started are
-// stopped.
+// stopped. The context that services get outlives ctx: it ends with Stop.
 func (k *Kernel) Start(ctx context.Context) error {
 	if err := k.provision(); err != nil {
 		return err
@@ -93,7 +100,7 @@
 	if err := k.validate(); err != nil {
 		return err
 	}
-	ctx, k.cancel = context.WithCancel(ctx)
+	ctx, k.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	for _, s := range k.services {
 		st, ok := s.(Starter)
 		if ok {
@@ -107,10 +114,11 @@
 	return nil
 }
 
-// Stop stops the started services in reverse order, then ends the context
-// they were started with. It returns the combined errors.
+// Stop drains every started service, then stops them, both in reverse order,
+// and then ends the context they were started with. So a service that others
+// depend on is usable until those have stopped. It returns the combined errors.
 func (k *Kernel) Stop(ctx context.Context) error {
-	var errs error
+	errs := k.drain(ctx)
 	for i := len(k.started) - 1; i >= 0; i-- {
 		s := k.started[i]
 		st, ok := s.(Stopper)
@@ -126,6 +134,17 @@
 	return errs
 }
 
+func (k *Kernel) drain(ctx context.Context) error {
+	var errs error
+	for i := len(k.started) - 1; i >= 0; i-- {
+		s := k.started[i]
+		if d, ok := s.(Drainer); ok {
+			errs = errors.CombineErrors(errs, errors.Wrapf(d.Drain(ctx), "drain %s", s.ID()))
+		}
+	}
+	return errs
+}
+
 func (k *Kernel) provision() error {
 	for _, s := range k.services {
 		p, ok := s.(Provisioner)
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -12,11 +12,13 @@
 	id    ID
 	log   *[]string
 	fails bool
+	ctx   context.Context // given to Start
 }
 
 func (r *recorder) ID() ID { return r.id }
 
-func (r *recorder) Start(context.Context) error {
+func (r *recorder) Start(ctx context.Context) error {
+	r.ctx = ctx
 	*r.log = append(*r.log, "start "+string(r.id))
 	if r.fails {
 		return errors.New("no")
@@ -24,19 +26,32 @@
 	return nil
 }
 
+func (r *recorder) Drain(context.Context) error {
+	*r.log = append(*r.log, "drain "+string(r.id))
+	return r.running("drain")
+}
+
 func (r *recorder) Stop(context.Context) error {
 	*r.log = append(*r.log, "stop "+string(r.id))
-	return nil
+	return r.running("stop")
+}
+
+// running fails if the context given to Start ended before phase.
+func (r *recorder) running(phase string) error {
+	return errors.Wrapf(r.ctx.Err(), "%s before %s", r.id, phase)
 }
 
-func TestStopsInReverseOrder(t *testing.T) {
+func TestDrainsThenStopsInReverseOrder(t *testing.T) {
 	is := is.New(t)
 	var log []string
 	k, err := New(&recorder{id: "a", log: &log}, &recorder{id: "b", log: &log})
 	is.NoErr(err)
-	is.NoErr(k.Start(context.Background()))
-	is.NoErr(k.Stop(context.Background()))
-	is.Equal(log, []string{"start a", "start b", "stop b", "stop a"})
+	parent, cancel := context.WithCancel(context.Background())
+	is.NoErr(k.Start(parent))
+	cancel()
+	is.NoErr(k.Stop(context.Background())) // fails if a context ended early
+	is.True(k.services[0].(*recorder).ctx.Err() != nil)
+	is.Equal(log, []string{"start a", "start b", "drain b", "drain a", "stop b", "stop a"})
 }
 
 func TestFailedStartStopsTheStarted(t *testing.T) {
@@ -45,7 +60,7 @@
 	k, err := New(&recorder{id: "a", log: &log}, &recorder{id: "b", log: &log, fails: true})
 	is.NoErr(err)
 	is.True(k.Start(context.Background()) != nil)
-	is.Equal(log, []string{"start a", "start b", "stop a"})
+	is.Equal(log, []string{"start a", "start b", "drain a", "stop a"})
 }
 
 func TestLookup(t *testing.T) {
