Record only real writes in the acceptors' race test

Cause: TestRacingAcceptors kept the written documents by store revision. Since the memory store follows etcd and makes no revision when a delete finds no key, such a delete returned the revision of an earlier write and overwrote its entry.

Ruled out: a fault of the acceptor (the failing history has one write, one empty delete and one settle; the record in force is the one written).

The check is as strict: a deletion's revision was never a valid Change of a record that isn't deleted.

Conclusion: a fault of the test's bookkeeping.

--- a/settings/acceptor/acceptor_test.go
+++ b/settings/acceptor/acceptor_test.go
@@ -199,7 +199,10 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
 				doc := rapid.SampledFrom(docs).Draw(t, "doc")
-				written[write(s, rapid.SampledFrom(teams).Draw(t, "team"), doc)] = doc
+				rev := write(s, rapid.SampledFrom(teams).Draw(t, "team"), doc)
+				if doc != "" { // deleting what isn't there makes no revision
+					written[rev] = doc
+				}
 			},
 			"read": func(t *rapid.T) {
 				trees[rapid.IntRange(0, 2).Draw(t, "tree")], _, _ = readTree(ctx, s)
