Check what callers are told against what the targets ran

Cause: the load's "doubled" looked at each target alone and at X-Request-Id alone, so that a call run once at two targets, or a notice run under two request IDs with one idempotency key, was missed; nothing checked that a request told "not run" was not run. Its reuse divided by tokens no engine had held (the next answer's among them), and its skew was of the whole run, which hides a skew that moves from engine to engine.

Now: a ledger numbers attempts and keys, adds up runs over all targets and counts doubled, repeated and false_not_run; callers retry only what was told as not run or has a key, after Retry-After; urgencies 0, 3 and 7 with a histogram each; notices with keys, some sent twice at once; a surge; JSON lines. Skew is max/mean of request-seconds by window, averaged by time over windows with a request an engine or more. A lost, refused or false answer fails the command.

A fake fleet with one of nine faults each shows every count (go test -race ./lab/load: ok).

--- a/lab/cmd/knapweedlab/load.go
+++ b/lab/cmd/knapweedlab/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,16 +14,24 @@
 
 func loadCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:     "load",
-		Short:   "Send returning chats through the nodes and check every answer",
+		Use:   "load",
+		Short: "Send returning chats through the nodes and check every answer",
+		Long: `Send returning chats through the nodes and check every answer.
+
+The table's figures: "prefix reuse" is the share of the prompt tokens of
+returning turns, which some engine had held, that came from a cache; "max/mean
+load" compares the engines' request-seconds in each --window, and is averaged
+by time over the windows with at least one request an engine. The command fails if an answer was lost, doubled,
+cut or another caller's, or if a caller was told "not run" of a request that
+was run.`,
 		Example: "  knapweedlab load --nodes http://127.0.0.1:8080 --keys key-1 --model asistente-lm",
 		Args:    cobra.NoArgs,
 	}
 	var cfg load.Config
 	fs := cmd.Flags()
 	fs.StringSliceVar(&cfg.Nodes, "nodes", nil, "URLs of nodes")
-	fs.StringSliceVar(&cfg.Engines, "engines", nil, "URLs of engine stand-ins")
-	fs.StringSliceVar(&cfg.Services, "services", nil, "URLs of service stand-ins")
+	fs.StringSliceVar(&cfg.Engines, "engines", nil, "URLs of engine stand-ins, asked what they ran")
+	fs.StringSliceVar(&cfg.Services, "services", nil, "URLs of service stand-ins, asked what they ran")
 	fs.StringSliceVar(&cfg.Keys, "keys", nil, "API keys, one a workspace")
 	fs.StringVar(&cfg.Model, "model", "asistente-lm", "model to ask")
 	fs.StringVar(&cfg.Service, "service", "", "plain service to call after each turn")
@@ -29,27 +39,47 @@
 	fs.IntVar(&cfg.Turns, "turns", 4, "turns of each chat")
 	fs.IntVar(&cfg.MaxTokens, "max-tokens", 100, "tokens of each answer")
 	fs.DurationVar(&cfg.Think, "think", 300*time.Millisecond, "mean pause between turns")
-	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of pauses and node choice")
+	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of pauses, workspaces, urgencies and node choice")
+	fs.Float64Var(&cfg.Emergency, "emergency", 0, "share of chats at urgency 0")
+	fs.Float64Var(&cfg.Batch, "batch", 0, "share of chats at urgency 7")
+	fs.Float64Var(&cfg.Notices, "notices", 0, "share of service calls that may not be repeated, with an idempotency key")
+	fs.Float64Var(&cfg.Resend, "resend", 0, "share of notices sent twice at once through two nodes")
+	fs.IntVar(&cfg.SurgeWorkspaces, "surge", 0, "workspaces that surge")
+	fs.IntVar(&cfg.SurgeFactor, "surge-factor", 10, "chats of a surging workspace for each of another's")
+	fs.IntVar(&cfg.MaxTries, "max-tries", 3, "tries of a caller who is told that nothing was run")
+	fs.DurationVar(&cfg.MaxRetryAfter, "max-retry-after", 5*time.Second, "longest Retry-After that a caller honours")
+	fs.DurationVar(&cfg.Window, "window", time.Second, "time between samples of the engines' load")
+	fs.BoolVar(&cfg.ChatsMayRepeat, "chats-may-repeat", false, "allow a chat turn to run again after an engine failed")
+	file := fs.String("json", "", "file for the same rows as JSON lines")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		res, err := load.New(cfg).Run(cmd.Context())
 		if err != nil {
 			return err
 		}
-		out := cmd.OutOrStdout()
-		fmt.Fprintf(out, "%-24s %d\n", "requests", res.Requests)
-		fmt.Fprintf(out, "%-24s %d\n", "whole answers", res.Whole)
-		fmt.Fprintf(out, "%-24s %d\n", "lost or cut", res.Lost)
-		fmt.Fprintf(out, "%-24s %d\n", "another caller's answer", res.Wrong)
-		fmt.Fprintf(out, "%-24s %d\n", "run more than once", res.Doubled)
-		fmt.Fprintf(out, "%-24s %.2f\n", "prefix reuse", res.Reuse())
-		fmt.Fprintf(out, "%-24s %.2f\n", "max/mean engine load", res.Skew)
-		fmt.Fprintf(out, "%-24s %v / %v\n", "first token p50 / p99", res.FirstTokenP50, res.FirstTokenP99)
-		fmt.Fprintf(out, "demo: requests=%d whole=%d lost=%d doubled=%d reuse=%.2f skew=%.2f\n",
-			res.Requests, res.Whole, res.Lost+res.Wrong, res.Doubled, res.Reuse(), res.Skew)
-		if res.Lost+res.Wrong+res.Doubled > 0 {
-			return errors.New("an answer was lost, doubled or cut")
+		if err := writeResult(res, cmd.OutOrStdout(), *file); err != nil {
+			return err
+		}
+		if !res.OK() {
+			return errors.New("an answer was lost, doubled or cut, or a run request was told as not run")
 		}
 		return nil
 	}
 	return cmd
 }
+
+func writeResult(res load.Result, out io.Writer, file string) error {
+	var lines io.Writer
+	if file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		lines = f
+	}
+	if err := res.Write(out, lines); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(out, res.Summary())
+	return err
+}
--- /dev/null
+++ b/lab/load/caller.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/problem"
+)
+
+// outcome is how a request ended for its caller.
+type outcome int
+
+const (
+	outcomeWhole   outcome = iota
+	outcomeRefused         // told that it was not run, at every try
+	outcomeLost            // failed, cut or of unknown fate
+	outcomeWrong           // another caller's answer
+)
+
+const (
+	idleConnsPerNode = 256
+	defaultBackoff   = 100 * time.Millisecond
+)
+
+// request is what a caller asks for, whatever the node and the try.
+type request struct {
+	kind    kind
+	method  string
+	path    string
+	body    []byte
+	apiKey  string
+	chatID  string
+	urgency urgency
+	key     string // Idempotency-Key, "" for none
+	// read reads a 200 answer; a *failure tells what the caller was told.
+	read func(body io.Reader, start time.Time) (answer, error)
+}
+
+// failure is an attempt that brought no whole answer.
+type failure struct {
+	reason     problem.Reason
+	ran        problem.Ran
+	retryAfter time.Duration
+	cause      error
+}
+
+func (f *failure) Error() string { return string(f.reason) + ": " + f.cause.Error() }
+
+// callAgain says whether a caller may ask again: if nothing was run, or with
+// its key unless the key's fate is settled.
+func (f *failure) callAgain(key string) bool {
+	final := f.reason == problem.ClaimUnknown || f.reason == problem.ClaimConflict
+	return f.ran == problem.RanNo || key != "" && !final
+}
+
+// send asks through the nodes until there is an answer or no further try is
+// allowed. It returns the last failure.
+func (r *Runner) send(ctx context.Context, rng *rand.Rand, req request) (answer, *failure) {
+	for try := 1; ; try++ {
+		node := r.cfg.Nodes[rng.IntN(len(r.cfg.Nodes))]
+		a, fail := r.try(ctx, node, req)
+		if fail == nil {
+			return a, nil
+		}
+		if try == r.cfg.MaxTries || !fail.callAgain(req.key) || ctx.Err() != nil {
+			return answer{}, fail
+		}
+		r.countRetry(fail)
+		pause(ctx, fail.pause(rng, r.cfg.MaxRetryAfter))
+	}
+}
+
+// pause returns how long to wait: Retry-After or a short backoff, with jitter
+// on top.
+func (f *failure) pause(rng *rand.Rand, limit time.Duration) time.Duration {
+	after := min(max(f.retryAfter, defaultBackoff), limit)
+	return after + time.Duration(rng.Int64N(int64(defaultBackoff)))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// try makes one attempt and records what it was told.
+func (r *Runner) try(ctx context.Context, node string, req request) (answer, *failure) {
+	n, id := r.ledger.attempt(req.kind)
+	a, err := r.do(ctx, node, id, req)
+	if err == nil {
+		return a, nil
+	}
+	var fail *failure
+	if !errors.As(err, &fail) {
+		fail = &failure{ran: problem.RanUnknown, cause: err}
+	}
+	r.ledger.told(n, fail.ran)
+	return answer{}, fail
+}
+
+func (r *Runner) do(ctx context.Context, node, id string, req request) (answer, error) {
+	hr, err := http.NewRequestWithContext(ctx, req.method, node+req.path, bytes.NewReader(req.body))
+	if err != nil {
+		return answer{}, err
+	}
+	hr.Header.Set("X-Request-Id", id)
+	hr.Header.Set("Authorization", "Bearer "+req.apiKey)
+	hr.Header.Set("Content-Type", "application/json")
+	hr.Header.Set("Priority", "u="+strconv.Itoa(int(req.urgency)))
+	if req.chatID != "" {
+		hr.Header.Set("X-Chat-Id", req.chatID)
+	}
+	if req.key != "" {
+		hr.Header.Set("Idempotency-Key", req.key)
+	}
+	start := time.Now()
+	resp, err := r.client.Do(hr)
+	if err != nil {
+		return answer{}, connectFailure(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answer{}, readProblem(resp)
+	}
+	return req.read(resp.Body, start)
+}
+
+// connectFailure is "not run" only if no connection was made.
+func connectFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &failure{ran: problem.RanNo, cause: err}
+	}
+	return &failure{ran: problem.RanUnknown, cause: err}
+}
+
+// readProblem reads a refusal (RFC 9457). One that doesn't say whether the
+// request was run counts as unknown.
+func readProblem(resp *http.Response) error {
+	const maxBytes = 64 << 10
+	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	var p problem.Problem
+	f := &failure{ran: problem.RanUnknown, cause: errors.Newf("status %d: %.300s", resp.StatusCode, raw)}
+	if json.Unmarshal(raw, &p) == nil && p.Ran != "" {
+		f.ran, f.reason = p.Ran, p.Reason
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		f.retryAfter = time.Duration(seconds) * time.Second
+	}
+	return f
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/lab/engine"
+	"github.com/knapweedgw/knapweedgw/lab/service"
+	"github.com/knapweedgw/knapweedgw/problem"
+)
+
+// fleet answers as a node and its targets would, with one fault.
+type fleet struct {
+	fault string
+
+	mu    sync.Mutex
+	seen  map[string]int // attempts by what stays the same over tries
+	chats map[string]int // runs by request ID
+	calls service.Runs
+}
+
+func newFleet(fault string) *fleet {
+	return &fleet{
+		fault: fault, seen: map[string]int{}, chats: map[string]int{},
+		calls: service.Runs{ByRequest: map[string]int{}, ByKey: map[string]int{}},
+	}
+}
+
+func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case r.URL.Path == "/engine/lab/runs":
+		_ = json.NewEncoder(w).Encode(f.chats)
+	case r.URL.Path == "/engine/lab/stats":
+		_ = json.NewEncoder(w).Encode(engine.Stats{LoadSeconds: float64(len(f.chats))})
+	case r.URL.Path == "/service/lab/runs":
+		_ = json.NewEncoder(w).Encode(f.calls)
+	case strings.HasPrefix(r.URL.Path, "/services/"):
+		f.serveService(w, r)
+	default:
+		f.serveChat(w, r)
+	}
+}
+
+// once is true at the first attempt of something.
+func (f *fleet) once(what string) bool {
+	f.seen[what]++
+	return f.seen[what] == 1
+}
+
+func (f *fleet) serveService(w http.ResponseWriter, r *http.Request) {
+	id, key := r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")
+	run := func() {
+		f.calls.ByRequest[id]++
+		if key != "" {
+			f.calls.ByKey[key]++
+		}
+	}
+	first := f.once(r.Method + r.URL.Path)
+	switch {
+	case f.fault == "notice told unknown, run again" && key != "" && first:
+		run()
+		problem.New(problem.TargetFailed, problem.RanUnknown, "").Write(w)
+		return
+	case f.fault == "notice unknown is final" && key != "":
+		problem.New(problem.ClaimUnknown, problem.RanUnknown, "").Write(w)
+		return
+	case f.fault == "answer crossed":
+		r.URL.Path = "/services/s/works/other"
+	}
+	run()
+	_ = json.NewEncoder(w).Encode(service.Answer{Method: r.Method, Path: r.URL.Path})
+}
+
+func (f *fleet) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req engine.ChatRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	id := r.Header.Get("X-Request-Id")
+	first := f.once(fmt.Sprint(len(req.Messages)))
+	switch {
+	case f.fault == "refused once" && first:
+		problem.New(problem.Saturated, problem.RanNo, "").Write(w)
+		return
+	case f.fault == "refused always":
+		problem.New(problem.Saturated, problem.RanNo, "").Write(w)
+		return
+	case f.fault == "told not run, but run" && first:
+		f.chats[id]++
+		problem.New(problem.Saturated, problem.RanNo, "").Write(w)
+		return
+	case f.fault == "run twice":
+		f.chats[id]++
+	}
+	f.chats[id]++
+	answer := engine.Answer(req.Messages, req.MaxTokens)
+	if !req.Stream {
+		_, _ = fmt.Fprintf(w, `{"choices":[{"message":{"content":%q}}]}`, strings.Join(answer, ""))
+		return
+	}
+	for _, token := range answer {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+	}
+	switch f.fault {
+	case "stream cut":
+	case "stream error":
+		_, _ = fmt.Fprint(w, "data: {\"error\":{\"message\":\"cut\",\"ran\":\"no\"}}\n\n")
+	default:
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+// TestVerdicts checks that each fault of a fleet shows in the result.
+func TestVerdicts(t *testing.T) {
+	type counts struct{ requests, whole, refused, lost, wrong, retries, doubled, falseNotRun int }
+	tests := map[string]counts{
+		"":                               {requests: 4, whole: 4},
+		"refused once":                   {requests: 4, whole: 4, retries: 2},
+		"refused always":                 {requests: 1, refused: 1, retries: 2},
+		"told not run, but run":          {requests: 4, whole: 4, retries: 2, falseNotRun: 2},
+		"run twice":                      {requests: 4, whole: 4, doubled: 2},
+		"stream cut":                     {requests: 1, lost: 1},
+		"stream error":                   {requests: 1, lost: 1}, // "not run" after tokens is no proof
+		"answer crossed":                 {requests: 4, whole: 2, wrong: 2},
+		"notice told unknown, run again": {requests: 4, whole: 4, retries: 2, doubled: 2},
+		"notice unknown is final":        {requests: 4, whole: 2, lost: 2},
+	}
+	for fault, want := range tests {
+		t.Run(fault, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(newFleet(fault))
+			defer srv.Close()
+			res, err := New(Config{
+				Nodes: []string{srv.URL}, Engines: []string{srv.URL + "/engine"}, Services: []string{srv.URL + "/service"},
+				Keys: []string{"k"}, Service: "s", Chats: 1, Turns: 2, MaxTokens: 3, Notices: 1,
+				MaxTries: 3, MaxRetryAfter: time.Millisecond, Window: time.Hour,
+			}).Run(context.Background())
+			is.NoErr(err)
+			is.Equal(counts{
+				res.Requests, res.Whole, res.Refused, res.Lost, res.Wrong, res.Retries, res.Doubled, res.FalseNotRun,
+			}, want)
+			is.Equal(res.OK(), fault == "" || fault == "refused once")
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(nil)
+	url := srv.URL
+	srv.Close()
+	res, err := New(Config{
+		Nodes: []string{url}, Keys: []string{"k"}, Chats: 1, Turns: 1, MaxTries: 2, MaxRetryAfter: time.Millisecond, Window: time.Hour,
+	}).Run(context.Background())
+	is.NoErr(err)
+	is.Equal(res.Refused, 1)
+	is.Equal(res.Retries, 1)
+}
--- /dev/null
+++ b/lab/load/result.go
@@ -0,0 +1,201 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/knapweedgw/knapweedgw/lab/measure"
+	"github.com/knapweedgw/knapweedgw/problem"
+)
+
+// Section is the name of the result's rows.
+const Section = "load"
+
+// Result is what came of a run.
+type Result struct {
+	Requests    int // each counts once, whatever its tries
+	Whole       int // own answer, whole
+	Refused     int // told "not run" at every try
+	Lost        int // failed, cut or of unknown fate
+	Wrong       int // another caller's answer
+	Retries     int // further tries by callers
+	Doubled     int // runs after the first of a request or idempotency key
+	Repeated    int // the same of chats, where they may repeat
+	FalseNotRun int // attempts told "not run" that the targets ran
+	CouldReuse  int // prompt tokens of returning turns that an engine had held
+	Reused      int // those that came from a cache
+
+	// Reasons counts the failures of attempts by reason; "" is a failure
+	// without a problem document.
+	Reasons map[problem.Reason]int
+
+	skew    skewMeter
+	classes map[urgency]*classLatency
+	failure string // the first one, for people
+}
+
+// classLatency has the latencies of one urgency, in microseconds.
+type classLatency struct{ first, whole *hdrhistogram.Histogram }
+
+func newHistogram() *hdrhistogram.Histogram {
+	const lowest, highest, digits = 1, 600_000_000, 3 // 1 µs to 10 minutes
+	return hdrhistogram.New(lowest, highest, digits)
+}
+
+func newResult() Result {
+	r := Result{Reasons: make(map[problem.Reason]int), classes: make(map[urgency]*classLatency)}
+	for _, u := range []urgency{urgencyEmergency, urgencyNormal, urgencyBatch} {
+		r.classes[u] = &classLatency{newHistogram(), newHistogram()}
+	}
+	return r
+}
+
+// add counts a request's end.
+func (r *Result) add(fail *failure, own bool) outcome {
+	r.Requests++
+	switch {
+	case fail == nil && own:
+		r.Whole++
+		return outcomeWhole
+	case fail == nil:
+		r.Wrong++
+		return outcomeWrong
+	}
+	r.Reasons[fail.reason]++
+	if r.failure == "" {
+		r.failure = fail.Error()
+	}
+	if fail.ran == problem.RanNo {
+		r.Refused++
+		return outcomeRefused
+	}
+	r.Lost++
+	return outcomeLost
+}
+
+func (r *Result) latency(u urgency, first, whole time.Duration) {
+	if first > 0 {
+		_ = r.classes[u].first.RecordValue(first.Microseconds())
+	}
+	_ = r.classes[u].whole.RecordValue(whole.Microseconds())
+}
+
+// Reuse is the share of the prompt tokens which an engine had held that came
+// from a cache.
+func (r Result) Reuse() float64 {
+	if r.CouldReuse == 0 {
+		return 0
+	}
+	return float64(r.Reused) / float64(r.CouldReuse)
+}
+
+// Skew is the load of the busiest engine over the mean, averaged by time over
+// the windows of the run with at least one request an engine.
+func (r Result) Skew() float64 { return r.skew.mean() }
+
+// OK says whether every request got its own answer, whole and once, and
+// nobody was told wrongly that nothing was run.
+func (r Result) OK() bool {
+	return r.Whole == r.Requests && r.Doubled == 0 && r.FalseNotRun == 0
+}
+
+// Summary is the closing line. Requests refused at every try or given another
+// caller's answer count as lost.
+func (r Result) Summary() string {
+	return fmt.Sprintf("demo: requests=%d whole=%d lost=%d doubled=%d reuse=%.2f skew=%.2f",
+		r.Requests, r.Whole, r.Lost+r.Refused+r.Wrong, r.Doubled, r.Reuse(), r.Skew())
+}
+
+// Write writes the result as a table and, if jsonLines is not nil, the same
+// rows as JSON lines.
+func (r Result) Write(w, jsonLines io.Writer) error {
+	rep := measure.NewReporter(w, jsonLines)
+	for _, row := range r.rows() {
+		if err := rep.Add(Section, row); err != nil {
+			return err
+		}
+	}
+	if err := rep.Flush(); err != nil {
+		return err
+	}
+	if r.failure != "" {
+		fmt.Fprintf(w, "\nfirst failure: %s\n", r.failure)
+	}
+	fmt.Fprintln(w)
+	return nil
+}
+
+func (r Result) rows() []measure.Row {
+	rows := []measure.Row{
+		total{"requests", r.Requests},
+		total{"whole answers", r.Whole},
+		total{"refused, not run", r.Refused},
+		total{"lost or cut", r.Lost},
+		total{"another caller's answer", r.Wrong},
+		total{"callers' retries", r.Retries},
+		total{"run more than once", r.Doubled},
+		total{"chat turns run again", r.Repeated},
+		total{"told not run, but run", r.FalseNotRun},
+		total{"prefix reuse", r.Reuse()},
+		total{"max/mean load, mean of windows", r.Skew()},
+		total{"max/mean load, worst window", r.skew.worst},
+		total{"max/mean load, whole run", r.skew.total()},
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		name := string(reason)
+		if name == "" {
+			name = "no problem document"
+		}
+		rows = append(rows, total{"failed tries, " + name, r.Reasons[reason]})
+	}
+	for _, u := range []urgency{urgencyEmergency, urgencyNormal, urgencyBatch} {
+		if c := r.classes[u]; c.whole.TotalCount() > 0 {
+			rows = append(rows, classRow{u, c})
+		}
+	}
+	return rows
+}
+
+// total is a row with one figure.
+type total struct {
+	name  string
+	value any
+}
+
+// Fields implements measure.Row.
+func (t total) Fields() []measure.Field {
+	return []measure.Field{{Name: "name", Value: t.name}, {Name: "value", Value: t.value}}
+}
+
+// classRow is a row with the latencies of one urgency.
+type classRow struct {
+	urgency urgency
+	latency *classLatency
+}
+
+// Fields implements measure.Row.
+func (c classRow) Fields() []measure.Field {
+	ms := func(h *hdrhistogram.Histogram, quantile float64) measure.Field {
+		return measure.Field{Value: float64(h.ValueAtQuantile(quantile)) / 1000}
+	}
+	fields := []measure.Field{
+		{Name: "urgency", Value: int(c.urgency)},
+		{Name: "chat turns", Value: c.latency.whole.TotalCount()},
+	}
+	for _, q := range []float64{50, 95, 99} {
+		f := ms(c.latency.first, q)
+		f.Name = fmt.Sprintf("first token p%g ms", q)
+		fields = append(fields, f)
+	}
+	for _, q := range []float64{50, 99} {
+		f := ms(c.latency.whole, q)
+		f.Name = fmt.Sprintf("whole p%g ms", q)
+		fields = append(fields, f)
+	}
+	return fields
+}
