--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,17 @@
-.PHONY: demo build test check check-generated lint generate measure capacity
+.PHONY: demo playground run-node build test check check-generated lint generate measure capacity
 
 VERSION ?= dev
 
 demo: build
 	@scripts/demo.sh
 
+playground: build
+	@scripts/playground.sh
+
+# Flags come from the environment: KNAPWEEDGW_NODE_ID and so on (see README.md).
+run-node: build
+	@bin/knapweedgw serve
+
 build:
 	@go build -trimpath -ldflags "-X main.version=$(VERSION)" -o bin/knapweedgw ./cmd/knapweedgw
 	@go build -trimpath -o bin/knapweedlab ./lab/cmd/knapweedlab
--- /dev/null
+++ b/scripts/playground.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Keeps the stand-ins and three nodes running until ctrl-C, and prints commands
+# to try.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+start_fleet
+cp "$logs/team.json" "$bin/playground-team.json"
+cat <<TEXT
+Ctrl-C stops them.
+
+Ask for a streamed answer, through any node:
+
+  curl -N ${node_urls[0]}/v1/chat/completions -H 'Authorization: Bearer ${keys[0]}' \\
+    -H 'Content-Type: application/json' \\
+    -d '{"model":"asistente-lm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Hola"}]}'
+
+Call the plain service:
+
+  curl ${node_urls[0]}/services/obras-api/works/1 -H 'Authorization: Bearer ${keys[0]}'
+
+Change a setting: rename ws-1 in the team's document, write it, and see it come
+into force on another node:
+
+  sed -i.bak 's/"ws-1"/"cuadrilla-1"/' $bin/playground-team.json
+  $bin/knapweedgw settings set renovacion $bin/playground-team.json --store $platform
+  curl ${node_urls[1]}/v1/models -H 'Authorization: Bearer ${keys[0]}'
+
+Let the platform's store fail, and mend it:
+
+  curl -X PUT $platform/lab/faults -d '{"outage":true}'
+  curl -X PUT $platform/lab/faults -d '{}'
+
+Send chats:
+
+  $bin/knapweedlab load --nodes $(join "${node_urls[@]}") \\
+    --engines $(join "${engine_urls[@]}") --services $(join "${service_urls[@]}") \\
+    --keys $(join "${keys[@]}") --service obras-api
+
+Logs are in $logs
+TEXT
+wait "${pids[0]}"
