Apply planned faults to running processes

Cause: the stand-ins' switches and signals to nodes were set by hand, so that no two runs under faults were alike.

Now: knapweedlab experiment FILE puts switches and sends STOP, CONT, TERM or KILL to given process IDs at planned times; it refuses a bad plan as a whole. make faults sends the demo's load, with notices sent twice at once, through ten such steps.

Ruled out: process names or groups in a plan (an ID of 0, 1 or below is refused, for kill(2) would take it for many processes).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo playground run-node build test check check-generated check-tidy lint generate measure capacity
+.PHONY: demo faults playground run-node build test check check-generated check-tidy lint generate measure capacity
 
 VERSION ?= dev
 
@@ -8,6 +8,10 @@
 playground: build
 	@scripts/playground.sh
 
+# The demo with a sequence of faults; it fails where callers are harmed.
+faults: build
+	@scripts/faults.sh
+
 # Flags come from the environment: KNAPWEEDGW_NODE_ID and so on (see README.md).
 run-node: build
 	@bin/knapweedgw serve
--- a/lab/cmd/knapweedlab/main.go
+++ b/lab/cmd/knapweedlab/main.go
@@ -28,6 +28,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(platformCommand(), engineCommand(), serviceCommand(), vmCommand(), loadCommand(), portsCommand(), waitCommand(), digestCommand(), measureCommand(), capacityCommand())
+	cmd.AddCommand(platformCommand(), engineCommand(), serviceCommand(), vmCommand(), loadCommand(), portsCommand(), waitCommand(), digestCommand(), experimentCommand(), measureCommand(), capacityCommand())
 	return cmd
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,6 +10,7 @@
 bin=${BIN:-bin}
 logs=$(mktemp -d)
 pids=()
+declare -A pid_of
 engine_urls=()
 service_urls=()
 node_urls=()
@@ -34,6 +35,7 @@
   shift
   "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
+  pid_of[$name]=$!
 }
 
 # wait_ready URL...
