--- a/lab/cmd/knapweedlab/standins.go
+++ b/lab/cmd/knapweedlab/standins.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -96,8 +97,11 @@
 	}
 	f := bindVM(cmd, vmlist.RoleNode)
 	cmd.Flags().StringVar(&f.vm.PeerAddr, "peer", "", "ip:port of the node for other nodes")
+	timeout := cmd.Flags().Duration("timeout", 5*time.Second, "longest wait for the platform")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return labhttp.Register(cmd.Context(), f.platform, f.vm)
+		ctx, cancel := context.WithTimeout(cmd.Context(), *timeout)
+		defer cancel()
+		return labhttp.Register(ctx, f.platform, f.vm)
 	}
 	return cmd
 }
--- a/lab/labhttp/labhttp.go
+++ b/lab/labhttp/labhttp.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	registerAttempts = 50
 	registerInterval = 100 * time.Millisecond
+	readHeaderLimit  = 5 * time.Second
 )
 
 // Serve serves h on addr until ctx ends.
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderLimit}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	err = s.Serve(ln)
@@ -36,20 +36,24 @@
 	return err
 }
 
-// Register puts vm in the list of the platform at url; it tries again while
-// the platform is starting.
+// Register puts vm in the list of the platform at url; it tries again until
+// ctx ends, for the platform may still be starting.
 func Register(ctx context.Context, url string, vm vmlist.VM) error {
 	raw, err := json.Marshal(vm)
 	if err != nil {
 		return err
 	}
-	for range registerAttempts {
-		if err = put(ctx, url+"/lab/vms/"+vm.ID, raw); err == nil {
+	for {
+		err := put(ctx, url+"/lab/vms/"+vm.ID, raw)
+		if err == nil {
 			return nil
 		}
-		time.Sleep(registerInterval)
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "register")
+		case <-time.After(registerInterval):
+		}
 	}
-	return err
 }
 
 func put(ctx context.Context, url string, raw []byte) error {
