Follow accepted settings by relays, pulls and peers

Cause: every node listed and watched the operators' tree: a watch a node, and a node that started while the store was out had no settings.

Ruled out: pushing documents from each relay (both relays would send them twice; an announcement of the head and a pull send them once); applying the records of a gapped delta (a partial copy can't be named by one head, and was lost when its only complete holder restarted); counting as 'held elsewhere' what a peer held before this node did.

A revision read from the store is served once another node holds it as well, or after 1 s. Restarts of all holders together, during an outage, are not covered.

--- a/node/node.go
+++ b/node/node.go
@@ -14,7 +14,8 @@
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/peer"
-	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/settings/acceptor"
+	"github.com/knapweedgw/knapweedgw/settings/follower"
 	"github.com/knapweedgw/knapweedgw/store"
 	"github.com/knapweedgw/knapweedgw/store/etcd"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -57,9 +58,10 @@
 	hub *peer.Hub,
 	reg *targets.Registry,
 	mem *membership.Members,
-	set *settings.Watcher,
+	set *follower.Follower,
+	acc *acceptor.Acceptor,
 	adm *admission.Local,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(hub, mem, reg, set, adm, gw)
+	return kernel.New(hub, mem, reg, set, acc, adm, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -12,7 +12,8 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
-	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/settings/acceptor"
+	"github.com/knapweedgw/knapweedgw/settings/follower"
 	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -27,7 +28,8 @@
 	provideTargets,
 	provideHub,
 	provideMembers,
-	settings.NewWatcher,
+	follower.New,
+	acceptor.New,
 	wire.Bind(new(admission.TargetSource), new(*targets.Registry)),
 	admission.NewLocal,
 	gateway.New,
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -12,7 +12,8 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
-	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/settings/acceptor"
+	"github.com/knapweedgw/knapweedgw/settings/follower"
 	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 	"github.com/prometheus/client_golang/prometheus"
@@ -33,10 +34,11 @@
 	targetsRegistry := provideTargets(cfg, source, logger, registry)
 	members := provideMembers(cfg, targetsRegistry)
 	store := provideStore(cfg)
-	watcher := settings.NewWatcher(store, logger)
+	followerFollower := follower.New(store, logger, registry)
+	acceptorAcceptor := acceptor.New(store, logger, registry)
 	local := admission.NewLocal(targetsRegistry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, members, watcher, local, gatewayGateway)
+	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, local, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -51,5 +53,5 @@
 	provideVMList,
 	provideTargets,
 	provideHub,
-	provideMembers, settings.NewWatcher, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, gateway.New, provideKernel,
+	provideMembers, follower.New, acceptor.New, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, gateway.New, provideKernel,
 )
--- a/settings/accepted/state.go
+++ b/settings/accepted/state.go
@@ -26,8 +26,8 @@
 	Changed []string
 	// Stale counts the records that were older than those held.
 	Stale int
-	// Gap means that changes between the head and the delta are unknown;
-	// pull what is newer than the head.
+	// Gap means that changes between the head and the delta are unknown. The
+	// delta was not applied; read what is newer than the head.
 	Gap bool
 }
 
@@ -52,9 +52,14 @@
 // included.
 func (s *State) Records() map[string]Record { return maps.Clone(s.records) }
 
-// Apply takes from the delta what is newer than what is held.
+// Apply takes from the delta what is newer than what is held. A copy is
+// always complete through its head, so that one number tells another node
+// what it lacks.
 func (s *State) Apply(d Delta) Result {
 	var res Result
+	if d.Since > s.head {
+		return Result{Gap: true}
+	}
 	for _, r := range d.Records {
 		switch s.offer(r) {
 		case newer:
@@ -63,12 +68,7 @@
 			res.Stale++
 		}
 	}
-	switch {
-	case d.Since > s.head:
-		res.Gap = true
-	case d.Through > s.head:
-		s.head = d.Through
-	}
+	s.head = max(s.head, d.Through)
 	return res
 }
 
@@ -100,7 +100,7 @@
 // MaxDeltaBytes. If not all fits, Through is below the head and the rest
 // follows from there.
 func (s *State) Since(revision int64) Delta {
-	d := Delta{Since: revision, Through: max(revision, s.head)}
+	d := Delta{Since: revision, Through: s.head}
 	pending := s.newerThan(revision)
 	size := 0
 	for i, r := range pending {
--- a/settings/accepted/state_test.go
+++ b/settings/accepted/state_test.go
@@ -23,7 +23,7 @@
 		{"next", Delta{Since: 5, Through: 6, Records: []Record{rec("a", 6)}}, 6, 6, false, 0},
 		{"overlapping", Delta{Since: 2, Through: 6, Records: []Record{rec("a", 6)}}, 6, 6, false, 0},
 		{"again", Delta{Since: 4, Through: 5, Records: []Record{rec("a", 5)}}, 5, 5, false, 0},
-		{"gapped", Delta{Since: 6, Through: 7, Records: []Record{rec("a", 7)}}, 5, 7, true, 0},
+		{"gapped", Delta{Since: 6, Through: 7, Records: []Record{rec("a", 7)}}, 5, 5, true, 0},
 		{"stale list", Delta{Through: 3, Records: []Record{rec("a", 3)}}, 5, 5, false, 1},
 		{"deletion", Delta{Since: 5, Through: 6, Records: []Record{{Team: "a", Revision: 6, Deleted: true}}}, 6, 6, false, 0},
 		{"empty", Delta{}, 5, 5, false, 0},
