Let operators check, get, set, delete and follow settings

Cause: 'settings set' wrote without saying who; of two operators who raced the loser learnt nothing; a lost answer was reported as a failure; there was no way to see what was accepted or which nodes have it.

Ruled out: the store's revision as the number operators work with (it also moves with refused changes); parsing /metrics by hand (prometheus/common, an indirect dependency until now, has the parser).

Before: one command, no conflict named.

Team names are checked before any call, so a name can't reach another team's subtree.

--- a/cmd/knapweedgw/main.go
+++ b/cmd/knapweedgw/main.go
@@ -30,6 +30,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), settingsCommand())
+	cmd.AddCommand(serveCommand(), settingsCommand(), statusCommand())
 	return cmd
 }
--- a/settings/acceptor/tree.go
+++ b/settings/acceptor/tree.go
@@ -103,11 +103,13 @@
 	return err
 }
 
-// author returns who wrote the team's document, "" if it was written without
-// a note.
+// author returns who wrote or deleted the team's document, "" if that was done
+// without a note.
 func (t *Tree) author(team string) string {
 	note, ok := t.changes[team]
-	if !ok || note.ModRevision != t.documents[team].ModRevision {
+	doc, exists := t.documents[team]
+	deletion := !exists && note.ModRevision > t.records[team].Change
+	if !ok || note.ModRevision != doc.ModRevision && !deletion {
 		return ""
 	}
 	var c settings.Change
--- /dev/null
+++ b/settings/operator/operator.go
@@ -0,0 +1,161 @@
+// Package operator reads and writes a team's settings in the store on behalf
+// of an operator. Writes go only to the team's own subtree.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/settings/accepted"
+	"github.com/knapweedgw/knapweedgw/store"
+)
+
+// Typed failures. Test with errors.Is.
+var (
+	// ErrConflict means that another change came first.
+	ErrConflict = errors.New("settings: another change came first")
+	// ErrFaults means that the document has faults; the message lists them.
+	ErrFaults = errors.New("settings: the document has faults")
+	// ErrNoTeam means that the team has no settings in force.
+	ErrNoTeam = errors.New("settings: the team has no settings in force")
+)
+
+// Client acts for one operator.
+type Client struct {
+	Store  store.Store
+	Author string
+	Now    func() time.Time
+}
+
+// Team is what the store holds of a team.
+type Team struct {
+	// Record is in force; its Revision is 0 if none ever was.
+	Record accepted.Record
+	// Status is the last decision; its Change is 0 before the first.
+	Status accepted.Status
+	// Change is the store's revision of the operators' document, 0 if there
+	// is none, and Note says who wrote it, if known.
+	Change int64
+	Note   settings.Change
+}
+
+// Pending says whether the operators' document is not decided yet.
+func (t Team) Pending() bool {
+	decided := t.Change == t.Record.Change || t.Change == t.Status.Change
+	return t.Change != 0 && !decided
+}
+
+// Read returns what the store holds of a team.
+func (c *Client) Read(ctx context.Context, team string) (Team, error) {
+	if err := settings.CheckTeamName(team); err != nil {
+		return Team{}, err
+	}
+	var t Team
+	doc, _, err := c.Store.Get(ctx, settings.TeamKey(team))
+	if err != nil {
+		return Team{}, err
+	}
+	t.Change = doc.ModRevision
+	var note settings.Change
+	if mod, err := c.read(ctx, settings.ChangeKey(team), &note); err != nil {
+		return Team{}, err
+	} else if mod == t.Change {
+		t.Note = note
+	}
+	if _, err := c.read(ctx, accepted.TeamKey(team), &t.Record); err != nil {
+		return Team{}, err
+	}
+	_, err = c.read(ctx, accepted.StatusKey(team), &t.Status)
+	return t, err
+}
+
+// read decodes a key's value, if there is one, and returns its revision.
+func (c *Client) read(ctx context.Context, key string, out any) (int64, error) {
+	kv, ok, err := c.Store.Get(ctx, key)
+	if err != nil || !ok {
+		return 0, err
+	}
+	return kv.ModRevision, errors.Wrap(json.Unmarshal(kv.Value, out), key)
+}
+
+// History returns the team's latest accepted records, newest first.
+func (c *Client) History(ctx context.Context, team string) ([]accepted.Record, error) {
+	if err := settings.CheckTeamName(team); err != nil {
+		return nil, err
+	}
+	page, err := c.Store.List(ctx, accepted.HistoryPrefix(team))
+	if err != nil {
+		return nil, err
+	}
+	var out []accepted.Record
+	for _, kv := range page.KVs {
+		r, err := accepted.DecodeRecord(kv)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b accepted.Record) int { return int(b.Sequence - a.Sequence) })
+	return out, nil
+}
+
+// Teams returns the names of all teams with a document or a record, sorted.
+func (c *Client) Teams(ctx context.Context) ([]string, error) {
+	var out []string
+	raw, err := c.Store.List(ctx, settings.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, kv := range raw.KVs {
+		if team, document, ok := settings.TeamOfKey(kv.Key); ok && document {
+			out = append(out, team)
+		}
+	}
+	page, err := c.Store.List(ctx, accepted.TeamKey(""))
+	if err != nil {
+		return nil, err
+	}
+	for _, kv := range page.KVs {
+		out = append(out, strings.TrimPrefix(kv.Key, accepted.TeamKey("")))
+	}
+	slices.Sort(out)
+	return slices.Compact(out), nil
+}
+
+// Check returns ErrFaults with every fault of a document.
+func Check(raw []byte) error {
+	_, faults := settings.Decode(raw)
+	return FaultsError(faults)
+}
+
+// FaultsError returns ErrFaults with the faults listed, nil if there is none.
+func FaultsError(faults []settings.Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = "  " + f.String()
+	}
+	err := errors.Newf("%v, %d to mend:\n%s", ErrFaults, len(faults), strings.Join(lines, "\n"))
+	return errors.Mark(err, ErrFaults)
+}
+
+func conflict(t Team) error {
+	who, when, what := t.Note.Author, t.Note.At, fmt.Sprintf("change %d, not yet decided", t.Change)
+	if !t.Pending() {
+		who, when, what = t.Record.Author, t.Record.At, fmt.Sprintf("revision %d", t.Record.Revision)
+	}
+	if who == "" {
+		who = "an unnamed operator"
+	}
+	err := errors.Newf("%v: %s by %s at %s", ErrConflict, what, who, when.UTC().Format(time.RFC3339))
+	return errors.WithHint(errors.Mark(err, ErrConflict), "get the team's settings again, repeat your change on them and set them with the new revision")
+}
