Watch the nodes of a region by probes, suspicion and gossip

Cause: nodes knew each other from the VM list alone: a dead node kept its duties for as long as the list lagged, a stopping one could not say so, and a word on a leaving target stayed with the node that heard it.

Weighed: heartbeats to all (n messages a second a node), heartbeats through the platform's store (writes grow with the fleet, and an outage blinds it), a full SWIM view of all regions (regions lose each other for an hour: hundreds of deaths and returns), and SWIM within a region with the other regions from the VM list. The last is in force: flat cost, and a cut between regions changes nothing.

Tried and dropped: repeating node records in rotation. No fault that was tried needed it, since each node probes each other itself. Words on targets are repeated; they need it.

--- a/config/config.go
+++ b/config/config.go
@@ -95,6 +95,7 @@
 	check(c.FailureDomain != "", "--failure-domain is empty: set it to the VM's failure domain")
 	check(isIPPort(c.Listen), "--listen is not ip:port: use an IP number of this VM")
 	check(isIPPort(c.PeerListen), "--peer-listen is not ip:port: use an IP number of this VM")
+	check(!isUnspecified(c.PeerListen), "--peer-listen is no address that others can reach: use an IP number of this VM")
 	check(len(c.StoreEndpoints) > 0, "--store is empty: list the URLs of the platform's key-value service")
 	for _, ep := range c.StoreEndpoints {
 		check(isHTTPURL(ep), "--store "+ep+" is not a URL: use http://ip:port")
@@ -114,6 +115,12 @@
 	return err == nil && net.ParseIP(host) != nil
 }
 
+func isUnspecified(s string) bool {
+	host, _, _ := net.SplitHostPort(s)
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsUnspecified()
+}
+
 func isHTTPURL(s string) bool {
 	u, err := url.Parse(s)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- /dev/null
+++ b/membership/machine_test.go
@@ -0,0 +1,317 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/membership/membershiptest"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+func newFleet(n int, seed uint64) *membershiptest.Fleet {
+	return membershiptest.New(n, membership.DefaultConfig(), seed)
+}
+
+// agreed says whether every node that is up shows every other as it is.
+func agreed(f *membershiptest.Fleet) bool { return disagreement(f) == "" }
+
+func disagreement(f *membershiptest.Fleet) string {
+	for _, n := range f.Nodes {
+		if n.Down {
+			continue
+		}
+		for _, other := range f.Nodes {
+			want := other.Self().State
+			if other.Down {
+				want = membership.Dead
+			}
+			if got, ok := n.View.Node(other.ID); !ok || got.State != want {
+				return fmt.Sprintf("%s shows %s as %v, which is %v", n.ID, other.ID, got.State, want)
+			}
+		}
+	}
+	return ""
+}
+
+// shownAs says whether every node that is up, but node i, shows it in a state.
+func shownAs(f *membershiptest.Fleet, i int, s membership.State) bool {
+	for j, n := range f.Nodes {
+		if got, _ := n.View.Node(f.Nodes[i].ID); j != i && !n.Down && got.State != s {
+			return false
+		}
+	}
+	return true
+}
+
+func TestFaults(t *testing.T) {
+	const nodes = 53
+	cases := []struct {
+		name  string
+		fault func(f *membershiptest.Fleet)
+		want  func(f *membershiptest.Fleet) bool
+		limit time.Duration
+	}{
+		{"a node is killed", func(f *membershiptest.Fleet) {
+			f.Nodes[0].Down = true
+		}, agreed, 20 * time.Second},
+		{"a node leaves", func(f *membershiptest.Fleet) {
+			f.Nodes[0].Leave()
+		}, agreed, 3 * time.Second},
+		{"a node leaves while a tenth of the messages are lost", func(f *membershiptest.Fleet) {
+			f.Loss = 0.1
+			f.Nodes[0].Leave()
+		}, func(f *membershiptest.Fleet) bool { return shownAs(f, 0, membership.Leaving) }, 3 * time.Second},
+		{"a node leaves and is killed", func(f *membershiptest.Fleet) {
+			f.Nodes[0].Leave()
+			f.Run(3 * time.Second)
+			f.Nodes[0].Down = true
+		}, agreed, 90 * time.Second},
+		{"a node restarts at once", func(f *membershiptest.Fleet) {
+			f.Boot(0, f.Now.UnixNano())
+		}, agreed, 5 * time.Second},
+		{"an ID comes back on a VM whose clock is behind", func(f *membershiptest.Fleet) {
+			f.Nodes[0].Down = true
+			f.Run(20 * time.Second)
+			f.Boot(0, f.Now.Add(-time.Hour).UnixNano())
+		}, agreed, 10 * time.Second},
+		{"a node is frozen for 10 s", func(f *membershiptest.Fleet) {
+			f.Nodes[0].Down = true
+			f.Run(10 * time.Second)
+			f.Nodes[0].Down = false
+		}, agreed, 20 * time.Second},
+		{"a failure domain is lost", func(f *membershiptest.Fleet) {
+			for i := range 18 {
+				f.Nodes[3*i%nodes].Down = true
+			}
+		}, agreed, 60 * time.Second},
+		{"half of the nodes have a list of three", func(f *membershiptest.Fleet) {
+			for i := range nodes / 2 {
+				f.Boot(i, f.Now.UnixNano())
+				f.List(f.VMs(3), i)
+			}
+		}, agreed, 30 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(nodes, 1)
+			f.Run(5 * time.Second)
+			is.Equal(disagreement(f), "") // before the fault
+			tc.fault(f)
+			if !f.RunUntil(tc.limit, func() bool { return tc.want(f) }) {
+				t.Fatalf("not within %v: %s", tc.limit, disagreement(f))
+			}
+		})
+	}
+}
+
+func TestRegionCutInTwoForAnHourHeals(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12, 1)
+	for _, n := range f.Nodes[:5] {
+		n.Side = 1
+	}
+	f.Run(time.Hour)
+	is.Equal(len(f.Nodes[0].View.Duty("r")), 5) // each side sees itself alone
+	is.Equal(len(f.Nodes[11].View.Duty("r")), 7)
+	for _, n := range f.Nodes {
+		n.Side = 0
+	}
+	is.True(f.RunUntil(30*time.Second, func() bool { return agreed(f) }))
+}
+
+// TestConverges puts faults on a small fleet in any order. Once they stop, the
+// nodes that are up agree on the truth.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "nodes")
+		cfg := membership.DefaultConfig()
+		cfg.Damping.Threshold = 1000 // holds are tested on their own
+		f := membershiptest.New(n, cfg, rapid.Uint64().Draw(t, "seed"))
+		for range rapid.IntRange(0, 12).Draw(t, "faults") {
+			i := rapid.IntRange(0, n-1).Draw(t, "node")
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				f.Nodes[i].Down = true
+			case 1:
+				f.Boot(i, f.Now.UnixNano())
+			case 2:
+				f.Nodes[i].Down = false // as after a pause
+			case 3:
+				f.Nodes[i].Side = 1 - f.Nodes[i].Side
+			case 4:
+				f.Nodes[i].Leave()
+			default:
+				f.Loss = rapid.Float64Range(0, 0.9).Draw(t, "loss")
+			}
+			f.Run(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+		}
+		f.Loss = 0
+		for _, node := range f.Nodes {
+			node.Side = 0
+			if node.MostSent > 8 {
+				t.Fatalf("%d messages at one event", node.MostSent)
+			}
+		}
+		f.Run(90 * time.Second)
+		if d := disagreement(f); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// TestOldWordNeverBeatsNew feeds any records of nodes. What a machine shows of
+// a node only moves forward: to a newer incarnation, or to a later state.
+func TestOldWordNeverBeatsNew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		m := membership.NewMachine(membership.Node{ID: "self", Incarnation: 5}, membership.DefaultConfig(), rand.New(rand.NewPCG(1, 1)), now)
+		shown := make(map[string]membership.Node)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			n := membership.Node{
+				ID:          rapid.SampledFrom([]string{"a", "b", "self"}).Draw(t, "id"),
+				Incarnation: rapid.Int64Range(1, 9).Draw(t, "incarnation"),
+				State:       membership.State(rapid.IntRange(0, 3).Draw(t, "state")),
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "source") {
+			case 0:
+				m.Receive(membership.Message{Kind: membership.Gossip, From: membership.Node{ID: "c", Incarnation: 1}, Members: []membership.Node{n}}, now)
+			case 1:
+				m.Receive(membership.Message{Kind: membership.Ping, From: n}, now)
+			default:
+				m.Tick(now)
+			}
+			v := m.View(now)
+			if v == nil {
+				continue
+			}
+			for _, n := range v.Nodes {
+				if old, ok := shown[n.ID]; ok && old.Supersedes(n) {
+					t.Fatalf("%+v after %+v", n, old)
+				}
+				shown[n.ID] = n
+			}
+			if self, _ := v.Node("self"); self.State != membership.Alive {
+				t.Fatalf("it believes others of itself: %+v", self)
+			}
+		}
+	})
+}
+
+func TestWordOnTargetReachesEveryNode(t *testing.T) {
+	for _, nodes := range []int{8, 53} {
+		for _, loss := range []float64{0, 0.3} {
+			t.Run(fmt.Sprintf("%d nodes, loss %v", nodes, loss), func(t *testing.T) {
+				f := newFleet(nodes, 1)
+				f.Loss = loss
+				f.Run(time.Second)
+				f.Learn(0, targets.Word{Target: "engine-1", Incarnation: 7, Leaving: true})
+				heard := func() bool {
+					for _, n := range f.Nodes {
+						if len(n.Heard) == 0 {
+							return false
+						}
+					}
+					return true
+				}
+				if !f.RunUntil(3*time.Second, heard) {
+					t.Fatal("not within 3 s")
+				}
+			})
+		}
+	}
+}
+
+// TestPausedNodeAccusesNobody freezes a node right after it sent a message, so
+// that the answer to a probe comes while it doesn't listen.
+func TestPausedNodeAccusesNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 1)
+	f.Run(10 * time.Second)
+	n := f.Nodes[0]
+	for range 20 {
+		sent := n.Messages
+		is.True(f.RunUntil(time.Minute, func() bool { return n.Messages > sent }))
+		n.Down = true
+		f.Run(10 * time.Second)
+		n.Down = false
+		f.Run(2 * time.Second)
+	}
+	is.Equal(n.Counts().Suspicions, int64(0))
+	is.Equal(n.Counts().Deaths, int64(0))
+	is.True(n.Counts().Refutations > 0) // it was held for dead
+}
+
+// TestNewsThatGossipLostIsRepeated cuts off the only node that knows a word
+// until it has sent the word as often as it will.
+func TestNewsThatGossipLostIsRepeated(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 1)
+	f.Run(10 * time.Second)
+	f.Nodes[0].Side = 1
+	f.Learn(0, targets.Word{Target: "engine-1", Incarnation: 7, Leaving: true})
+	f.Run(2 * time.Second)
+	f.Nodes[0].Side = 0
+	is.True(f.RunUntil(10*time.Second, func() bool {
+		for _, n := range f.Nodes {
+			if len(n.Heard) == 0 {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+func TestFlappingNodeHasNoDuties(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 1)
+	for range 4 {
+		f.Nodes[0].Leave()
+		f.Run(2 * time.Second)
+		f.Boot(0, f.Now.UnixNano())
+		f.Run(2 * time.Second)
+	}
+	is.True(shownAs(f, 0, membership.Leaving)) // held down
+	f.Run(30 * time.Second)
+	is.Equal(disagreement(f), "") // the hold has ended
+}
+
+func TestTwoNodesOfOneIDDontDriveEachOther(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	node := membership.Node{ID: "a", Incarnation: 1}
+	m := membership.NewMachine(node, membership.DefaultConfig(), rand.New(rand.NewPCG(1, 1)), now)
+	for i := range 1000 {
+		rival := membership.Node{ID: "a", Incarnation: m.Self().Incarnation + 1}
+		m.Receive(membership.Message{From: membership.Node{ID: "b", Incarnation: 1}, Members: []membership.Node{rival}}, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	is.True(m.Counts().Refutations <= 11) // 10 s
+}
+
+func TestListOfOtherRegions(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := membership.NewMachine(membership.Node{ID: "a", Region: "r"}, membership.DefaultConfig(), rand.New(rand.NewPCG(1, 1)), now)
+	vm := func(id, region string, s vmlist.State) vmlist.VM {
+		return vmlist.VM{ID: id, Role: vmlist.RoleNode, Region: region, State: s, Incarnation: 1}
+	}
+	m.List(vmlist.List{Version: 1, VMs: []vmlist.VM{
+		vm("a", "r", vmlist.StateLive), vm("b", "r", vmlist.StateLive),
+		vm("c", "other", vmlist.StateLive), vm("d", "other", vmlist.StateLeaving),
+		{ID: "e", Role: vmlist.RoleEngine, Region: "r"},
+	}}, now)
+	v := m.View(now)
+	is.Equal(len(v.Nodes), 4)
+	is.Equal(len(v.Duty("r")), 2)
+	is.Equal(len(v.Duty("other")), 1)
+	m.List(vmlist.List{Version: 2}, now) // b was known from the list alone
+	is.Equal(len(m.View(now).Nodes), 1)
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,14 +1,20 @@
 // Package membership keeps the node's view of the other nodes of the fleet.
+//
+// Nodes of a region watch each other by a SWIM protocol: each probes one other
+// a second, asks a few to probe for it before it suspects, and lets the suspect
+// refute before it is declared dead; news travels with those messages and by
+// gossip. So the cost a node is flat, and the time to everyone grows as a
+// logarithm. Nodes of other regions are known from the VM list alone.
+//
+// Machine is the protocol: pure, with the time and the random source passed
+// in. Members is the service around it.
 package membership
 
 import (
 	"slices"
 	"strings"
-	"sync/atomic"
 
 	"github.com/knapweedgw/knapweedgw/kernel"
-	"github.com/knapweedgw/knapweedgw/targets"
-	"github.com/knapweedgw/knapweedgw/vmlist"
 )
 
 // ServiceID is the kernel name of the service that implements Source.
@@ -26,14 +32,37 @@
 	Dead
 )
 
+// String implements fmt.Stringer.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
 // Node is one node of the fleet.
 type Node struct {
-	ID            string
-	PeerAddr      string
-	Region        string
-	FailureDomain string
-	Incarnation   int64
-	State         State
+	ID            string `json:"i"`
+	PeerAddr      string `json:"a"`
+	Region        string `json:"-"` // only nodes of one region exchange nodes
+	FailureDomain string `json:"d"`
+	Incarnation   int64  `json:"n"`
+	State         State  `json:"s,omitempty"`
+}
+
+// Supersedes says whether a overrides b, a record of the same node: the newer
+// incarnation does, and within an incarnation the later state.
+func (n Node) Supersedes(b Node) bool {
+	if n.Incarnation != b.Incarnation {
+		return n.Incarnation > b.Incarnation
+	}
+	return n.State > b.State
 }
 
 // View is an immutable set of nodes, ordered by ID. It includes this node.
@@ -65,45 +94,3 @@
 	}
 	return out
 }
-
-// Members is a Source fed by the VM list.
-type Members struct {
-	self string
-	view atomic.Pointer[View]
-}
-
-// New returns a Source that follows the VM list read by r.
-func New(self Node, r *targets.Registry) *Members {
-	m := &Members{self: self.ID}
-	m.view.Store(&View{Self: self.ID, Nodes: []Node{self}})
-	r.OnList(m.apply)
-	return m
-}
-
-// ID implements kernel.Service.
-func (m *Members) ID() kernel.ID { return ServiceID }
-
-// View implements Source.
-func (m *Members) View() *View { return m.view.Load() }
-
-func (m *Members) apply(list vmlist.List) {
-	v := &View{Self: m.self}
-	for _, vm := range list.VMs {
-		if vm.Role == vmlist.RoleNode {
-			v.Nodes = append(v.Nodes, fromVM(vm))
-		}
-	}
-	slices.SortFunc(v.Nodes, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
-	m.view.Store(v)
-}
-
-func fromVM(vm vmlist.VM) Node {
-	n := Node{
-		ID: vm.ID, PeerAddr: vm.PeerAddr, Region: vm.Region,
-		FailureDomain: vm.FailureDomain, Incarnation: vm.Incarnation,
-	}
-	if vm.State == vmlist.StateLeaving {
-		n.State = Leaving
-	}
-	return n
-}
--- /dev/null
+++ b/membership/service_test.go
@@ -0,0 +1,105 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+// network delivers notifications in memory, by address.
+type network map[string]peer.Handler
+
+// port is a node's end of a network.
+type port struct {
+	network network
+	addr    string
+}
+
+func (p port) Handle(_ string, f peer.Handler) { p.network[p.addr] = f }
+
+func (p port) Notify(ctx context.Context, addr, _ string, params any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = p.network[addr](ctx, raw)
+	return err
+}
+
+type node struct {
+	*membership.Members
+	targets *targets.Registry
+}
+
+func startNodes(t *testing.T, ids ...string) []node {
+	t.Helper()
+	list := vmlist.List{Version: 1, VMs: []vmlist.VM{{ID: "e", Role: vmlist.RoleEngine, Pool: "p", Incarnation: 1}}}
+	var nodes []node
+	net := make(network)
+	for _, id := range ids {
+		r := targets.NewRegistry(nil, time.Second, log.New(io.Discard))
+		self := membership.Node{ID: id, PeerAddr: id, Region: "r", Incarnation: time.Now().UnixNano()}
+		m := membership.New(self, port{net, id}, r, log.New(io.Discard), prometheus.NewRegistry())
+		nodes = append(nodes, node{m, r})
+		list.VMs = append(list.VMs, vmlist.VM{ID: id, Role: vmlist.RoleNode, PeerAddr: id, Region: "r", Incarnation: 1})
+	}
+	for _, n := range nodes {
+		n.targets.Apply(list)
+		if err := n.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return nodes
+}
+
+// eventually waits for a condition; a minute is a failure.
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for start := time.Now(); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > time.Minute {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+func TestDrainHandsOverDuties(t *testing.T) {
+	is := is.New(t)
+	nodes := startNodes(t, "a", "b", "c")
+	is.Equal(len(nodes[0].View().Duty("r")), 3)
+	is.NoErr(nodes[1].Drain(context.Background()))
+	is.Equal(len(nodes[1].View().Duty("r")), 2) // at once for itself
+	eventually(t, "others exclude the leaving node", func() bool {
+		return len(nodes[0].View().Duty("r")) == 2 && len(nodes[2].View().Duty("r")) == 2
+	})
+	is.NoErr(nodes[1].Stop(context.Background()))
+	eventually(t, "others know that it has left", func() bool {
+		n, _ := nodes[0].View().Node("b")
+		return n.State == membership.Dead
+	})
+	is.NoErr(nodes[0].Stop(context.Background()))
+	is.NoErr(nodes[2].Stop(context.Background()))
+}
+
+func TestLeavingTargetIsSpread(t *testing.T) {
+	nodes := startNodes(t, "a", "b", "c")
+	nodes[0].targets.ObserveLeaving("e", 1)
+	for _, n := range nodes {
+		eventually(t, "the target is leaving", func() bool {
+			return n.targets.Snapshot().Pool("p")[0].Leaving
+		})
+	}
+	for _, n := range nodes {
+		_ = n.Stop(context.Background())
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -45,12 +45,14 @@
 	return peer.NewHub(cfg.PeerListen, l, reg)
 }
 
-func provideMembers(cfg *config.Node, reg *targets.Registry) *membership.Members {
+func provideMembers(
+	cfg *config.Node, hub *peer.Hub, t *targets.Registry, l *log.Logger, reg prometheus.Registerer,
+) *membership.Members {
 	self := membership.Node{
 		ID: cfg.NodeID, PeerAddr: cfg.PeerListen, Region: cfg.Region,
 		FailureDomain: cfg.FailureDomain, Incarnation: cfg.IncarnationTime.UnixNano(),
 	}
-	return membership.New(self, reg)
+	return membership.New(self, hub, t, l, reg)
 }
 
 // provideKernel registers the services in the order in which they start.
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -32,7 +32,7 @@
 	hub := provideHub(cfg, logger, registry)
 	source := provideVMList(cfg)
 	targetsRegistry := provideTargets(cfg, source, logger, registry)
-	members := provideMembers(cfg, targetsRegistry)
+	members := provideMembers(cfg, hub, targetsRegistry, logger, registry)
 	store := provideStore(cfg)
 	followerFollower := follower.New(store, logger, registry)
 	acceptorAcceptor := acceptor.New(store, logger, registry)
