--- a/config/config.go
+++ b/config/config.go
@@ -31,6 +31,9 @@
 	MaxBodyBytes    int64
 	BodyTimeout     time.Duration
 	MaxAttempts     int
+	RetryShare      float64
+	ResumeHold      time.Duration
+	StreamHold      time.Duration
 	DrainGrace      time.Duration
 	DrainDeadline   time.Duration
 	IncarnationTime time.Time
@@ -42,6 +45,9 @@
 	defaultMaxBodyBytes   = 4 << 20
 	defaultBodyTimeout    = 15 * time.Second
 	defaultMaxAttempts    = 3
+	defaultRetryShare     = 0.1
+	defaultResumeHold     = 10 * time.Second
+	defaultStreamHold     = 250 * time.Millisecond
 	defaultDrainGrace     = 2 * time.Second
 )
 
@@ -60,6 +66,9 @@
 	fs.Int64Var(&c.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "largest request body in bytes")
 	fs.DurationVar(&c.BodyTimeout, "body-timeout", defaultBodyTimeout, "time a caller has to send header and body")
 	fs.IntVar(&c.MaxAttempts, "max-attempts", defaultMaxAttempts, "most targets tried for one request")
+	fs.Float64Var(&c.RetryShare, "retry-share", defaultRetryShare, "most retries a request, on average: the fleet's load grows by this share at most")
+	fs.DurationVar(&c.ResumeHold, "resume-hold", defaultResumeHold, "time an engine is asked to hold a cut stream for resumption; 0 for none")
+	fs.DurationVar(&c.StreamHold, "stream-hold", defaultStreamHold, "longest time empty opening events of a stream are held back, so that an overload behind them can be retried; 0 for none")
 	fs.DurationVar(&c.DrainGrace, "drain-grace", defaultDrainGrace, "time between failing readiness and closing the listener")
 	fs.DurationVar(&c.DrainDeadline, "drain-deadline", 0, "longest wait for requests in progress when stopping; 0 waits for all")
 	return c
@@ -105,6 +114,9 @@
 	check(c.MaxBodyBytes > 0, "--max-body-bytes is not positive: use 4194304 or more")
 	check(c.BodyTimeout > 0, "--body-timeout is not positive: use 15s")
 	check(c.MaxAttempts > 0, "--max-attempts is not positive: use 1 or more")
+	check(c.RetryShare >= 0 && c.RetryShare <= 1, "--retry-share is not between 0 and 1: use 0.1")
+	check(c.ResumeHold >= 0, "--resume-hold is negative: use 0 for none")
+	check(c.StreamHold >= 0, "--stream-hold is negative: use 0 for none")
 	check(c.DrainGrace >= 0, "--drain-grace is negative: use 0 or more")
 	check(c.DrainDeadline >= 0, "--drain-deadline is negative: use 0 for none")
 	return errors.Join(faults...)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,16 +1,17 @@
 package gateway
 
 import (
-	"io"
+	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	restful "github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
 )
 
@@ -22,11 +23,28 @@
 	HeaderTarget         = "X-Knapweedgw-Target"
 	HeaderPriority       = "Priority"
 	HeaderLastEventID    = "Last-Event-ID"
+	// HeaderRequestTimeout is the caller's deadline in seconds from now; the
+	// time that remains is passed on to the target.
+	HeaderRequestTimeout = "Request-Timeout"
+	// HeaderResumeHold asks for a stream to be held for that many seconds
+	// after its reader went away.
+	HeaderResumeHold = "X-Resume-Hold"
+	// HeaderReplayed marks an answer that was kept from an earlier request
+	// with the same Idempotency-Key.
+	HeaderReplayed = "Idempotency-Replayed"
+)
+
+// HeaderEndpointState says that a target is leaving; HeaderLoadReport holds
+// its load (ORCA). Both go from target to node.
+const (
+	HeaderEndpointState = "X-Endpoint-State"
+	HeaderLoadReport    = "Endpoint-Load-Metrics"
+	stateLeaving        = "leaving"
 )
 
 const (
 	settingsRetryAfter = 2 * time.Second
-	drainRetryAfter    = time.Second
+	targetRetryAfter   = time.Second
 )
 
 // call is one caller's request as it passes through the gateway.
@@ -34,39 +52,31 @@
 	id        string
 	kind      string
 	req       *http.Request
-	w         http.ResponseWriter
+	w         *answerWriter
 	workspace settings.WorkspaceRef
 	settings  *settings.Snapshot
 	log       *log.Logger
-	start     time.Time
-}
-
-type endpoint func(c *call, r *restful.Request) error
-
-// route turns an endpoint into a restful handler that authenticates the
-// caller, and writes and counts the refusal an endpoint returns.
-func (g *Gateway) route(f endpoint) restful.RouteFunction {
-	return func(r *restful.Request, w *restful.Response) {
-		g.metrics.inFlight.Inc()
-		defer g.metrics.inFlight.Dec()
-		c := g.newCall(r, w)
-		err := g.authenticate(c)
-		if err == nil {
-			err = f(c, r)
-		}
-		g.finish(c, err)
-	}
+	timeout   time.Duration // the caller's, 0 for none
+	// sent is true once a target may have run the request.
+	sent atomic.Bool
+	// captured is the answer kept for callers that repeat the key; nil
+	// unless the request is claimed.
+	captured *capture
 }
 
 func (g *Gateway) newCall(r *restful.Request, w *restful.Response) *call {
 	id := r.Request.Header.Get(HeaderRequestID)
-	if id == "" {
+	if !validToken(id, maxRequestID) {
 		id = uuid.NewString()
 	}
 	w.Header().Set(HeaderRequestID, id)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	return &call{
-		id: id, kind: "unknown", req: r.Request, w: w.ResponseWriter,
-		log: g.log.With("request", id), start: time.Now(),
+		id: id, kind: kindUnknown, req: r.Request,
+		w:   &answerWriter{ResponseWriter: w.ResponseWriter},
+		log: g.log.With("request", id),
 	}
 }
 
@@ -84,54 +94,62 @@
 	return nil
 }
 
-func (g *Gateway) finish(c *call, err error) {
-	if err == nil {
-		g.metrics.requests.WithLabelValues(c.kind, "answered").Inc()
-		return
-	}
-	var p *problem.Problem
-	if !errors.As(err, &p) {
-		p = problem.New(problem.Internal, problem.RanUnknown, err.Error())
+// ran says whether a target may have run the request so far.
+func (c *call) ran() problem.Ran {
+	if c.sent.Load() {
+		return problem.RanUnknown
 	}
-	p.RequestID = c.id
-	g.metrics.requests.WithLabelValues(c.kind, "refused").Inc()
-	g.metrics.refusals.WithLabelValues(string(p.Reason)).Inc()
-	c.log.Warn("refused", "reason", p.Reason, "ran", p.Ran, "detail", p.Detail)
-	p.Write(c.w)
+	return problem.RanNo
 }
 
-func (g *Gateway) noRoute(e restful.ServiceError, r *restful.Request, w *restful.Response) {
-	p := problem.New(problem.NotFound, problem.RanNo, r.Request.Method+" "+r.Request.URL.Path)
-	p.Status = e.Code
-	g.metrics.refusals.WithLabelValues(string(p.Reason)).Inc()
-	p.Write(w.ResponseWriter)
+// workContext is the context of the work at targets. It ends when the caller
+// goes away, unless the request may not be repeated: that is seen through to
+// its end, so that its outcome is known.
+func (c *call) workContext(repeatable bool) (context.Context, context.CancelFunc) {
+	ctx := c.req.Context()
+	if !repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	timeout := c.timeout
+	if timeout == 0 && !repeatable {
+		timeout = maxDetached
+	}
+	if timeout == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, timeout)
 }
 
-// readBody reads the whole body within the node's size and time limits.
-func (g *Gateway) readBody(c *call) ([]byte, error) {
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, g.cfg.MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	var timeout interface{ Timeout() bool }
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, problem.New(problem.BodyTooLarge, problem.RanNo, err.Error())
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, problem.New(problem.BodyTimeout, problem.RanNo, "")
-	default:
-		return nil, problem.New(problem.BadRequest, problem.RanNo, "body: "+err.Error())
+// maxDetached bounds the work for a caller that may have gone away.
+const maxDetached = 10 * time.Minute
+
+func remaining(ctx context.Context, now time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return retry.NoDeadline
 	}
+	return deadline.Sub(now)
 }
 
-func bearer(r *http.Request) (string, bool) {
-	const scheme = "Bearer "
-	h := r.Header.Get("Authorization")
-	if len(h) < len(scheme) || h[:len(scheme)] != scheme {
-		return "", false
-	}
-	return h[len(scheme):], true
+// answerWriter notes what was written of an answer.
+type answerWriter struct {
+	http.ResponseWriter
+	wroteHeader  bool
+	wroteProblem bool
+	streaming    bool // the answer is a stream of events
 }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.wroteHeader = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.wroteHeader = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap gives http.ResponseController the server's writer.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -32,7 +32,7 @@
 }
 
 func (g *Gateway) serveModels(c *call, _ *restful.Request) error {
-	c.kind = "models"
+	c.kind = kindModels
 	list := modelList{Object: "list", Data: []modelInfo{}}
 	for _, name := range c.settings.Models(c.workspace.Team) {
 		list.Data = append(list.Data, modelInfo{ID: name, Object: "model", OwnedBy: "knapweedgw"})
@@ -42,7 +42,7 @@
 }
 
 func (g *Gateway) serveChat(c *call, _ *restful.Request) error {
-	c.kind = "chat"
+	c.kind = kindChat
 	body, err := g.readBody(c)
 	if err != nil {
 		return err
@@ -55,18 +55,22 @@
 	if !ok {
 		return problem.New(problem.UnknownModel, problem.RanNo, chat.Model)
 	}
-	_, keyed := idempotencyKey(c.req)
-	return g.forward(c, forwardRequest{
+	f := forwardRequest{
 		admission: admission.Request{
 			ID: c.id, Chat: chatKey(c, chat), Workspace: c.workspace,
 			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: model,
 		},
 		method:     http.MethodPost,
-		path:       "/v1/chat/completions",
+		path:       chatPath,
 		body:       body,
+		chat:       true,
 		stream:     chat.Stream,
-		repeatable: !keyed,
-	})
+		repeatable: true,
+	}
+	if c.req.Header.Get(HeaderLastEventID) != "" {
+		return g.reconnect(c, f)
+	}
+	return g.serve(c, f)
 }
 
 func parseChat(body []byte) (chatRequest, error) {
@@ -99,17 +103,3 @@
 	}
 	return routing.Hash(c.workspace.Team + "/" + c.workspace.Name + "/" + name)
 }
-
-func idempotencyKey(r *http.Request) (string, bool) {
-	key := r.Header.Get(HeaderIdempotencyKey)
-	return key, key != ""
-}
-
-// priority returns the urgency of an RFC 9218 Priority header.
-func priority(h string) int {
-	const defaultUrgency = 3
-	if len(h) >= 3 && h[:2] == "u=" && h[2] >= '0' && h[2] <= '7' {
-		return int(h[2] - '0')
-	}
-	return defaultUrgency
-}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"net"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,17 +19,18 @@
 	"github.com/knapweedgw/knapweedgw/targets"
 )
 
-const targetRetryAfter = time.Second
-
 // forwardRequest is a checked request on its way to a target.
 type forwardRequest struct {
 	admission  admission.Request
 	method     string
-	path       string
+	path       string // escaped, as the caller sent it
 	query      string
 	body       []byte
-	stream     bool
+	chat       bool // a chat completion at a model engine
+	stream     bool // the caller asked for a stream
 	repeatable bool
+	// gate is asked right before the first byte is sent; nil for no gate.
+	gate func() bool
 }
 
 // attemptError is a failed attempt.
@@ -39,80 +44,218 @@
 
 // forward tries targets until one answers or no further attempt is allowed.
 func (g *Gateway) forward(c *call, f forwardRequest) error {
+	ctx, cancel := c.workContext(f.repeatable)
+	defer cancel()
+	g.budget.Request(time.Now())
 	for number := 1; ; number++ {
-		grant, err := g.admitter.Acquire(c.req.Context(), f.admission)
+		grant, err := g.admitter.Acquire(ctx, f.admission)
 		if err != nil {
-			return err
+			return g.refuse(ctx, c, err)
 		}
-		fail := g.attempt(c, f, grant)
+		fail := g.attempt(ctx, c, f, grant)
 		if fail == nil {
 			return nil
 		}
-		a := retry.Attempt{Number: number, Progress: fail.progress, Repeatable: f.repeatable}
-		if !retry.Allowed(a, g.cfg.MaxAttempts) {
-			return refusal(fail)
+		verdict := g.decide(ctx, f, number, fail)
+		if verdict != retry.Again {
+			return g.refuse(ctx, c, refusal(fail, verdict))
 		}
 		g.metrics.retries.WithLabelValues(string(fail.reason)).Inc()
-		c.log.Info("retry", "target", grant.Target.ID, "reason", fail.reason, "attempt", number)
+		c.log.Info("retry", "target", grant.Target.ID, "cause", fail, "attempt", number)
 		f.admission.Exclude = append(f.admission.Exclude, grant.Target.ID)
+		g.pause(ctx, number)
+	}
+}
+
+func (g *Gateway) decide(ctx context.Context, f forwardRequest, number int, fail *attemptError) retry.Verdict {
+	if errors.Is(fail.cause, errGateClosed) || ctx.Err() != nil {
+		return retry.NotRepeatable
+	}
+	now := time.Now()
+	verdict := retry.Decide(
+		retry.Attempt{Number: number, Progress: fail.progress, Repeatable: f.repeatable, Remaining: remaining(ctx, now)},
+		retry.Limits{MaxAttempts: g.cfg.MaxAttempts, MinRemaining: retryMinRemaining},
+	)
+	if verdict == retry.Again && retry.Charged(fail.progress) && !g.budget.Take(now) {
+		return retry.BudgetEmpty
+	}
+	return verdict
+}
+
+// refuse completes a refusal: whatever it says, a request that an earlier
+// attempt may have run is never reported as not run.
+func (g *Gateway) refuse(ctx context.Context, c *call, err error) error {
+	var p *problem.Problem
+	if !errors.As(err, &p) {
+		p = problem.New(problem.Internal, problem.RanNo, err.Error())
+	}
+	switch {
+	case c.req.Context().Err() != nil:
+		p = problem.New(problem.CallerGone, p.Ran, p.Detail)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		p = problem.New(problem.DeadlineExceeded, p.Ran, p.Detail)
 	}
+	if p.Ran == problem.RanNo {
+		refused := *p
+		refused.Ran = c.ran()
+		return &refused
+	}
+	return p
 }
 
-func (g *Gateway) attempt(c *call, f forwardRequest, grant admission.Grant) *attemptError {
+func refusal(e *attemptError, v retry.Verdict) error {
+	reason := e.reason
+	switch {
+	case errors.Is(e.cause, errGateClosed):
+		reason = problem.ClaimsUnavailable
+	case v == retry.BudgetEmpty:
+		reason = problem.RetryBudget
+	case v == retry.DeadlineNear:
+		reason = problem.DeadlineExceeded
+	}
+	ran := problem.RanUnknown
+	if e.progress <= retry.Refused {
+		ran = problem.RanNo
+	}
+	return problem.New(reason, ran, e.cause.Error()).After(targetRetryAfter)
+}
+
+func (g *Gateway) pause(ctx context.Context, number int) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	sleep(ctx, g.backoff.Pause(number, rng))
+}
+
+// attempt sends the request to one target and relays the answer. While it
+// runs, c.sent is true from the first byte on; a target's word that it ran
+// nothing restores it.
+func (g *Gateway) attempt(ctx context.Context, c *call, f forwardRequest, grant admission.Grant) *attemptError {
 	defer grant.Release()
-	ctx, cancel := context.WithCancel(c.req.Context())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	req, err := targetRequest(ctx, c, f, grant.Target)
+	before := c.sent.Load()
+	fail := g.exchange(ctx, c, f, grant.Target)
+	if fail != nil && fail.progress <= retry.Refused {
+		c.sent.Store(before)
+	}
+	return fail
+}
+
+func (g *Gateway) exchange(ctx context.Context, c *call, f forwardRequest, t targets.Target) *attemptError {
+	gen := newGeneration(c, t)
+	req, err := g.targetRequest(ctx, c, f, t, gen)
 	if err != nil {
 		return &attemptError{retry.NotSent, problem.Internal, err}
 	}
-	resp, err := g.client.Do(req)
+	resp, progress, err := g.clients.do(req, f.repeatable, c.gate(f))
 	if err != nil {
-		return &attemptError{sendProgress(err), problem.TargetFailed, err}
+		g.cancelIfGone(ctx, c, f, t, gen, progress)
+		return &attemptError{progress, problem.TargetFailed, err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		return &attemptError{retry.Refused, problem.TargetRefused, errors.Newf("status %d", resp.StatusCode)}
+	g.observe(t, resp.Header)
+	if fail := refusedByTarget(f, resp); fail != nil {
+		return fail
 	}
-	return g.relay(c, grant.Target, resp)
+	return g.relay(ctx, c, f, t, gen, resp)
 }
 
-func targetRequest(ctx context.Context, c *call, f forwardRequest, t targets.Target) (*http.Request, error) {
+// gate marks the request as sent, if f's own gate lets it pass.
+func (c *call) gate(f forwardRequest) func() bool {
+	return func() bool {
+		if f.gate != nil && !f.gate() {
+			return false
+		}
+		c.sent.Store(true)
+		return true
+	}
+}
+
+// maxRefusal is how much of a refusal is read to learn whether the request
+// was run.
+const maxRefusal = 64 << 10
+
+// refusedByTarget says whether an answer counts as a failed attempt. A model
+// engine answers 429 and 503 before it runs a request. A plain service may do
+// so after a partial effect: its word counts as "not run" only if its answer
+// is a problem document with "ran": "no". What may be repeated is repeated
+// elsewhere; any other answer is the target's own and goes to the caller.
+func refusedByTarget(f forwardRequest, resp *http.Response) *attemptError {
+	cause := errors.Newf("status %d", resp.StatusCode)
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if f.chat || saysNotRun(resp) {
+			return &attemptError{retry.Refused, problem.TargetRefused, cause}
+		}
+		if f.repeatable {
+			return &attemptError{retry.Sent, problem.TargetRefused, cause}
+		}
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		if f.repeatable {
+			return &attemptError{retry.Sent, problem.TargetFailed, cause}
+		}
+	}
+	return nil
+}
+
+// saysNotRun reads the answer's problem document; the body can be read again
+// afterwards.
+func saysNotRun(resp *http.Response) bool {
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), problem.ContentType) {
+		return false
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusal))
+	resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(raw), resp.Body), resp.Body}
+	if err != nil {
+		return false
+	}
+	var p struct {
+		Ran problem.Ran `json:"ran"`
+	}
+	return json.Unmarshal(raw, &p) == nil && p.Ran == problem.RanNo
+}
+
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+var forwardedHeaders = []string{
+	"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match", "Range",
+	HeaderPriority, HeaderIdempotencyKey, HeaderChatID,
+}
+
+// targetRequest builds the request for t. It has no GetBody, so that the
+// transport doesn't repeat it.
+func (g *Gateway) targetRequest(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation,
+) (*http.Request, error) {
 	url := "http://" + t.Addr + f.path
 	if f.query != "" {
 		url += "?" + f.query
 	}
-	req, err := http.NewRequestWithContext(ctx, f.method, url, bytes.NewReader(f.body))
+	var body io.Reader = http.NoBody
+	if len(f.body) > 0 {
+		body = bytes.NewReader(f.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, f.method, url, body)
 	if err != nil {
 		return nil, err
 	}
+	req.GetBody = nil
 	for _, name := range forwardedHeaders {
 		if v := c.req.Header.Get(name); v != "" {
 			req.Header.Set(name, v)
 		}
 	}
 	req.Header.Set(HeaderRequestID, c.id)
-	// Without GetBody the transport never repeats the request by itself.
-	req.GetBody = nil
-	return req, nil
-}
-
-var forwardedHeaders = []string{
-	"Accept", "Content-Type", HeaderPriority, HeaderIdempotencyKey, HeaderChatID,
-}
-
-func sendProgress(err error) retry.Progress {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return retry.NotSent
+	if f.chat {
+		req.Header.Set(HeaderRequestID, gen.id)
 	}
-	return retry.Sent
-}
-
-func refusal(e *attemptError) error {
-	ran := problem.RanUnknown
-	if e.progress <= retry.Refused {
-		ran = problem.RanNo
+	if hold := g.resumeHold(c); f.stream && hold > 0 {
+		req.Header.Set(HeaderResumeHold, strconv.Itoa(int(hold/time.Second)))
+	}
+	if left := remaining(ctx, time.Now()); left != retry.NoDeadline {
+		req.Header.Set(HeaderRequestTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 	}
-	return problem.New(e.reason, ran, e.cause.Error()).After(targetRetryAfter)
+	return req, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,39 +11,69 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	restful "github.com/emicklei/go-restful/v3"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/claims"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
 )
 
 // ServiceID is the kernel name of the Gateway.
 const ServiceID kernel.ID = "gateway.http"
 
 const (
-	headerReadTimeout  = 5 * time.Second
-	maxHeaderBytes     = 32 << 10
-	idleTimeout        = 2 * time.Minute
-	idleConnsPerTarget = 64
+	headerReadTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// maxHeaderBytes is answered with a problem document; the HTTP server
+	// cuts off what is larger than serverHeaderBytes by itself.
+	maxHeaderBytes    = 32 << 10
+	serverHeaderBytes = 64 << 10
+)
+
+const (
+	retryFloor        = 0.1 // retries a second without any request
+	retryBurst        = 10
+	retryMinRemaining = 50 * time.Millisecond
+	retryBaseBackoff  = 20 * time.Millisecond
+	retryMaxBackoff   = time.Second
 )
 
 // SettingsSource gives the settings in force; nil before the first.
 type SettingsSource interface{ Snapshot() *settings.Snapshot }
 
+// TargetSource gives the current targets.
+type TargetSource interface{ Snapshot() *targets.Snapshot }
+
+// LoadObserver is told the load that a target reports.
+type LoadObserver interface {
+	Observe(target string, inFlight int, at time.Time)
+}
+
+// LeavingObserver is told that a target said that it is leaving.
+type LeavingObserver interface {
+	ObserveLeaving(target string, incarnation int64)
+}
+
 // Gateway serves callers.
 type Gateway struct {
 	cfg      *config.Node
 	log      *log.Logger
 	registry *prometheus.Registry
 	metrics  *metrics
-	client   *http.Client
+	clients  clients
+	budget   *retry.Budget
+	backoff  retry.Backoff
 
 	settings SettingsSource
 	admitter admission.Admitter
+	claimer  claims.Claimer  // nil if the node has none
+	targets  TargetSource    // nil if the node has none
+	loads    LoadObserver    // nil if the node has none
+	leaving  LeavingObserver // nil if the node has none
 
 	server   *http.Server
 	draining atomic.Bool
@@ -51,26 +81,38 @@
 
 // New returns a gateway that will listen on cfg.Listen.
 func New(cfg *config.Node, l *log.Logger, reg *prometheus.Registry) *Gateway {
+	budget := retry.BudgetConfig{Share: cfg.RetryShare, Floor: retryFloor, Burst: retryBurst}
 	return &Gateway{
 		cfg: cfg, log: l, registry: reg, metrics: newMetrics(reg),
-		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: idleConnsPerTarget,
-			DisableCompression:  true,
-		}},
+		clients: newClients(),
+		budget:  retry.NewBudget(budget, time.Now()),
+		backoff: retry.Backoff{Base: retryBaseBackoff, Max: retryMaxBackoff},
 	}
 }
 
 // ID implements kernel.Service.
 func (g *Gateway) ID() kernel.ID { return ServiceID }
 
-// Provision implements kernel.Provisioner.
+// Provision implements kernel.Provisioner. Claims, targets and the observers
+// are optional.
 func (g *Gateway) Provision(k *kernel.Kernel) error {
 	var err error
 	if g.settings, err = kernel.Lookup[SettingsSource](k, settings.ServiceID); err != nil {
 		return err
 	}
-	g.admitter, err = kernel.Lookup[admission.Admitter](k, admission.ServiceID)
-	return err
+	if g.admitter, err = kernel.Lookup[admission.Admitter](k, admission.ServiceID); err != nil {
+		return err
+	}
+	g.claimer = optional[claims.Claimer](k, claims.ServiceID)
+	g.targets = optional[TargetSource](k, targets.ServiceID)
+	g.loads = optional[LoadObserver](k, admission.ServiceID)
+	g.leaving = optional[LeavingObserver](k, targets.ServiceID)
+	return nil
+}
+
+func optional[T any](k *kernel.Kernel, id kernel.ID) T {
+	s, _ := kernel.Lookup[T](k, id)
+	return s
 }
 
 // Start implements kernel.Starter: it listens before it returns.
@@ -79,12 +121,7 @@
 	if err != nil {
 		return errors.WithHint(errors.Wrap(err, "gateway: listen"), "set --listen to a free ip:port of this VM")
 	}
-	g.server = &http.Server{
-		Handler:           g.Handler(),
-		ReadHeaderTimeout: headerReadTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       idleTimeout,
-	}
+	g.server = g.newServer()
 	go func() {
 		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("gateway stopped", "err", err)
@@ -94,8 +131,18 @@
 	return nil
 }
 
-// Stop implements kernel.Stopper: it fails readiness, waits the grace time
-// for the balancer, then waits until every request in progress has ended.
+func (g *Gateway) newServer() *http.Server {
+	return &http.Server{
+		Handler:           g.Handler(),
+		ReadHeaderTimeout: min(headerReadTimeout, g.cfg.BodyTimeout),
+		MaxHeaderBytes:    serverHeaderBytes,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// Stop implements kernel.Stopper: it fails readiness, serves on for the
+// grace time of the balancer, then waits until every request in progress has
+// ended.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.draining.Store(true)
 	g.log.Info("gateway drains")
@@ -103,37 +150,6 @@
 	return g.server.Shutdown(ctx)
 }
 
-// Handler returns the routes.
-func (g *Gateway) Handler() http.Handler {
-	c := restful.NewContainer()
-	ws := new(restful.WebService)
-	ws.Route(ws.POST("/v1/chat/completions").To(g.route(g.serveChat)))
-	ws.Route(ws.GET("/v1/models").To(g.route(g.serveModels)))
-	for _, method := range serviceMethods {
-		ws.Route(ws.Method(method).Path("/services/{name}/{path:*}").To(g.route(g.serveService)))
-	}
-	ws.Route(ws.GET("/healthz").To(g.healthz))
-	ws.Route(ws.GET("/readyz").To(g.readyz))
-	ws.Route(ws.GET("/metrics").To(func(r *restful.Request, w *restful.Response) {
-		promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}).ServeHTTP(w.ResponseWriter, r.Request)
-	}))
-	c.Add(ws)
-	c.ServiceErrorHandler(g.noRoute)
-	return c
-}
-
-func (g *Gateway) healthz(_ *restful.Request, w *restful.Response) {
-	w.WriteHeader(http.StatusOK)
-}
-
-func (g *Gateway) readyz(_ *restful.Request, w *restful.Response) {
-	if g.draining.Load() || g.settings.Snapshot() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/gateway/generation.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+const (
+	maxEventID    = 512
+	cancelTimeout = 2 * time.Second
+)
+
+// generation identifies the run of a chat completion at an engine. Its ID is
+// the caller's request ID with a digest of the workspace and a random nonce,
+// so that request IDs of two workspaces, or of two attempts, never meet at an
+// engine, and a workspace can't name another's generation.
+type generation struct {
+	id     string // X-Request-Id towards the engine
+	target string
+	nonce  string
+}
+
+func newGeneration(c *call, t targets.Target) generation {
+	return generationOf(c, t.ID, strings.ReplaceAll(uuid.NewString(), "-", ""))
+}
+
+func generationOf(c *call, target, nonce string) generation {
+	return generation{id: c.id + "~" + workspaceDigest(c.workspace, nonce), target: target, nonce: nonce}
+}
+
+func workspaceDigest(ws settings.WorkspaceRef, nonce string) string {
+	const bytes = 16
+	sum := sha256.Sum256([]byte(ws.Team + "\x00" + ws.Name + "\x00" + nonce))
+	return hex.EncodeToString(sum[:bytes])
+}
+
+// eventPrefix starts the event IDs that callers see; the engine's own event
+// ID follows. It names what a node needs to find the generation.
+func (gen generation) eventPrefix() string {
+	return base64.RawURLEncoding.EncodeToString([]byte(gen.nonce+"/"+gen.target)) + "."
+}
+
+// parseEventID returns the generation and the engine's event ID that an event
+// ID names. The request ID must be that of the request.
+func parseEventID(c *call, id string) (generation, int, bool) {
+	prefix, last, ok := strings.Cut(id, ".")
+	offset, err := strconv.Atoi(last)
+	if !ok || err != nil || offset < 0 {
+		return generation{}, 0, false
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(prefix)
+	if err != nil {
+		return generation{}, 0, false
+	}
+	nonce, target, ok := strings.Cut(string(raw), "/")
+	if !ok {
+		return generation{}, 0, false
+	}
+	return generationOf(c, target, nonce), offset, true
+}
+
+// reconnect gives a caller the rest of a stream, whichever node relayed its
+// beginning. It starts no generation: if the engine no longer holds this one,
+// the caller is told so.
+func (g *Gateway) reconnect(c *call, f forwardRequest) error {
+	gone := problem.New(problem.StreamNotResumable, problem.RanUnknown, "")
+	gen, offset, ok := parseEventID(c, c.req.Header.Get(HeaderLastEventID))
+	if !ok || !f.stream {
+		return problem.New(problem.BadRequest, problem.RanNo, HeaderLastEventID+" is not an event ID of a stream")
+	}
+	t, ok := g.findTarget(f.admission.Pool.Pool, gen.target)
+	if !ok {
+		return gone
+	}
+	ctx, cancel := c.workContext(true)
+	defer cancel()
+	c.sent.Store(true)
+	resp, err := g.resume(ctx, c, f, t, gen, offset)
+	if err != nil {
+		return g.refuse(ctx, c, gone)
+	}
+	g.metrics.resumes.WithLabelValues(resumedByCaller).Inc()
+	s := g.newStream(c, f, t, gen)
+	s.last = offset
+	if fail := s.run(ctx, resp); fail != nil {
+		return g.refuse(ctx, c, gone)
+	}
+	return nil
+}
+
+func (g *Gateway) findTarget(pool, id string) (targets.Target, bool) {
+	if g.targets == nil {
+		return targets.Target{}, false
+	}
+	for _, t := range g.targets.Snapshot().Pool(pool) {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return targets.Target{}, false
+}
+
+// resume asks the engine for the events of a generation after the one with ID
+// last.
+func (g *Gateway) resume(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, last int,
+) (*http.Response, error) {
+	req, err := g.targetRequest(ctx, c, f, t, gen)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderLastEventID, strconv.Itoa(last))
+	resp, _, err := g.clients.do(req, true, nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
+		return resp, nil
+	}
+	_ = resp.Body.Close()
+	return nil, errors.Newf("status %d", resp.StatusCode)
+}
+
+// resumeHold is how long engines are asked to hold a stream whose reader went
+// away: the caller's wish within the node's limit, else the limit.
+func (g *Gateway) resumeHold(c *call) time.Duration {
+	if wish, ok := callerHold(c); ok {
+		return min(wish, g.cfg.ResumeHold)
+	}
+	return g.cfg.ResumeHold
+}
+
+func callerHold(c *call) (time.Duration, bool) {
+	seconds, err := strconv.Atoi(c.req.Header.Get(HeaderResumeHold))
+	if err != nil || seconds <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(seconds, int(maxRequestTimeout/time.Second))) * time.Second, true
+}
+
+// cancelIfGone cancels the generation of a stream whose caller went away, or
+// whose deadline passed, unless the caller asked for a hold. An engine that
+// was asked to hold a stream doesn't take a closed connection for a
+// cancellation.
+func (g *Gateway) cancelIfGone(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, p retry.Progress,
+) {
+	_, held := callerHold(c)
+	if ctx.Err() == nil || p < retry.Sent || !f.stream || !f.repeatable || held {
+		return
+	}
+	g.cancelGeneration(c, t, gen)
+}
+
+func (g *Gateway) cancelGeneration(c *call, t targets.Target, gen generation) {
+	g.metrics.cancels.Inc()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.req.Context()), cancelTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+t.Addr+chatPath+"/"+url.PathEscape(gen.id), nil)
+	if err != nil {
+		return
+	}
+	resp, _, err := g.clients.do(req, true, nil)
+	if err != nil {
+		c.log.Warn("generation not canceled", "target", t.ID, "err", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/claims"
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+const (
+	keyA      = "key-a"
+	keyB      = "key-b"
+	chatBody  = `{"model":"m","messages":[{"role":"user","content":"hello"}]}`
+	streamReq = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+)
+
+func testSettings() *settings.Snapshot {
+	ws := func(key string) settings.Workspace {
+		return settings.Workspace{KeysSHA256: []string{settings.KeyDigest(key)}}
+	}
+	return settings.NewSnapshot(1, map[string]settings.Team{
+		"a": {
+			Workspaces: map[string]settings.Workspace{"wa": ws(keyA)},
+			Models:     map[string]settings.Model{"m": {Shared: true}},
+			Services: map[string]settings.Service{"s": {Routes: []settings.Route{
+				{Method: "GET", Prefix: "/notices", Repeatable: false},
+				{Method: "POST", Prefix: "/search", Repeatable: true},
+			}}},
+		},
+		"b": {Workspaces: map[string]settings.Workspace{"wb": ws(keyB)}},
+	})
+}
+
+type fakeSettings struct{ snap *settings.Snapshot }
+
+func (f *fakeSettings) ID() kernel.ID                { return settings.ServiceID }
+func (f *fakeSettings) Snapshot() *settings.Snapshot { return f.snap }
+
+// fakeAdmitter grants the first target that was not tried.
+type fakeAdmitter struct {
+	mu       sync.Mutex
+	targets  []targets.Target
+	err      error // returned instead of a grant, unless nil
+	held     int
+	requests []admission.Request
+	loads    map[string]int
+}
+
+func (f *fakeAdmitter) ID() kernel.ID { return admission.ServiceID }
+
+func (f *fakeAdmitter) Acquire(_ context.Context, r admission.Request) (admission.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests = append(f.requests, r)
+	if f.err != nil {
+		return admission.Grant{}, f.err
+	}
+	for _, t := range f.targets {
+		if !slices.Contains(r.Exclude, t.ID) {
+			f.held++
+			return admission.Grant{Target: t, Release: f.release}, nil
+		}
+	}
+	return admission.Grant{}, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(time.Second)
+}
+
+func (f *fakeAdmitter) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held--
+}
+
+func (f *fakeAdmitter) Observe(target string, inFlight int, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[target] = inFlight
+}
+
+type fakeTargets struct {
+	mu      sync.Mutex
+	pool    []targets.Target
+	leaving []string
+}
+
+func (f *fakeTargets) ID() kernel.ID { return targets.ServiceID }
+
+func (f *fakeTargets) Snapshot() *targets.Snapshot {
+	return &targets.Snapshot{Pools: map[string][]targets.Target{"m": f.pool, "s": f.pool}}
+}
+
+func (f *fakeTargets) ObserveLeaving(target string, _ int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, target)
+}
+
+// node is a gateway behind a real HTTP server.
+type node struct {
+	*Gateway
+	url      string
+	settings *fakeSettings
+	admitter *fakeAdmitter
+	targets  *fakeTargets
+	metrics  *prometheus.Registry
+}
+
+type option func(*config.Node, *[]kernel.Service)
+
+func withClaimer(c claims.Claimer) option {
+	return func(_ *config.Node, s *[]kernel.Service) { *s = append(*s, claimService{c}) }
+}
+
+func withConfig(f func(*config.Node)) option {
+	return func(c *config.Node, _ *[]kernel.Service) { f(c) }
+}
+
+type claimService struct{ claims.Claimer }
+
+func (claimService) ID() kernel.ID { return claims.ServiceID }
+
+// newNode starts a gateway before targets t1, t2, … with the given handlers.
+func newNode(t *testing.T, handlers []http.Handler, opts ...option) *node {
+	t.Helper()
+	cfg := &config.Node{
+		MaxBodyBytes: 1 << 20, BodyTimeout: 5 * time.Second, MaxAttempts: 3,
+		RetryShare: 0.1, ResumeHold: 10 * time.Second, StreamHold: time.Minute,
+	}
+	var pool []targets.Target
+	for i, h := range handlers {
+		srv := httptest.NewServer(h)
+		t.Cleanup(srv.Close)
+		pool = append(pool, targets.Target{ID: "t" + string(rune('1'+i)), Addr: srv.Listener.Addr().String()})
+	}
+	n := &node{
+		settings: &fakeSettings{testSettings()},
+		admitter: &fakeAdmitter{targets: pool, loads: make(map[string]int)},
+		targets:  &fakeTargets{pool: pool},
+		metrics:  prometheus.NewRegistry(),
+	}
+	services := []kernel.Service{n.settings, n.admitter, n.targets}
+	for _, o := range opts {
+		o(cfg, &services)
+	}
+	n.Gateway = New(cfg, log.New(io.Discard), n.metrics)
+	k, err := kernel.New(append(services, n.Gateway)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Provision(k); err != nil {
+		t.Fatal(err)
+	}
+	srv := httptest.NewUnstartedServer(nil)
+	srv.Config = n.newServer()
+	srv.Start()
+	t.Cleanup(srv.Close)
+	n.url = srv.URL
+	return n
+}
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error // of reading the body
+	problem problem.Problem
+}
+
+func (a answer) is(reason problem.Reason, ran problem.Ran) bool {
+	return a.problem.Reason == reason && a.problem.Ran == ran
+}
+
+func (n *node) send(t *testing.T, method, path, key, body string, header ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, n.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), problem.ContentType) {
+		if err := json.Unmarshal(bytes.TrimSpace(raw), &a.problem); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return a
+}
+
+func (n *node) chat(t *testing.T, body string, header ...string) answer {
+	t.Helper()
+	return n.send(t, "POST", chatPath, keyA, body, header...)
+}
+
+func (n *node) released() bool {
+	n.admitter.mu.Lock()
+	defer n.admitter.mu.Unlock()
+	return n.admitter.held == 0
+}
+
+func (n *node) refused(r problem.Reason) float64 {
+	return testutil.ToFloat64(n.Gateway.metrics.refusals.WithLabelValues(string(r)))
+}
+
+// target counts what it ran and answers as told.
+type target struct {
+	mu      sync.Mutex
+	runs    int
+	headers []http.Header
+	paths   []string
+	answer  http.HandlerFunc
+}
+
+func (s *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.mu.Lock()
+	s.runs++
+	s.headers = append(s.headers, r.Header)
+	s.paths = append(s.paths, r.RequestURI)
+	s.mu.Unlock()
+	s.answer(w, r)
+}
+
+func (s *target) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
+// header returns the header of the i-th request.
+func (s *target) header(i int) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headers[i]
+}
+
+func okTarget() *target {
+	return &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"ok":true}`)
+	}}
+}
+
+func statusTarget(code int) *target {
+	return &target{answer: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }}
+}
+
+// cutTarget closes the connection unanswered, after it ran the request.
+func cutTarget() *target {
+	return &target{answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }}
+}
+
+func handlers(ts ...*target) []http.Handler {
+	var hs []http.Handler
+	for _, t := range ts {
+		hs = append(hs, t)
+	}
+	return hs
+}
--- /dev/null
+++ b/gateway/input.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/problem"
+)
+
+// Limits of header values in bytes.
+const (
+	maxRequestID      = 128
+	maxIdempotencyKey = 255
+	maxChatID         = 256
+	maxRequestTimeout = 24 * time.Hour
+)
+
+// checkHeader refuses a header that is too large or has a bad value.
+func (g *Gateway) checkHeader(c *call) error {
+	h := c.req.Header
+	if headerBytes(h)+len(c.req.RequestURI) > maxHeaderBytes {
+		c.w.Header().Set("Connection", "close")
+		return problem.New(problem.HeadersTooLarge, problem.RanNo, "limit "+strconv.Itoa(maxHeaderBytes)+" bytes")
+	}
+	limits := []struct {
+		name string
+		max  int
+	}{
+		{HeaderRequestID, maxRequestID},
+		{HeaderIdempotencyKey, maxIdempotencyKey},
+		{HeaderChatID, maxChatID},
+		{HeaderLastEventID, maxEventID},
+	}
+	for _, l := range limits {
+		if v, ok := h[http.CanonicalHeaderKey(l.name)]; ok && !validToken(v[0], l.max) {
+			return problem.New(problem.BadRequest, problem.RanNo,
+				l.name+" is not 1 to "+strconv.Itoa(l.max)+" printable ASCII characters")
+		}
+	}
+	var err error
+	c.timeout, err = requestTimeout(h.Get(HeaderRequestTimeout))
+	return err
+}
+
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
+func validToken(s string, limit int) bool {
+	if len(s) == 0 || len(s) > limit {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func requestTimeout(h string) (time.Duration, error) {
+	if h == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(h, 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0, problem.New(problem.BadRequest, problem.RanNo, HeaderRequestTimeout+" is not a positive number of seconds")
+	}
+	seconds = min(seconds, maxRequestTimeout.Seconds())
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// readBody reads the whole body within the node's size and time limits.
+func (g *Gateway) readBody(c *call) ([]byte, error) {
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, g.cfg.MaxBodyBytes))
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem.New(problem.BodyTooLarge, problem.RanNo, err.Error())
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, problem.New(problem.BodyTimeout, problem.RanNo, "")
+	default:
+		return nil, problem.New(problem.BadRequest, problem.RanNo, "body: "+err.Error())
+	}
+}
+
+func bearer(r *http.Request) (string, bool) {
+	const scheme = "Bearer "
+	h := r.Header.Get("Authorization")
+	if len(h) < len(scheme) || !strings.EqualFold(h[:len(scheme)], scheme) {
+		return "", false
+	}
+	return h[len(scheme):], true
+}
+
+func idempotencyKey(r *http.Request) (string, bool) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	return key, key != ""
+}
+
+// priority returns the urgency of a Priority header. As RFC 9218 asks, what
+// can't be read counts as the default.
+func priority(h string) int {
+	const defaultUrgency = 3
+	for member := range strings.SplitSeq(h, ",") {
+		u, ok := strings.CutPrefix(strings.TrimSpace(member), "u=")
+		if ok && len(u) == 1 && u[0] >= '0' && u[0] <= '7' {
+			return int(u[0] - '0')
+		}
+	}
+	return defaultUrgency
+}
--- /dev/null
+++ b/gateway/outcome_test.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+func notRunTarget() *target {
+	return &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		problem.New(problem.Saturated, problem.RanNo, "").Write(w)
+	}}
+}
+
+// What the caller is told agrees with what the targets ran.
+func TestOutcomes(t *testing.T) {
+	const notice, search, read = "POST /services/s/letters", "POST /services/s/search", "GET /services/s/works"
+	const readOnce, chat = "GET /services/s/notices/1", "POST " + chatPath
+	tests := []struct {
+		name    string
+		call    string
+		targets []*target
+		status  int
+		reason  problem.Reason
+		ran     problem.Ran
+		runs    []int
+	}{
+		{"chat refused, then answered", chat, []*target{statusTarget(503), okTarget()}, 200, "", "", []int{1, 1}},
+		{"chat refused everywhere", chat, []*target{statusTarget(503), statusTarget(429)}, 503, problem.NoTarget, problem.RanNo, []int{1, 1}},
+		{"chat cut, then answered", chat, []*target{cutTarget(), okTarget()}, 200, "", "", []int{1, 1}},
+		{"chat cut, then no target", chat, []*target{cutTarget()}, 503, problem.NoTarget, problem.RanUnknown, []int{1}},
+		{"chat cut, then refused", chat, []*target{cutTarget(), statusTarget(503)}, 503, problem.NoTarget, problem.RanUnknown, []int{1, 1}},
+		{"chat cut at every attempt", chat, []*target{cutTarget(), cutTarget(), cutTarget(), okTarget()}, 502, problem.TargetFailed, problem.RanUnknown, []int{1, 1, 1, 0}},
+		{"chat 500, then answered", chat, []*target{statusTarget(500), okTarget()}, 200, "", "", []int{1, 1}},
+		{"chat's own 400", chat, []*target{statusTarget(400), okTarget()}, 400, "", "", []int{1, 0}},
+		{"notice cut", notice, []*target{cutTarget(), okTarget()}, 502, problem.TargetFailed, problem.RanUnknown, []int{1, 0}},
+		{"notice's own 503 may follow a partial effect", notice, []*target{statusTarget(503), okTarget()}, 503, "", "", []int{1, 0}},
+		{"notice's own 500", notice, []*target{statusTarget(500), okTarget()}, 500, "", "", []int{1, 0}},
+		{"notice said not run, then answered", notice, []*target{notRunTarget(), okTarget()}, 200, "", "", []int{1, 1}},
+		{"notice said not run everywhere", notice, []*target{notRunTarget()}, 503, problem.NoTarget, problem.RanNo, []int{1}},
+		{"marked GET cut", readOnce, []*target{cutTarget(), okTarget()}, 502, problem.TargetFailed, problem.RanUnknown, []int{1, 0}},
+		{"read cut, then answered", read, []*target{cutTarget(), okTarget()}, 200, "", "", []int{1, 1}},
+		{"read 503, then answered", read, []*target{statusTarget(503), okTarget()}, 200, "", "", []int{1, 1}},
+		{"read 503, then no target", read, []*target{statusTarget(503)}, 503, problem.NoTarget, problem.RanUnknown, []int{1}},
+		{"marked POST cut, then answered", search, []*target{cutTarget(), okTarget()}, 200, "", "", []int{1, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(t, handlers(tt.targets...))
+			method, path, body := split(tt.call)
+			a := n.send(t, method, path, keyA, body)
+			is.NoErr(a.err)
+			is.Equal(a.status, tt.status)
+			is.Equal(a.problem.Reason, tt.reason)
+			is.Equal(a.problem.Ran, tt.ran)
+			for i, want := range tt.runs {
+				is.Equal(tt.targets[i].count(), want)
+			}
+			is.True(n.released())
+			if tt.ran == problem.RanUnknown {
+				is.Equal(a.header.Get("X-Should-Retry"), "false")
+			}
+		})
+	}
+}
+
+func split(call string) (method, path, body string) {
+	for i := range call {
+		if call[i] == ' ' {
+			method, path = call[:i], call[i+1:]
+			break
+		}
+	}
+	if method == "POST" {
+		body = chatBody
+	}
+	return method, path, body
+}
+
+// A target that can't be reached ran nothing: also an unrepeatable call goes
+// to the next, without drawing on the retry budget.
+func TestUnreachableTarget(t *testing.T) {
+	for _, path := range []string{"/services/s/letters", chatPath} {
+		is := is.New(t)
+		up := okTarget()
+		n := newNode(t, handlers(up), withConfig(func(c *config.Node) { c.RetryShare = 0 }))
+		down := targets.Target{ID: "down", Addr: closedAddr(t)}
+		n.admitter.targets = append([]targets.Target{down}, n.admitter.targets...)
+		for range 2 * retryBurst {
+			is.Equal(n.send(t, "POST", path, keyA, chatBody).status, 200)
+		}
+		is.Equal(up.count(), 2*retryBurst)
+		n.admitter.targets = []targets.Target{down}
+		is.True(n.send(t, "POST", path, keyA, chatBody).is(problem.NoTarget, problem.RanNo))
+	}
+}
+
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// droppingTarget answers the first request on each connection and closes the
+// connection when it reads a second, as a server does whose idle timeout
+// meets a new request. It counts what it read.
+type droppingTarget struct {
+	ln   net.Listener
+	runs atomic.Int32
+}
+
+func newDroppingTarget(t *testing.T) *droppingTarget {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &droppingTarget{ln: ln}
+	t.Cleanup(func() { _ = ln.Close() })
+	go d.serve()
+	return d
+}
+
+func (d *droppingTarget) serve() {
+	for {
+		conn, err := d.ln.Accept()
+		if err != nil {
+			return
+		}
+		go d.serveConn(conn)
+	}
+}
+
+func (d *droppingTarget) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	buf := make([]byte, 64<<10)
+	for n := 0; n < 2; n++ {
+		if _, err := conn.Read(buf); err != nil {
+			return
+		}
+		d.runs.Add(1)
+		if n == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		}
+	}
+}
+
+// net/http's transport repeats a request without a body on a fresh connection
+// if a kept one breaks, when the method is idempotent or an Idempotency-Key is
+// set. A request that may not be repeated must not run twice that way.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	tests := []struct{ name, method, path, key string }{
+		{"POST with key and no body", "POST", "/services/s/letters", "k"},
+		{"marked GET", "GET", "/services/s/notices/1", ""},
+		{"DELETE with key", "DELETE", "/services/s/letters/1", "k"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDroppingTarget(t)
+			claimer := newFakeClaimer()
+			n := newNode(t, nil, withClaimer(claimer))
+			n.admitter.targets = []targets.Target{{ID: "t1", Addr: d.ln.Addr().String()}}
+			// A repeatable call leaves a kept connection behind.
+			is.Equal(n.send(t, "GET", "/services/s/works", keyA, "").status, 200)
+			var header []string
+			if tt.key != "" {
+				header = []string{HeaderIdempotencyKey, tt.key}
+			}
+			a := n.send(t, tt.method, tt.path, keyA, "", header...)
+			is.True(d.runs.Load() <= 2) // run at most once
+			if a.status != 200 {
+				is.Equal(a.problem.Ran, problem.RanUnknown)
+			}
+		})
+	}
+}
+
+// A caller that retries without a budget left gets the truth at once.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, handlers(statusTarget(503), okTarget()), withConfig(func(c *config.Node) { c.RetryShare = 0 }))
+	answered := 0
+	for range 3 * retryBurst {
+		a := n.chat(t, chatBody)
+		if a.status == 200 {
+			answered++
+			continue
+		}
+		is.True(a.is(problem.RetryBudget, problem.RanNo))
+		is.Equal(a.header.Get("Retry-After"), "1")
+	}
+	is.True(answered >= retryBurst)
+	is.True(answered < 3*retryBurst)
+	is.True(testutil.ToFloat64(n.Gateway.metrics.retries.WithLabelValues(string(problem.TargetRefused))) >= retryBurst)
+}
+
+// hangingTarget runs the request and answers when its context ends.
+func hangingTarget() (*target, chan struct{}) {
+	ended := make(chan struct{})
+	var once sync.Once
+	return &target{answer: func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		once.Do(func() { close(ended) })
+		panic(http.ErrAbortHandler)
+	}}, ended
+}
+
+// The caller's deadline ends the work, and the target was told of it.
+func TestDeadline(t *testing.T) {
+	is := is.New(t)
+	tg, ended := hangingTarget()
+	n := newNode(t, handlers(tg))
+	a := n.chat(t, chatBody, HeaderRequestTimeout, "0.2")
+	is.Equal(a.status, 504)
+	is.True(a.is(problem.DeadlineExceeded, problem.RanUnknown))
+	is.True(tg.header(0).Get(HeaderRequestTimeout) != "")
+	<-ended
+	is.True(n.released())
+}
+
+// A caller that goes away ends a repeatable call at the target; one that may
+// not be repeated is seen through.
+func TestCallerGoesAway(t *testing.T) {
+	is := is.New(t)
+	tg, ended := hangingTarget()
+	n := newNode(t, handlers(tg))
+	n.leave(t, tg, "POST", chatPath)
+	<-ended
+	eventually(t, func() bool { return n.refused(problem.CallerGone) == 1 && n.released() })
+
+	var unbroken atomic.Bool
+	finish := make(chan struct{})
+	once := &target{answer: func(w http.ResponseWriter, r *http.Request) {
+		<-finish
+		unbroken.Store(r.Context().Err() == nil)
+		_, _ = io.WriteString(w, "{}")
+	}}
+	n = newNode(t, handlers(once))
+	n.leave(t, once, "POST", "/services/s/letters")
+	close(finish)
+	eventually(t, n.released)
+	is.True(unbroken.Load())
+}
+
+// leave sends a request and goes away once the target runs it.
+func (n *node) leave(t *testing.T, tg *target, method, path string, header ...string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, method, n.url+path, strings.NewReader(chatBody))
+	req.Header.Set("Authorization", "Bearer "+keyA)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	eventually(t, func() bool { return tg.count() > 0 })
+	cancel()
+	<-done
+}
+
+// eventually waits for a state that the node reaches by itself.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("state not reached")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
+	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,81 +16,144 @@
 	"github.com/knapweedgw/knapweedgw/targets"
 )
 
-var doneEvent = []byte("data: [DONE]")
+// maxHeldAnswer is how much of an unstreamed answer is read before any of it
+// is delivered, in bytes.
+const maxHeldAnswer = 1 << 20
 
 // relay copies a target's answer to the caller.
-func (g *Gateway) relay(c *call, t targets.Target, resp *http.Response) *attemptError {
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return g.relayStream(c, t, resp)
+func (g *Gateway) relay(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, resp *http.Response,
+) *attemptError {
+	events := strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
+	switch {
+	case events && f.chat:
+		return g.relayStream(ctx, c, f, t, gen, resp)
+	case events:
+		return g.relayUnheld(c, t, resp, nil)
+	default:
+		return g.relayWhole(c, f, t, resp)
 	}
-	return g.relayWhole(c, t, resp)
 }
 
 // relayWhole reads the whole answer before it delivers any of it, so that an
-// answer cut short by the target is never taken for a whole one.
-func (g *Gateway) relayWhole(c *call, t targets.Target, resp *http.Response) *attemptError {
-	body, err := io.ReadAll(resp.Body)
+// answer cut short by the target is never taken for a whole one. Answers over
+// maxHeldAnswer are delivered as they come.
+func (g *Gateway) relayWhole(c *call, f forwardRequest, t targets.Target, resp *http.Response) *attemptError {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer+1))
 	if err != nil {
 		return &attemptError{retry.Sent, problem.TargetFailed, err}
 	}
+	if len(body) > maxHeldAnswer {
+		return g.relayUnheld(c, t, resp, body)
+	}
+	if f.chat && resp.StatusCode == http.StatusOK && !json.Valid(body) {
+		return &attemptError{retry.Sent, problem.TargetFailed, errors.New("the answer is not JSON")}
+	}
 	copyHeader(c.w, t, resp)
+	if c.req.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	c.captured.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	c.captured.add(body)
+	c.captured.end()
 	c.w.WriteHeader(resp.StatusCode)
 	_, _ = c.w.Write(body)
 	return nil
 }
 
-// relayStream copies server-sent events as they come. A stream that ends
-// before its last event is closed with an explicit error event.
-func (g *Gateway) relayStream(c *call, t targets.Target, resp *http.Response) *attemptError {
+// relayUnheld delivers head and then the rest of the answer as it comes. If
+// the target cuts it, the caller's connection is closed, so that the caller
+// doesn't take the answer for a whole one.
+func (g *Gateway) relayUnheld(c *call, t targets.Target, resp *http.Response, head []byte) *attemptError {
 	copyHeader(c.w, t, resp)
+	if resp.ContentLength >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	c.captured.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
 	c.w.WriteHeader(resp.StatusCode)
-	rc := http.NewResponseController(c.w)
-	r := bufio.NewReader(resp.Body)
-	done := false
-	for {
-		event, err := readEvent(r)
-		if len(event) > 0 && err == nil {
-			_, _ = c.w.Write(event)
-			_ = rc.Flush()
-			done = done || bytes.Contains(event, doneEvent)
-			continue
-		}
-		if !done {
-			g.cutStream(c, t, err)
-		}
-		return nil
+	out := io.MultiWriter(&flushWriter{c.w, http.NewResponseController(c.w)}, captureWriter{c.captured})
+	_, err := out.Write(head)
+	if err == nil {
+		_, err = io.Copy(out, readerOnly{resp.Body})
+	}
+	if err != nil && c.req.Context().Err() == nil {
+		g.metrics.refusals.WithLabelValues(string(problem.TargetFailed)).Inc()
+		c.log.Warn("answer cut by target", "target", t.ID, "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	if err == nil {
+		c.captured.end()
 	}
+	return nil
 }
 
-func (g *Gateway) cutStream(c *call, t targets.Target, cause error) {
-	c.log.Warn("stream cut by target", "target", t.ID, "err", cause)
-	g.metrics.refusals.WithLabelValues(string(problem.TargetFailed)).Inc()
-	_, _ = io.WriteString(c.w, "event: error\ndata: {\"error\":{\"type\":\"target_failed\",\"message\":\"the target ended the stream early\",\"ran\":\"unknown\"}}\n\n")
+type readerOnly struct{ io.Reader }
+
+type captureWriter struct{ *capture }
+
+func (w captureWriter) Write(p []byte) (int, error) {
+	w.add(p)
+	return len(p), nil
 }
 
-// readEvent returns the next event with its closing blank line.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return event, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
-		}
+// flushWriter sends each write at once.
+type flushWriter struct {
+	io.Writer
+	rc *http.ResponseController
+}
+
+func (w *flushWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err == nil {
+		_ = w.rc.Flush()
 	}
+	return n, err
+}
+
+var answerHeaders = []string{
+	"Cache-Control", "Content-Disposition", "Content-Language", "Content-Range",
+	"Content-Type", "ETag", "Last-Modified", "Location", "Retry-After",
 }
 
+// copyHeader passes on the headers that are meant for callers.
 func copyHeader(w http.ResponseWriter, t targets.Target, resp *http.Response) {
-	for _, name := range []string{"Content-Type", "Cache-Control", "Retry-After", "Endpoint-Load-Metrics"} {
+	for _, name := range answerHeaders {
 		if v := resp.Header.Get(name); v != "" {
 			w.Header().Set(name, v)
 		}
 	}
 	w.Header().Set(HeaderTarget, t.ID)
 }
+
+// loadReport is the part of an ORCA load report that the node reads.
+type loadReport struct {
+	NamedMetrics struct {
+		InFlight *float64 `json:"in_flight"`
+	} `json:"named_metrics"`
+}
+
+// observe passes on what a target says of itself in an answer's header.
+func (g *Gateway) observe(t targets.Target, h http.Header) {
+	if g.leaving != nil && h.Get(HeaderEndpointState) == stateLeaving {
+		g.leaving.ObserveLeaving(t.ID, t.Incarnation)
+	}
+	if g.loads == nil {
+		return
+	}
+	if n, ok := reportedLoad(h.Get(HeaderLoadReport)); ok {
+		g.loads.Observe(t.ID, n, time.Now())
+	}
+}
+
+// reportedLoad reads the JSON form of a load report.
+func reportedLoad(h string) (int, bool) {
+	raw, ok := strings.CutPrefix(h, "JSON ")
+	if !ok {
+		return 0, false
+	}
+	var r loadReport
+	if json.Unmarshal([]byte(raw), &r) != nil || r.NamedMetrics.InFlight == nil {
+		return 0, false
+	}
+	return int(*r.NamedMetrics.InFlight), true
+}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"strings"
 
 	restful "github.com/emicklei/go-restful/v3"
 
@@ -16,27 +18,53 @@
 }
 
 func (g *Gateway) serveService(c *call, r *restful.Request) error {
-	c.kind = "service"
+	c.kind = kindService
 	name := r.PathParameter("name")
 	svc, ok := c.settings.Service(c.workspace.Team, name)
 	if !ok {
 		return problem.New(problem.UnknownService, problem.RanNo, name)
 	}
+	path, err := servicePath(c.req.URL)
+	if err != nil {
+		return err
+	}
 	body, err := g.readBody(c)
 	if err != nil {
 		return err
 	}
-	path := "/" + r.PathParameter("path")
-	_, keyed := idempotencyKey(c.req)
-	return g.forward(c, forwardRequest{
+	return g.serve(c, forwardRequest{
 		admission: admission.Request{
 			ID: c.id, Chat: routing.Hash(c.id), Workspace: c.workspace,
 			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: svc,
 		},
 		method:     c.req.Method,
-		path:       path,
+		path:       path.escaped,
 		query:      c.req.URL.RawQuery,
 		body:       body,
-		repeatable: !keyed && svc.Service.Repeatable(c.req.Method, path),
+		repeatable: svc.Service.Repeatable(c.req.Method, path.plain),
 	})
 }
+
+// callPath is the path of a service call, without the part that names the
+// service.
+type callPath struct {
+	escaped string // as the caller sent it
+	plain   string // unescaped, as the settings' routes are matched
+}
+
+// servicePath refuses paths with "." and ".." segments: a service may resolve
+// them to a route that the settings' prefixes don't match.
+func servicePath(u *url.URL) (callPath, error) {
+	p := callPath{escaped: afterName(u.EscapedPath()), plain: afterName(u.Path)}
+	for segment := range strings.SplitSeq(p.plain, "/") {
+		if segment == "." || segment == ".." {
+			return p, problem.New(problem.BadRequest, problem.RanNo, "the path has a \""+segment+"\" segment")
+		}
+	}
+	return p, nil
+}
+
+func afterName(path string) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
+	return "/" + rest
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// Bounds of the opening events held back, besides the node's --stream-hold.
+const (
+	maxHeldEvents = 8
+	maxHeldBytes  = 8 << 10
+)
+
+// maxResumes is how often one stream is resumed at its engine.
+const maxResumes = 5
+
+var errGap = errors.New("the engine skipped an event")
+
+// streamEnd says how a connection to an engine ended.
+type streamEnd int
+
+const (
+	endWhole streamEnd = iota
+	endFailed
+	endOverload
+	endCut
+)
+
+// stream relays the events of one generation, over as many connections to its
+// engine as it takes.
+type stream struct {
+	g      *Gateway
+	c      *call
+	f      forwardRequest
+	target targets.Target
+	gen    generation
+	rc     *http.ResponseController
+	last   int // the engine's ID of the last event taken; 0 before the first
+
+	mu       sync.Mutex // held, released: the hold's timer works beside run
+	held     []byte
+	heldN    int
+	released bool
+}
+
+func (g *Gateway) newStream(c *call, f forwardRequest, t targets.Target, gen generation) *stream {
+	return &stream{g: g, c: c, f: f, target: t, gen: gen, rc: http.NewResponseController(c.w)}
+}
+
+func (g *Gateway) relayStream(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, resp *http.Response,
+) *attemptError {
+	return g.newStream(c, f, t, gen).run(ctx, resp)
+}
+
+// run relays to the end of the stream. It returns an error only if nothing
+// was delivered; later failures are told by an error event.
+func (s *stream) run(ctx context.Context, resp *http.Response) *attemptError {
+	copyHeader(s.c.w, s.target, resp)
+	timer := s.startHold()
+	defer timer.Stop()
+	for resumes := 0; ; resumes++ {
+		end, err := s.copy(resp.Body)
+		_ = resp.Body.Close()
+		switch end {
+		case endWhole:
+			return nil
+		case endOverload:
+			return s.fail(retry.Refused, problem.TargetRefused, err)
+		case endFailed:
+			return s.fail(retry.Sent, problem.TargetFailed, err)
+		}
+		if resp, err = s.resume(ctx, resumes, err); err != nil {
+			s.g.cancelIfGone(ctx, s.c, s.f, s.target, s.gen, retry.Sent)
+			return s.fail(retry.Sent, problem.TargetFailed, err)
+		}
+	}
+}
+
+// resume continues a cut stream at its engine.
+func (s *stream) resume(ctx context.Context, resumes int, cause error) (*http.Response, error) {
+	if s.last == 0 || resumes >= maxResumes || ctx.Err() != nil || errors.Is(cause, errGap) {
+		return nil, cause
+	}
+	s.c.log.Info("resume stream", "target", s.target.ID, "last", s.last, "cause", cause)
+	s.g.pause(ctx, resumes+1)
+	resp, err := s.g.resume(ctx, s.c, s.f, s.target, s.gen, s.last)
+	if err != nil {
+		s.g.metrics.resumes.WithLabelValues(resumeFailed).Inc()
+		return nil, errors.CombineErrors(cause, err)
+	}
+	s.g.metrics.resumes.WithLabelValues(resumedByNode).Inc()
+	return resp, nil
+}
+
+// copy relays one connection's events.
+func (s *stream) copy(body io.Reader) (streamEnd, error) {
+	events := newEventReader(body, s.gen.eventPrefix())
+	for {
+		ev, err := events.next()
+		if err != nil {
+			return endCut, err
+		}
+		if ev.kind == eventError {
+			return s.failedBy(ev)
+		}
+		if ev.id != noID && ev.id <= s.last {
+			continue // sent before the connection was resumed
+		}
+		if ev.id != noID && s.last > 0 && ev.id > s.last+1 {
+			return endCut, errGap
+		}
+		s.last = max(s.last, ev.id)
+		s.emit(ev, events.buffered())
+		if ev.kind == eventDone {
+			s.c.captured.end()
+			return endWhole, nil
+		}
+	}
+}
+
+func (s *stream) failedBy(ev event) (streamEnd, error) {
+	cause := errors.Newf("the engine said: %s", ev.data)
+	if isOverload(ev) && !s.isReleased() {
+		return endOverload, cause
+	}
+	return endFailed, cause
+}
+
+// fail ends a stream. If nothing was delivered the caller's request may be
+// tried elsewhere; else an error event says that the stream is not whole.
+func (s *stream) fail(p retry.Progress, reason problem.Reason, cause error) *attemptError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cause == nil || errors.Is(cause, io.EOF) {
+		cause = errors.New("the engine ended the stream early")
+	}
+	if !s.released {
+		s.released = true // the timer comes too late
+		return &attemptError{p, reason, cause}
+	}
+	return &attemptError{retry.Delivered, reason, cause}
+}
+
+// startHold begins to hold back opening events. Without a hold, the answer's
+// header goes out at once.
+func (s *stream) startHold() *time.Timer {
+	hold := s.g.cfg.StreamHold
+	if hold == 0 {
+		s.release()
+	}
+	return time.AfterFunc(hold, s.release)
+}
+
+func (s *stream) isReleased() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.released
+}
+
+func (s *stream) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseLocked()
+}
+
+func (s *stream) releaseLocked() {
+	if s.released {
+		return
+	}
+	s.released = true
+	s.c.w.streaming = true
+	s.c.w.WriteHeader(http.StatusOK)
+	s.c.captured.begin(http.StatusOK, eventStream)
+	s.write(s.held)
+	s.held = nil
+	_ = s.rc.Flush()
+}
+
+// emit delivers an event, or holds it if it is an opening event. more says
+// that another follows at once, so that flushing can wait for it.
+func (s *stream) emit(ev event, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.released {
+		s.held = append(s.held, ev.raw...)
+		s.heldN++
+		if isOpening(ev) && s.heldN < maxHeldEvents && len(s.held) < maxHeldBytes {
+			return
+		}
+		s.releaseLocked()
+		return
+	}
+	s.write(ev.raw)
+	if !more {
+		_ = s.rc.Flush()
+	}
+}
+
+func (s *stream) write(p []byte) {
+	s.c.captured.add(p)
+	_, _ = s.c.w.Write(p)
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/knapweedgw/knapweedgw/claims"
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/settings"
+)
+
+// sseEngine streams total tokens and can resume what it holds.
+type sseEngine struct {
+	total int
+	// script says, for each connection in turn, what it does wrong.
+	script []fault
+
+	mu       sync.Mutex
+	conns    int
+	runs     map[string]int // by X-Request-Id
+	canceled []string
+	holds    []string // X-Resume-Hold of each connection
+	waiting  chan struct{}
+}
+
+type fault struct {
+	cutAfter int  // tokens sent in all before the connection is cut; 0 for no cut
+	partial  bool // the cut falls within an event
+	skip     bool // resumes one event too late
+	again    bool // resumes one event too early
+	gone     bool // 410 to a resumption
+	hang     bool // waits after the cut instead of cutting
+}
+
+func newSSEEngine(total int, script ...fault) *sseEngine {
+	return &sseEngine{total: total, script: script, runs: make(map[string]int), waiting: make(chan struct{})}
+}
+
+func (e *sseEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	f, held := e.connect(r)
+	if r.Method == http.MethodDelete {
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID))
+	if last > 0 && (f.gone || !held) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	w.Header().Set("Content-Type", eventStream)
+	if last > 0 && f.skip {
+		last++
+	}
+	if last > 0 && f.again {
+		last--
+	}
+	for i := last + 1; i <= e.total; i++ {
+		if f.cutAfter > 0 && i > f.cutAfter {
+			e.cut(w, r, f)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"<%d>\"}}]}\n\n", i, i)
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (e *sseEngine) connect(r *http.Request) (f fault, held bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := r.Header.Get(HeaderRequestID)
+	if r.Method == http.MethodDelete {
+		e.canceled = append(e.canceled, r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
+		return f, false
+	}
+	e.holds = append(e.holds, r.Header.Get(HeaderResumeHold))
+	if e.conns < len(e.script) {
+		f = e.script[e.conns]
+	}
+	e.conns++
+	held = e.runs[id] > 0
+	if r.Header.Get(HeaderLastEventID) == "" {
+		e.runs[id]++
+	}
+	return f, held
+}
+
+func (e *sseEngine) cut(w http.ResponseWriter, r *http.Request, f fault) {
+	if f.partial {
+		_, _ = io.WriteString(w, "id: 999\ndata: {\"choices\":[{\"delta\"")
+	}
+	flush(w)
+	if f.hang {
+		close(e.waiting)
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func flush(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
+
+func (e *sseEngine) ran() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, r := range e.runs {
+		n += r
+	}
+	return n
+}
+
+// tokens returns what a stream delivered: "123" and whether it was whole.
+func tokens(body string) (got string, whole bool) {
+	sc := bufio.NewScanner(strings.NewReader(body))
+	for sc.Scan() {
+		line := sc.Text()
+		if _, rest, ok := strings.Cut(line, "<"); ok {
+			n, _, _ := strings.Cut(rest, ">")
+			got += n
+		}
+		whole = whole || line == "data: [DONE]"
+	}
+	return got, whole
+}
+
+const opening = ": keepalive\n\ndata: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n"
+const overloaded = `data: {"error":{"type":"service_unavailable_error","code":"server_is_overloaded"}}` + "\n\n"
+
+func overloadTarget(before string) *target {
+	return &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", eventStream)
+		_, _ = io.WriteString(w, before+overloaded)
+	}}
+}
+
+func TestStreams(t *testing.T) {
+	tests := []struct {
+		name   string
+		script []fault
+		tokens string
+		whole  bool
+	}{
+		{"whole", nil, "12345", true},
+		{"cut and resumed", []fault{{cutAfter: 2}}, "12345", true},
+		{"cut within an event and resumed", []fault{{cutAfter: 2, partial: true}}, "12345", true},
+		{"cut before the end marker", []fault{{cutAfter: 4}, {cutAfter: 4}}, "12345", true},
+		{"cut again and again", []fault{{cutAfter: 1}, {cutAfter: 2}, {cutAfter: 3}, {cutAfter: 4}}, "12345", true},
+		{"cut too often", []fault{{cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}}, "1", false},
+		{"no longer held", []fault{{cutAfter: 2}, {gone: true}}, "12", false},
+		{"resumed too early", []fault{{cutAfter: 3}, {again: true}}, "12345", true},
+		{"resumed too late", []fault{{cutAfter: 3}, {skip: true}}, "123", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e, second := newSSEEngine(5, tt.script...), newSSEEngine(5)
+			n := newNode(t, []http.Handler{e, second})
+			a := n.chat(t, streamReq)
+			is.NoErr(a.err)
+			is.Equal(a.status, 200)
+			got, whole := tokens(a.body)
+			is.Equal(got, tt.tokens)
+			is.Equal(whole, tt.whole)
+			is.Equal(strings.Contains(a.body, "event: error"), !tt.whole)
+			if !whole {
+				is.True(strings.Contains(a.body, `"ran":"unknown"`))
+			}
+			is.Equal(e.ran(), 1)
+			is.Equal(second.ran(), 0)
+		})
+	}
+}
+
+// A stream cut while nothing but opening events came is tried elsewhere.
+func TestCutWhileHeld(t *testing.T) {
+	is := is.New(t)
+	cut := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", eventStream)
+		_, _ = io.WriteString(w, opening)
+		flush(w)
+		panic(http.ErrAbortHandler)
+	}}
+	n := newNode(t, []http.Handler{cut, newSSEEngine(3)})
+	got, whole := tokens(n.chat(t, streamReq).body)
+	is.Equal(got, "123")
+	is.True(whole)
+}
+
+// An overload hidden behind opening events is tried elsewhere, unless the
+// opening events were already delivered.
+func TestHiddenOverload(t *testing.T) {
+	content := "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n"
+	tool := "data: {\"choices\":[{\"delta\":{\"tool_calls\":[{}]}}]}\n\n"
+	noHold := withConfig(func(c *config.Node) { c.StreamHold = 0 })
+	tests := []struct {
+		name   string
+		before string
+		opts   []option
+		retry  bool
+	}{
+		{"at once", "", nil, true},
+		{"behind opening events", opening, nil, true},
+		{"behind a token", opening + content, nil, false},
+		{"behind a tool call", tool, nil, false},
+		{"behind an unknown event", "data: {\"type\":\"x\"}\n\n", nil, false},
+		{"behind more events than are held", strings.Repeat(": keepalive\n\n", maxHeldEvents), nil, false},
+		{"behind more bytes than are held", ":" + strings.Repeat(" ", maxHeldBytes) + "\n\n", nil, false},
+		{"without a hold", opening, []option{noHold}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			second := newSSEEngine(3)
+			n := newNode(t, []http.Handler{overloadTarget(tt.before), second}, tt.opts...)
+			a := n.chat(t, streamReq)
+			is.Equal(a.status, 200)
+			got, whole := tokens(a.body)
+			is.Equal(whole, tt.retry)
+			is.Equal(strings.Contains(a.body, "event: error"), !tt.retry)
+			if tt.retry {
+				is.Equal(got, "123")
+				is.True(!strings.Contains(a.body, "keepalive"))
+			} else {
+				is.Equal(second.ran(), 0)
+			}
+		})
+	}
+}
+
+// Overload everywhere is a plain refusal with a status, and not run.
+func TestHiddenOverloadEverywhere(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, handlers(overloadTarget(opening)))
+	a := n.chat(t, streamReq)
+	is.Equal(a.status, 503)
+	is.True(a.is(problem.NoTarget, problem.RanNo))
+}
+
+// firstEvents reads a stream until n events with an ID have come, goes away
+// and returns the last ID and the tokens.
+func (n *node) firstEvents(t *testing.T, count int, header ...string) (lastID, got string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, "POST", n.url+chatPath, strings.NewReader(streamReq))
+	req.Header.Set("Authorization", "Bearer "+keyA)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	sc := bufio.NewScanner(resp.Body)
+	for body := ""; count > 0 && sc.Scan(); got, _ = tokens(body) {
+		body += sc.Text() + "\n"
+		if id, ok := strings.CutPrefix(sc.Text(), "id: "); ok {
+			lastID = id
+		}
+		if sc.Text() == "" {
+			count--
+		}
+	}
+	return lastID, got
+}
+
+// A caller that goes away cancels its generation, unless it asked for a hold;
+// then it gets the rest from any node, and no other workspace does.
+func TestReconnect(t *testing.T) {
+	is := is.New(t)
+	e := newSSEEngine(5, fault{cutAfter: 2, hang: true})
+	one, two := newNode(t, []http.Handler{e}), newNode(t, nil)
+	two.targets.pool = one.targets.pool
+	last, got := one.firstEvents(t, 2, HeaderRequestID, "r1", HeaderResumeHold, "5")
+	is.Equal(got, "12")
+	<-e.waiting
+	eventually(t, one.released)
+	is.Equal(len(e.canceled), 0)
+	is.Equal(e.holds, []string{"5"})
+
+	stranger := two.send(t, "POST", chatPath, keyB, streamReq, HeaderRequestID, "r1", HeaderLastEventID, last)
+	is.Equal(stranger.status, 410)
+	is.True(stranger.is(problem.StreamNotResumable, problem.RanUnknown))
+	forged := "r1~" + workspaceDigest(settings.WorkspaceRef{Team: "a", Name: "wa"}, strings.Repeat("0", 32))
+	stranger = two.send(t, "POST", chatPath, keyB, streamReq, HeaderRequestID, forged, HeaderLastEventID, last)
+	is.Equal(stranger.status, 410)
+	otherRequest := two.send(t, "POST", chatPath, keyA, streamReq, HeaderRequestID, "r2", HeaderLastEventID, last)
+	is.Equal(otherRequest.status, 410)
+
+	rest := two.send(t, "POST", chatPath, keyA, streamReq, HeaderRequestID, "r1", HeaderLastEventID, last)
+	is.Equal(rest.status, 200)
+	got, whole := tokens(rest.body)
+	is.Equal(got, "345")
+	is.True(whole)
+	is.Equal(e.ran(), 1)
+}
+
+func TestCallerGoneCancels(t *testing.T) {
+	is := is.New(t)
+	e := newSSEEngine(5, fault{cutAfter: 2, hang: true})
+	n := newNode(t, []http.Handler{e})
+	n.firstEvents(t, 2, HeaderRequestID, "r1")
+	eventually(t, n.released)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(len(e.canceled), 1)
+	is.True(e.runs[e.canceled[0]] == 1) // the very generation
+	is.Equal(testutil.ToFloat64(n.Gateway.metrics.cancels), 1.0)
+}
+
+// A keyed stream runs to its end without its caller and is replayed whole.
+func TestClaimedStream(t *testing.T) {
+	is := is.New(t)
+	claimer := newFakeClaimer()
+	e := newSSEEngine(5, fault{cutAfter: 2})
+	n := newNode(t, []http.Handler{e}, withClaimer(claimer))
+	n.firstEvents(t, 1, HeaderIdempotencyKey, "k")
+	outcome, _ := claimer.finished(t, "k")
+	is.Equal(outcome, claims.Ran)
+	a := n.chat(t, streamReq, HeaderIdempotencyKey, "k")
+	is.Equal(a.header.Get(HeaderReplayed), "true")
+	is.Equal(a.header.Get("Content-Type"), eventStream)
+	got, whole := tokens(a.body)
+	is.Equal(got, "12345")
+	is.True(whole)
+	is.Equal(e.ran(), 1)
+	is.Equal(len(e.canceled), 0)
+}
+
+// A keyed stream that is cut for good is unknown, not replayed in part.
+func TestClaimedStreamCut(t *testing.T) {
+	is := is.New(t)
+	claimer := newFakeClaimer()
+	n := newNode(t, []http.Handler{newSSEEngine(5, fault{cutAfter: 2}, fault{gone: true})}, withClaimer(claimer))
+	n.chat(t, streamReq, HeaderIdempotencyKey, "k")
+	outcome, _ := claimer.finished(t, "k")
+	is.Equal(outcome, claims.Lost)
+	a := n.chat(t, streamReq, HeaderIdempotencyKey, "k")
+	is.True(a.is(problem.ClaimUnknown, problem.RanUnknown))
+}
+
+// An unstreamed answer cut by a service is never taken for a whole one.
+func TestCutAnswers(t *testing.T) {
+	half := func(n int) *target {
+		return &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(2*n))
+			_, _ = w.Write(make([]byte, n))
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}}
+	}
+	is := is.New(t)
+	n := newNode(t, handlers(half(100)))
+	is.True(n.send(t, "POST", letters, keyA, "").is(problem.TargetFailed, problem.RanUnknown))
+	n = newNode(t, handlers(half(2*maxHeldAnswer)))
+	a := n.send(t, "POST", letters, keyA, "")
+	is.Equal(a.status, 200)
+	is.True(a.err != nil) // the connection broke
+}
+
+// An answer larger than what is held passes unchanged.
+func TestLargeAnswer(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("0123456789", maxHeldAnswer/4)
+	n := newNode(t, handlers(&target{answer: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }}))
+	a := n.send(t, "GET", "/services/s/works", keyA, "")
+	is.NoErr(a.err)
+	is.True(a.body == large)
+}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,7 +57,9 @@
 	runs    map[string]int
 	faults  Faults
 	seen    int
-	reports []report
+	// canceled counts generations canceled before their end.
+	canceled int
+	reports  []report
 
 	load loadIntegral
 }
@@ -79,6 +82,7 @@
 	readyAt  time.Time
 	visible  int
 	canceled bool
+	readers  int           // streams attached
 	progress chan struct{} // closed and replaced at each step
 }
 
@@ -146,6 +150,7 @@
 		return false
 	}
 	e.cache.insert(s.hashes, s.tokens)
+	time.AfterFunc(e.cfg.Hold, func() { e.forget(s) })
 	return true
 }
 
@@ -153,20 +158,28 @@
 func (e *Engine) start(id string, urgency int, messages []Message, maxTokens int) *sequence {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs[id]++
+	e.runs[requestID(id)]++
 	answer := Answer(messages, maxTokens)
 	full := append(slices.Clone(messages), Message{Role: "assistant", Content: join(answer)})
 	hashes, tokens := prefixes(full)
 	s := &sequence{
 		id: id, urgency: urgency, answer: answer,
-		hashes: hashes, tokens: tokens, progress: make(chan struct{}),
+		hashes: hashes, tokens: tokens, readers: 1, progress: make(chan struct{}),
 	}
 	e.waiting = append(e.waiting, s)
 	e.held[id] = s
-	time.AfterFunc(e.cfg.Hold, func() { e.forget(s) })
 	return s
 }
 
+// requestID returns the caller's request ID, to which the gateway adds a
+// suffix for each generation.
+func requestID(generation string) string {
+	if i := strings.LastIndexByte(generation, '~'); i >= 0 {
+		return generation[:i]
+	}
+	return generation
+}
+
 func (e *Engine) forget(s *sequence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -179,12 +192,49 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.held[id]
+	if ok {
+		s.readers++
+	}
 	return s, ok
 }
 
-func (e *Engine) cancel(s *sequence) {
+// detach notes that a reader went away; the generation is canceled unless
+// another reader comes within hold.
+func (e *Engine) detach(s *sequence, hold time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	s.readers--
+	if hold <= 0 {
+		e.cancelIfUnread(s)
+		return
+	}
+	time.AfterFunc(hold, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.cancelIfUnread(s)
+	})
+}
+
+func (e *Engine) cancelIfUnread(s *sequence) {
+	if s.readers == 0 && s.visible < len(s.answer) {
+		e.cancelLocked(s)
+	}
+}
+
+func (e *Engine) cancel(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.held[id]
+	if ok {
+		e.cancelLocked(s)
+	}
+	return ok
+}
+
+func (e *Engine) cancelLocked(s *sequence) {
+	if !s.canceled && s.visible < len(s.answer) {
+		e.canceled++
+	}
 	s.canceled = true
 	if e.held[s.id] == s {
 		delete(e.held, s.id)
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
 )
 
-const defaultMaxTokens = 16
+const (
+	defaultMaxTokens = 16
+	doneEvent        = "data: [DONE]\n\n"
+)
 
 // ChatRequest is the part of an OpenAI chat completion request that the
 // stand-in reads.
@@ -27,6 +31,7 @@
 	LoadSeconds   float64 `json:"load_seconds"`
 	PeakInFlight  int     `json:"peak_in_flight"`
 	CurrentFlight int     `json:"current_in_flight"`
+	Canceled      int     `json:"canceled"`
 }
 
 type usage struct {
@@ -62,6 +67,7 @@
 	c := restful.NewContainer()
 	ws := new(restful.WebService)
 	ws.Route(ws.POST("/v1/chat/completions").To(e.serveChat))
+	ws.Route(ws.DELETE("/v1/chat/completions/{id}").To(e.serveCancel))
 	ws.Route(ws.GET("/load").To(e.serveLoad))
 	ws.Route(ws.GET("/lab/runs").To(e.serveRuns))
 	ws.Route(ws.GET("/lab/stats").To(e.serveStats))
@@ -87,7 +93,7 @@
 		e.serveResume(r, w, req, id, last)
 		return
 	}
-	if refuse {
+	if refuse || hidden && !req.Stream {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
@@ -104,10 +110,20 @@
 	e.serveWhole(r, w, s, req.Model)
 }
 
+func (e *Engine) serveCancel(r *restful.Request, w *restful.Response) {
+	if !e.cancel(r.PathParameter("id")) {
+		http.Error(w, "generation not held", http.StatusNotFound)
+	}
+}
+
 func (e *Engine) serveResume(r *restful.Request, w *restful.Response, req ChatRequest, id, last string) {
-	s, ok := e.resume(id)
 	offset, err := strconv.Atoi(last)
-	if !ok || err != nil {
+	if err != nil {
+		http.Error(w, "Last-Event-ID is not a number", http.StatusBadRequest)
+		return
+	}
+	s, ok := e.resume(id)
+	if !ok {
 		http.Error(w, "generation not held", http.StatusGone)
 		return
 	}
@@ -123,7 +139,7 @@
 		select {
 		case <-more:
 		case <-r.Request.Context().Done():
-			e.cancel(s)
+			e.detach(s, 0)
 			return
 		}
 	}
@@ -141,11 +157,14 @@
 func (e *Engine) stream(r *restful.Request, w *restful.Response, s *sequence, model string, offset, cutAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w.ResponseWriter)
+	hold := hold(r.Request)
 	sent := offset
 	for sent < len(s.answer) {
 		n, more := e.state(s)
 		for ; sent < min(n, len(s.answer)); sent++ {
 			if cutAfter > 0 && sent >= cutAfter {
+				_ = rc.Flush()
+				e.detach(s, hold)
 				panic(http.ErrAbortHandler)
 			}
 			delta := &Message{Role: "assistant", Content: s.answer[sent]}
@@ -161,16 +180,30 @@
 		select {
 		case <-more:
 		case <-r.Request.Context().Done():
-			e.cancel(s)
+			e.detach(s, hold)
 			return
 		}
 	}
+	if sent > len(s.answer) {
+		_, _ = fmt.Fprint(w, doneEvent)
+		return
+	}
 	stop := "stop"
 	writeEvent(w, sent+1, completion{
 		ID: s.id, Object: "chat.completion.chunk", Model: model, Usage: e.usage(s),
 		Choices: []choice{{Delta: &Message{}, FinishReason: &stop}},
 	})
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	_, _ = fmt.Fprint(w, doneEvent)
+}
+
+// hold returns how long the reader asks the engine to keep a generation whose
+// connection closed.
+func hold(r *http.Request) time.Duration {
+	seconds, err := strconv.Atoi(r.Header.Get("X-Resume-Hold"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
 }
 
 func (e *Engine) serveHiddenOverload(w *restful.Response) {
@@ -228,6 +261,7 @@
 	return Stats{
 		ID: e.cfg.ID, Requests: len(e.runs),
 		LoadSeconds: e.load.sum, PeakInFlight: e.load.peak, CurrentFlight: e.load.value,
+		Canceled: e.canceled,
 	}
 }
 
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -29,6 +29,9 @@
 // The refusal reasons, with status and remedy in the table below.
 const (
 	BadRequest         Reason = "bad_request"
+	HeadersTooLarge    Reason = "headers_too_large"
+	MethodNotAllowed   Reason = "method_not_allowed"
+	CallerGone         Reason = "caller_gone"
 	BodyTooLarge       Reason = "body_too_large"
 	BodyTimeout        Reason = "body_timeout"
 	Unauthenticated    Reason = "unauthenticated"
@@ -47,11 +50,16 @@
 	ClaimConflict      Reason = "idempotency_conflict"
 	ClaimInProgress    Reason = "idempotency_in_progress"
 	ClaimUnknown       Reason = "idempotency_unknown"
+	ClaimDone          Reason = "idempotency_done"
 	ClaimsUnavailable  Reason = "claims_unavailable"
 	StreamNotResumable Reason = "stream_not_resumable"
 	Internal           Reason = "internal"
 )
 
+// statusCallerGone is the customary status for a caller that closed its
+// connection; it appears in logs only.
+const statusCallerGone = 499
+
 type class struct {
 	status int
 	title  string
@@ -60,6 +68,9 @@
 
 var classes = map[Reason]class{
 	BadRequest:         {http.StatusBadRequest, "The request is malformed", "Mend the named part of the request and send it again."},
+	HeadersTooLarge:    {http.StatusRequestHeaderFieldsTooLarge, "The header is over the limit", "Send fewer or shorter header fields."},
+	MethodNotAllowed:   {http.StatusMethodNotAllowed, "The resource has no such method", "Use a method listed in Allow."},
+	CallerGone:         {statusCallerGone, "The caller went away", "None: nobody is waiting for the answer."},
 	BodyTooLarge:       {http.StatusRequestEntityTooLarge, "The body is over the limit", "Send a smaller body, or ask the operator to raise --max-body-bytes."},
 	BodyTimeout:        {http.StatusRequestTimeout, "The body arrived too slowly", "Send the whole body within the node's read timeout."},
 	Unauthenticated:    {http.StatusUnauthorized, "The API key belongs to no workspace", "Send an API key listed in your workspace's settings as a bearer token."},
@@ -78,6 +89,7 @@
 	ClaimConflict:      {http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request", "Use a new key for a new request."},
 	ClaimInProgress:    {http.StatusConflict, "A request with this Idempotency-Key is in progress", "Ask again with the same key after Retry-After."},
 	ClaimUnknown:       {http.StatusConflict, "The outcome of an earlier attempt is unknown", "Ask the service what it ran; use a new key only if it ran nothing."},
+	ClaimDone:          {http.StatusConflict, "The request was run and its answer is no longer held", "Ask the service for the result; use a new key only for a new request."},
 	ClaimsUnavailable:  {http.StatusServiceUnavailable, "Idempotency keys can't be recorded now", "Send the request again with the same key after Retry-After."},
 	StreamNotResumable: {http.StatusGone, "The stream is no longer held", "Send the whole request again without Last-Event-ID."},
 	Internal:           {http.StatusInternalServerError, "The node failed", "Report the request ID to the operator."},
@@ -105,6 +117,25 @@
 	RetryAfter time.Duration `json:"-"`
 }
 
+// apiError is the "error" member by which clients of the OpenAI interface
+// read a refusal.
+type apiError struct {
+	Type      Reason `json:"type"`
+	Code      Reason `json:"code"`
+	Message   string `json:"message"`
+	Ran       Ran    `json:"ran"`
+	RequestID string `json:"request_id,omitempty"`
+}
+
+type document struct {
+	*Problem
+	Error apiError `json:"error"`
+}
+
+type eventData struct {
+	Error apiError `json:"error"`
+}
+
 // New returns the refusal for a reason. The detail names what is wrong with
 // this request.
 func New(r Reason, ran Ran, detail string) *Problem {
@@ -139,13 +170,30 @@
 }
 
 // Write sends the problem as the whole response. Retry-After is rounded up to
-// whole seconds.
+// whole seconds. X-Should-Retry, which clients of the OpenAI interface heed,
+// forbids them to repeat by themselves what may have been run.
 func (p *Problem) Write(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", ContentType)
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set("X-Content-Type-Options", "nosniff")
 	if p.RetryAfter > 0 {
 		seconds := int64((p.RetryAfter + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	if p.Ran != RanNo {
+		h.Set("X-Should-Retry", "false")
 	}
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_ = json.NewEncoder(w).Encode(document{p, p.apiError()})
+}
+
+// Event returns the problem as a server-sent event named "error", which ends
+// a stream that has begun.
+func (p *Problem) Event() []byte {
+	raw, _ := json.Marshal(eventData{p.apiError()})
+	return append(append([]byte("event: error\ndata: "), raw...), "\n\n"...)
+}
+
+func (p *Problem) apiError() apiError {
+	return apiError{Type: p.Reason, Code: p.Reason, Message: p.Error(), Ran: p.Ran, RequestID: p.RequestID}
 }
