Keep an owner's record of places equal to what nodes hold

Cause: a cell's owner must count every place, though releases get lost, messages overtake each other and owners change. A resync built before a grant arrived must not drop the granted place. Design: each ask has a sequence number of its node. A resync carries the number at which it was built, the places held and the asks without an answer; the owner drops only older places that neither lists. Ended asks are remembered until a resync leaves them out, so that a late ask takes nothing. Ruled out: trusting the order of one connection (handlers run concurrently); a checksum of places (differs whenever an ask is under way).

--- /dev/null
+++ b/admission/holds/owner.go
@@ -0,0 +1,285 @@
+package holds
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+)
+
+// Owner is the record of one cell at the node that owns it.
+type Owner struct {
+	cell     *cell.Cell
+	targets  []cell.Target
+	holders  map[cell.Holder]*holder
+	takeover takeover
+}
+
+// holder is what the owner knows of one run of a node.
+type holder struct {
+	heard time.Time
+	// top is the largest sequence number asked with; base is what it was when
+	// places were last dropped unheard. An ask at or below base is over.
+	top, base uint64
+	// floor is the sequence number of the newest resync. An ask at or below
+	// it is over unless that resync listed it as pending.
+	floor   uint64
+	pending map[uint64]struct{}
+	// ended are asks whose release was heard and that a late ask or an older
+	// resync must not bring back.
+	ended map[uint64]struct{}
+	holds map[uint64]cell.Hold
+}
+
+// TargetLoad is the number of requests in flight on a target.
+type TargetLoad struct {
+	ID       string
+	InFlight int
+}
+
+// NewOwner returns a record without places.
+func NewOwner(cfg cell.Config) *Owner {
+	return &Owner{cell: cell.New(cfg), holders: make(map[cell.Holder]*holder)}
+}
+
+// Configure changes the pool's settings.
+func (o *Owner) Configure(cfg cell.Config) { o.cell.Configure(cfg) }
+
+// SetTargets replaces the cell's targets.
+func (o *Owner) SetTargets(targets []cell.Target) {
+	o.targets = targets
+	o.cell.SetTargets(targets)
+}
+
+// SetOthers sets the load of the pool's other cells.
+func (o *Owner) SetOthers(t cell.Totals) { o.cell.SetOthers(t) }
+
+// Totals returns the load of the cell.
+func (o *Owner) Totals() cell.Totals { return o.cell.Totals() }
+
+// Places returns the number of places known.
+func (o *Owner) Places() int {
+	n := 0
+	for _, h := range o.holders {
+		n += len(h.holds)
+	}
+	return n
+}
+
+// Acquire decides an ask.
+func (o *Owner) Acquire(now time.Time, m Acquire) Reply {
+	h := o.hear(now, m.Holder())
+	if h == nil || h.over(m.Seq) {
+		return Reply{Code: Stale}
+	}
+	h.top = max(h.top, m.Seq)
+	weight := m.Weight
+	if weight == 0 {
+		weight = 1
+	}
+	v := o.cell.Acquire(now, cell.Ask{
+		Holder: m.Holder(), Request: requestName(m.Seq), Chat: m.Chat,
+		Workspace: m.Workspace, Weight: weight, Urgency: m.Urgency, Exclude: m.Exclude,
+	})
+	if v.Outcome == cell.Granted {
+		h.holds[m.Seq] = holdOf(Detail{Seq: m.Seq, Target: v.Target, Workspace: m.Workspace, Chat: m.Chat})
+	}
+	return replyOf(v)
+}
+
+// Targets returns the number of requests known on each target, in the order
+// of the target IDs.
+func (o *Owner) Targets() []TargetLoad {
+	known := o.knownByTarget()
+	out := make([]TargetLoad, 0, len(known))
+	for id, n := range known {
+		if n > 0 {
+			out = append(out, TargetLoad{ID: id, InFlight: n})
+		}
+	}
+	slices.SortFunc(out, func(a, b TargetLoad) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Release ends places. A place that isn't known is remembered as ended.
+func (o *Owner) Release(now time.Time, from cell.Holder, seqs Seqs) {
+	h := o.hear(now, from)
+	if h == nil {
+		return
+	}
+	for _, q := range seqs {
+		if _, ok := h.holds[q]; ok {
+			o.drop(from, h, q)
+		}
+		h.ended[q] = struct{}{}
+	}
+}
+
+// Resync makes the record of a holder equal to what it says, except for what
+// has changed since it said so. An older resync than the newest is ignored.
+func (o *Owner) Resync(now time.Time, m Resync) ResyncReply {
+	h := o.hear(now, m.Holder())
+	if h == nil || m.At <= h.floor {
+		return ResyncReply{}
+	}
+	listed := setOf(m.Held)
+	for _, d := range m.Details {
+		listed[d.Seq] = struct{}{}
+	}
+	h.floor, h.pending = m.At, setOf(m.Pending)
+	o.dropUnlisted(m.Holder(), h, listed)
+	h.forgetEnded(listed)
+	o.addDetails(m.Holder(), h, m.Details)
+	o.takeover.heard(m.Node)
+	return ResyncReply{Missing: h.missing(m.Held)}
+}
+
+// Expire forgets the dead holders, and the places of those last heard before
+// the given time.
+func (o *Owner) Expire(before time.Time, dead func(cell.Holder) bool) {
+	for id, h := range o.holders {
+		switch {
+		case dead(id):
+			o.forget(id)
+		case h.heard.Before(before):
+			o.cell.Forget(id)
+			h.reset()
+		}
+	}
+}
+
+func (o *Owner) forget(id cell.Holder) {
+	o.cell.Forget(id)
+	delete(o.holders, id)
+}
+
+// hear returns the record of a holder, or nil if a newer run of its node is
+// known. It forgets older runs.
+func (o *Owner) hear(now time.Time, id cell.Holder) *holder {
+	h, ok := o.holders[id]
+	if ok {
+		h.heard = now
+		return h
+	}
+	for other := range o.holders {
+		if other.Node != id.Node {
+			continue
+		}
+		if other.Incarnation > id.Incarnation {
+			return nil
+		}
+		o.forget(other)
+	}
+	h = &holder{heard: now}
+	h.reset()
+	o.holders[id] = h
+	return h
+}
+
+// reset drops all places. An ask sent before then may have been answered, so
+// that a late copy of it must not take a place again.
+func (h *holder) reset() {
+	h.base = h.top
+	h.pending = nil
+	h.ended = make(map[uint64]struct{})
+	h.holds = make(map[uint64]cell.Hold)
+}
+
+func (o *Owner) drop(id cell.Holder, h *holder, q uint64) {
+	delete(h.holds, q)
+	o.cell.Release(id, requestName(q))
+}
+
+func (o *Owner) dropUnlisted(id cell.Holder, h *holder, listed map[uint64]struct{}) {
+	for q := range h.holds {
+		_, isPending := h.pending[q]
+		_, isListed := listed[q]
+		if q <= h.floor && !isPending && !isListed {
+			o.drop(id, h, q)
+		}
+	}
+}
+
+func (o *Owner) addDetails(id cell.Holder, h *holder, details []Detail) {
+	added := false
+	for _, d := range details {
+		_, known := h.holds[d.Seq]
+		_, ended := h.ended[d.Seq]
+		if !known && !ended {
+			h.holds[d.Seq] = holdOf(d)
+			added = true
+		}
+	}
+	if !added {
+		return
+	}
+	all := make([]cell.Hold, 0, len(h.holds))
+	for _, hold := range h.holds {
+		all = append(all, hold)
+	}
+	o.cell.Resync(id, all)
+}
+
+// over says whether the holder has given an ask up.
+func (h *holder) over(q uint64) bool {
+	if _, ok := h.ended[q]; ok {
+		return true
+	}
+	if _, ok := h.holds[q]; ok {
+		return false
+	}
+	_, pending := h.pending[q]
+	return q <= h.base || q <= h.floor && !pending
+}
+
+// forgetEnded drops the ended asks that the newest resync already leaves out.
+func (h *holder) forgetEnded(listed map[uint64]struct{}) {
+	for q := range h.ended {
+		_, isPending := h.pending[q]
+		_, isListed := listed[q]
+		if q <= h.floor && !isPending && !isListed {
+			delete(h.ended, q)
+		}
+	}
+}
+
+func (h *holder) missing(held Seqs) Seqs {
+	var out Seqs
+	for _, q := range held {
+		_, known := h.holds[q]
+		_, ended := h.ended[q]
+		if !known && !ended {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+func setOf(seqs Seqs) map[uint64]struct{} {
+	set := make(map[uint64]struct{}, len(seqs))
+	for _, q := range seqs {
+		set[q] = struct{}{}
+	}
+	return set
+}
+
+func requestName(q uint64) string { return strconv.FormatUint(q, 36) }
+
+func holdOf(d Detail) cell.Hold {
+	return cell.Hold{Request: requestName(d.Seq), Target: d.Target, Workspace: d.Workspace, Chat: d.Chat}
+}
+
+func replyOf(v cell.Verdict) Reply {
+	r := Reply{RetryAfterMS: v.RetryAfter.Milliseconds()}
+	switch v.Outcome {
+	case cell.Granted:
+		r.Target = v.Target
+	case cell.Full:
+		r.Code = Full
+	default:
+		r.Code = Refused
+	}
+	return r
+}
--- /dev/null
+++ b/admission/holds/owner_test.go
@@ -0,0 +1,123 @@
+package holds_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+)
+
+var start = time.Unix(1000, 0)
+
+func newOwner() *holds.Owner {
+	o := holds.NewOwner(config)
+	o.SetTargets([]cell.Target{{ID: "a", Capacity: 1}})
+	return o
+}
+
+func acquire(node string, incarnation int64, seq uint64) holds.Acquire {
+	return holds.Acquire{From: holds.From{Node: node, Incarnation: incarnation}, Key: key, Seq: seq}
+}
+
+func TestTakeoverCountsReportsUntilAllAreHeard(t *testing.T) {
+	reported := func(string) int { return 5 }
+	tests := []struct {
+		name   string
+		resync []string
+		at     time.Time
+		want   int
+		active bool
+	}{
+		{"nobody heard", nil, start, 5, true},
+		{"one heard", []string{"x"}, start, 5, true},
+		{"all heard", []string{"x", "y"}, start, 2, false},
+		{"time over", nil, start.Add(time.Second), 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwner()
+			o.BeginTakeover(start.Add(time.Second), []string{"x", "y"})
+			for _, node := range tt.resync {
+				o.Resync(start, holds.Resync{
+					From: holds.From{Node: node, Incarnation: 1}, Key: key, At: 9,
+					Details: []holds.Detail{{Seq: 1, Target: "a"}},
+				})
+			}
+			o.AdvanceTakeover(tt.at, reported)
+			is.Equal(o.Totals().InFlight, tt.want)
+			is.Equal(o.InTakeover(), tt.active)
+		})
+	}
+}
+
+func TestHolderIsForgotten(t *testing.T) {
+	none := func(cell.Holder) bool { return false }
+	tests := []struct {
+		name string
+		then func(o *holds.Owner)
+		want int
+	}{
+		{"heard in time", func(o *holds.Owner) { o.Expire(start, none) }, 1},
+		{"not heard", func(o *holds.Owner) { o.Expire(start.Add(1), none) }, 0},
+		{"dead", func(o *holds.Owner) { o.Expire(start, func(h cell.Holder) bool { return h.Node == "x" }) }, 0},
+		{"restarted", func(o *holds.Owner) { o.Acquire(start, acquire("x", 2, 1)) }, 1},
+		{"older run speaks late", func(o *holds.Owner) { o.Resync(start, holds.Resync{From: holds.From{Node: "x"}, At: 99}) }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwner()
+			is.Equal(o.Acquire(start, acquire("x", 1, 1)).Code, holds.Granted)
+			tt.then(o)
+			is.Equal(o.Places(), tt.want)
+			is.Equal(o.Totals().InFlight, tt.want)
+		})
+	}
+}
+
+func TestTableDue(t *testing.T) {
+	is := is.New(t)
+	x, y := cell.Holder{Node: "x", Incarnation: 1}, cell.Holder{Node: "y", Incarnation: 1}
+	owner := x
+	ownerOf := func(holds.Key) (cell.Holder, bool) { return owner, true }
+	table := holds.NewTable(holds.From{Node: "n", Incarnation: 1}, timing)
+	q := table.Begin(start, key, x)
+	table.Grant(start, key, x, holds.Detail{Seq: q, Target: "a"})
+	is.Equal(len(table.Due(start, ownerOf)), 0) // the owner knows it
+
+	table.Take(start, key, x, holds.Detail{Target: "a"})
+	is.Equal(len(table.Due(start.Add(timing.Report), ownerOf)), 1) // a place that no owner granted
+	m := table.Build(key, x)
+	is.Equal(len(m.Held), 1)
+	is.Equal(len(m.Details), 1)
+	is.Equal(len(table.Due(start.Add(timing.Interval), ownerOf)), 0) // under way
+	table.Done(start, x, m, holds.ResyncReply{})
+	is.Equal(len(table.Due(start, ownerOf)), 0)
+
+	owner = y
+	due := table.Due(start, ownerOf)
+	is.Equal(len(due), 1) // at once after a change of owner
+	is.True(due[0].Changed)
+	is.Equal(len(table.Build(key, y).Details), 2)
+	table.Failed(start, key)
+	is.Equal(len(table.Due(start, ownerOf)), 0)
+	is.Equal(len(table.Due(start.Add(timing.Retry), ownerOf)), 1)
+}
+
+func TestRekeyMovesPlaces(t *testing.T) {
+	is := is.New(t)
+	owner := cell.Holder{Node: "x", Incarnation: 1}
+	moved := holds.Key{Pool: "pool", Region: "region", Cell: 1, Of: 2}
+	table := holds.NewTable(holds.From{Node: "n", Incarnation: 1}, timing)
+	q := table.Begin(start, key, owner)
+	table.Grant(start, key, owner, holds.Detail{Seq: q, Target: "a"})
+	table.Rekey(start, func(k holds.Key) bool { return k.Of != 2 }, func(holds.Key, string) holds.Key { return moved })
+	is.Equal(len(table.Build(key, owner).Held), 0)
+	is.Equal(len(table.Build(moved, owner).Details), 1) // the new owner doesn't know it
+	is.Equal(table.Release(key, q), moved)
+	is.Equal(table.Len(), 0)
+}
