Measure the ways to route on virtual time

Cause: the choice between local estimates and counting owners rested on a scratch trial without faults. The measurement drives the real cells with fakes of engines, callers and lagging views.

Also: Resync replaces a holder's places exactly again.

--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -23,19 +23,12 @@
 	index  map[string]int // target ID to its slot
 	own    Totals
 	others Totals
-	holds  map[Holder]map[string]hold
+	holds  map[Holder]map[string]Hold
 	shares shares
 	memory *memory
 	trust  trust
 }
 
-// hold is a place. A fresh one was granted after the holder's last Resync, so
-// that the holder may not have known it when it made its list.
-type hold struct {
-	Hold
-	fresh bool
-}
-
 // slot is a target and the number of requests in flight on it. A target that
 // is gone keeps its slot while it has any.
 type slot struct {
@@ -52,7 +45,7 @@
 	return &Cell{
 		cfg:    cfg,
 		index:  make(map[string]int),
-		holds:  make(map[Holder]map[string]hold),
+		holds:  make(map[Holder]map[string]Hold),
 		shares: newShares(),
 		memory: newMemory(cfg.Memory),
 	}
@@ -142,7 +135,7 @@
 		return c.full(now, a)
 	}
 	id := c.slots[i].id
-	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat}, true)
+	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat})
 	c.shares.setWeight(a.Workspace, a.Weight)
 	return Verdict{Outcome: Granted, Target: id}
 }
@@ -162,26 +155,20 @@
 		return
 	}
 	delete(c.holds[h], request)
-	c.remove(hold.Hold)
+	c.remove(hold)
 }
 
-// Resync replaces what a holder has by what it says it has, but for places
-// granted since the holder's previous Resync: their answers may have crossed
-// the list, so they are kept until the next one. It rebuilds the count after a
-// change of owner, and two of them heal any lost release.
+// Resync replaces all that a holder has by what it says it has. It rebuilds
+// the count after a change of owner and heals lost releases. The list must be
+// the holder's newest and include the places whose answers are under way.
 func (c *Cell) Resync(h Holder, holds []Hold) {
-	listed := make(map[string]bool, len(holds))
+	keep := make(map[string]bool, len(holds))
 	for _, hold := range holds {
-		listed[hold.Request] = true
-		c.add(h, hold, false)
-	}
-	for request, hold := range c.holder(h) {
-		switch {
-		case listed[request]:
-		case hold.fresh:
-			hold.fresh = false
-			c.holds[h][request] = hold
-		default:
+		keep[hold.Request] = true
+		c.add(h, hold)
+	}
+	for request := range c.holder(h) {
+		if !keep[request] {
 			c.Release(h, request)
 		}
 	}
@@ -191,7 +178,7 @@
 // Forget drops all places of a holder, for example of a node that died.
 func (c *Cell) Forget(h Holder) {
 	for _, hold := range c.holds[h] {
-		c.remove(hold.Hold)
+		c.remove(hold)
 	}
 	delete(c.holds, h)
 	c.trust.drop(h)
@@ -206,21 +193,21 @@
 	return out
 }
 
-func (c *Cell) holder(h Holder) map[string]hold {
+func (c *Cell) holder(h Holder) map[string]Hold {
 	m := c.holds[h]
 	if m == nil {
-		m = make(map[string]hold)
+		m = make(map[string]Hold)
 		c.holds[h] = m
 	}
 	return m
 }
 
-func (c *Cell) add(h Holder, place Hold, fresh bool) {
+func (c *Cell) add(h Holder, place Hold) {
 	m := c.holder(h)
 	if old, ok := m[place.Request]; ok {
-		c.remove(old.Hold)
+		c.remove(old)
 	}
-	m[place.Request] = hold{Hold: place, fresh: fresh}
+	m[place.Request] = place
 	c.count(place.Target, 1)
 	c.shares.add(place.Workspace, 1)
 	c.memory.put(place.Chat, place.Target)
--- a/lab/cmd/knapweedlab/measure.go
+++ b/lab/cmd/knapweedlab/measure.go
@@ -9,11 +9,12 @@
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedgw/knapweedgw/lab/measure"
+	"github.com/knapweedgw/knapweedgw/lab/measure/routing"
 )
 
 // sections are the measurements, in the order in which they run; the one
 // whose summary closes the output is last.
-var sections = []measure.Section{}
+var sections = []measure.Section{routing.Section{}}
 
 func measureCommand() *cobra.Command {
 	cmd := &cobra.Command{
--- /dev/null
+++ b/lab/measure/routing/owners.go
@@ -0,0 +1,368 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+)
+
+const (
+	maxOwnerTries = 4    // cells asked before a request is refused
+	resyncPeriod  = 10.0 // of each holder with each owner it has places at
+	lostReleases  = 0.002
+)
+
+// owners drives the real cells: each node holds those it believes it owns.
+type owners struct {
+	sim *sim
+	// cells are by node and cell; nil where the node has none.
+	cells [][]*owner
+	// holds are by node: the places it knows it has.
+	holds  []map[*request]struct{}
+	totals []cell.Totals // by cell, as last exchanged
+	next   float64       // time of the next exchange
+}
+
+// owner is one node's state for one cell.
+type owner struct {
+	cell   *cell.Cell
+	node   *node
+	number int
+}
+
+func newOwners(s *sim) *owners {
+	p := &owners{sim: s, totals: make([]cell.Totals, cellCount(s.scenario))}
+	for range s.scenario.nodes {
+		p.cells = append(p.cells, make([]*owner, len(p.totals)))
+		p.holds = append(p.holds, make(map[*request]struct{}))
+	}
+	return p
+}
+
+func (p *owners) config() cell.Config {
+	cfg := cell.Config{LoadFactor: p.sim.c, MaxInFlight: p.sim.maxInFlight, NewFactor: p.sim.newFactor}
+	if p.sim.noPauseFix {
+		cfg.MaxPause = time.Hour
+	}
+	return cfg
+}
+
+// place asks the owner of the chat's home cell, then those of the cells of the
+// next-ranked targets.
+func (p *owners) place(r *request) placement {
+	s := p.sim
+	n := s.nodes[r.node]
+	tried := make([]int, 0, maxOwnerTries)
+	refusal := placement{engine: -1, reason: cell.ReasonNoTarget, retryAfter: 2}
+	for len(tried) < maxOwnerTries {
+		k := p.nextCell(r, n.view, tried)
+		if k < 0 {
+			break
+		}
+		tried = append(tried, k)
+		v, ok := p.ask(r, n, k)
+		if !ok {
+			continue
+		}
+		if v.Outcome == cell.Granted {
+			return placement{engine: s.index[v.Target]}
+		}
+		refusal.reason, refusal.retryAfter = v.Reason, v.RetryAfter.Seconds()
+		if v.Outcome == cell.Refused {
+			return refusal
+		}
+	}
+	return refusal
+}
+
+// nextCell is the cell of the best-ranked engine outside the tried cells; the
+// last try goes to the least-loaded one.
+func (p *owners) nextCell(r *request, v *view, tried []int) int {
+	s := p.sim
+	if len(tried) == maxOwnerTries-1 {
+		return p.leastLoaded(tried)
+	}
+	e := best(r, v, func(i int) bool {
+		return len(tried) == 0 || !slices.Contains(tried, s.cellOf(i))
+	})
+	if e < 0 {
+		return -1
+	}
+	return s.cellOf(e)
+}
+
+func (p *owners) leastLoaded(tried []int) int {
+	least, load := -1, math.Inf(1)
+	for k, t := range p.totals {
+		if t.Capacity == 0 || slices.Contains(tried, k) {
+			continue
+		}
+		if l := float64(t.InFlight) / float64(t.Capacity); l < load {
+			least, load = k, l
+		}
+	}
+	return least
+}
+
+// ask sends an Ask to the owner that the entry node believes in. It returns
+// false if that node doesn't answer or doesn't own the cell.
+func (p *owners) ask(r *request, n *node, k int) (cell.Verdict, bool) {
+	s := p.sim
+	if n.view.owners[k] < 0 {
+		return cell.Verdict{}, false
+	}
+	to := s.nodes[n.view.owners[k]]
+	a := cell.Ask{
+		Holder: n.holder(), Request: r.id, Chat: r.chat.id, Workspace: workspaceName(r.chat.workspace),
+		Urgency: r.chat.urgency, Exclude: r.exclude, Returning: r.chat.turns > 0,
+	}
+	s.message(n, to, wireSizes.ask(len(a.Exclude)))
+	o := p.cells[to.index][k]
+	if to.state != nodeUp || o == nil {
+		return cell.Verdict{}, false
+	}
+	v := o.cell.Acquire(s.time(), a)
+	s.message(to, n, wireSizes.verdict(v.Outcome))
+	if s.measuring() {
+		s.stats.calls++
+		if v.Outcome == cell.Full {
+			s.stats.spills++
+		}
+	}
+	if v.Outcome == cell.Granted {
+		r.owner = o
+	}
+	return v, true
+}
+
+func (p *owners) placed(r *request) { p.holds[r.node][r] = struct{}{} }
+
+// released tells the owner of the engine's cell, as the node now sees it.
+func (p *owners) released(r *request) {
+	s := p.sim
+	n := s.nodes[r.node]
+	delete(p.holds[r.node], r)
+	if n.state == nodeDown || s.rng.Float64() < lostReleases {
+		return
+	}
+	k := s.cellOf(r.engine)
+	to := s.nodes[max(n.view.owners[k], 0)]
+	s.message(n, to, wireSizes.release())
+	if o := p.cells[to.index][k]; o != nil && to.state == nodeUp {
+		o.cell.Release(n.holder(), r.id)
+	}
+}
+
+// nodeLost drops what a dead node knew.
+func (p *owners) nodeLost(n *node) {
+	p.cells[n.index] = make([]*owner, len(p.totals))
+	p.holds[n.index] = make(map[*request]struct{})
+}
+
+// viewChanged takes over and gives up cells, and tells new owners the node's
+// places.
+func (p *owners) viewChanged(n *node, old, next *view) {
+	for k := range next.owners {
+		p.follow(n, k, next)
+	}
+	first := old.alive == nil
+	for i, alive := range old.alive {
+		if alive && !next.alive[i] {
+			p.forget(n, p.sim.nodes[i])
+		}
+	}
+	for k, to := range next.owners {
+		if !first && old.owners[k] != to && to >= 0 {
+			p.resync(n, k, true)
+		}
+	}
+}
+
+// follow gives a node the cells that its view assigns to it.
+func (p *owners) follow(n *node, k int, v *view) {
+	o := p.cells[n.index][k]
+	if v.owners[k] != n.index {
+		p.cells[n.index][k] = nil
+		return
+	}
+	if o == nil {
+		o = p.take(n, k, v)
+	}
+	o.cell.SetTargets(v.targets[k])
+}
+
+func (p *owners) take(n *node, k int, v *view) *owner {
+	o := &owner{cell: cell.New(p.config()), node: n, number: k}
+	p.cells[n.index][k] = o
+	if p.sim.now == 0 {
+		return o
+	}
+	var holders []cell.Holder
+	for i, alive := range v.alive {
+		if alive {
+			holders = append(holders, p.sim.nodes[i].holder())
+		}
+	}
+	o.cell.Takeover(holders)
+	p.pull(o, holders)
+	return o
+}
+
+// pull makes an owner that waits ask its holders for their places.
+func (p *owners) pull(o *owner, holders []cell.Holder) {
+	for _, h := range holders {
+		from := p.nodeOf(h)
+		p.sim.message(o.node, from, wireSizes.pull())
+		if from.state == nodeUp && from.view != nil && from.view.owners[o.number] == o.node.index {
+			p.resync(from, o.number, true)
+		}
+	}
+}
+
+func (p *owners) nodeOf(h cell.Holder) *node {
+	i, _ := slices.BinarySearchFunc(p.sim.nodes, h.Node, func(n *node, id string) int { return cmp.Compare(n.id, id) })
+	return p.sim.nodes[i]
+}
+
+// forget drops the places of a node that this one believes dead.
+func (p *owners) forget(n, dead *node) {
+	for _, o := range p.cells[n.index] {
+		if o == nil {
+			continue
+		}
+		for _, h := range o.cell.Holders() {
+			if h.Node == dead.id {
+				o.cell.Forget(h)
+			}
+		}
+		for _, h := range o.cell.Waiting() {
+			if h.Node == dead.id {
+				o.cell.Forget(h)
+			}
+		}
+	}
+}
+
+// resync tells the owner of a cell all places that a node has there, in full if
+// the owner is new to them.
+func (p *owners) resync(n *node, k int, fresh bool) {
+	s := p.sim
+	to := s.nodes[n.view.owners[k]]
+	var list []cell.Hold
+	for _, r := range sortedRequests(p.holds[n.index]) {
+		if s.cellOf(r.engine) == k {
+			list = append(list, cell.Hold{
+				Request: r.id, Target: s.engines[r.engine].id,
+				Workspace: workspaceName(r.chat.workspace), Chat: r.chat.id,
+			})
+		}
+	}
+	size := wireSizes.resync(len(list))
+	if fresh {
+		size = wireSizes.details(len(list))
+	}
+	s.message(n, to, size)
+	if o := p.cells[to.index][k]; o != nil && to.state == nodeUp {
+		o.cell.Resync(n.holder(), list)
+	}
+}
+
+func (p *owners) tick() {
+	s := p.sim
+	for _, n := range s.nodes {
+		if n.state != nodeUp {
+			continue
+		}
+		for _, o := range p.cells[n.index] {
+			if o != nil {
+				o.cell.Tick(s.time())
+				p.pullMissing(o)
+			}
+		}
+	}
+	p.resyncDue()
+	if s.now >= p.next {
+		p.next = s.now + max(s.lag, tickPeriod)
+		p.exchange()
+	}
+}
+
+func (p *owners) pullMissing(o *owner) {
+	if waiting := o.cell.Waiting(); len(waiting) > 0 && math.Mod(p.sim.now, 1) < tickPeriod {
+		slices.SortFunc(waiting, func(a, b cell.Holder) int { return cmp.Compare(a.Node, b.Node) })
+		p.pull(o, waiting)
+	}
+}
+
+// resyncDue lets each node resync with one share of its owners at each tick.
+func (p *owners) resyncDue() {
+	steps := int(resyncPeriod / tickPeriod)
+	step := int(math.Round(p.sim.now/tickPeriod)) % steps
+	for _, n := range p.sim.nodes {
+		if n.state != nodeUp {
+			continue
+		}
+		for k := range p.totals {
+			if (k+n.index)%steps == step && n.view.owners[k] >= 0 {
+				p.resyncIfAny(n, k)
+			}
+		}
+	}
+}
+
+// resyncIfAny skips an owner that knows of no place of this node.
+func (p *owners) resyncIfAny(n *node, k int) {
+	if o := p.cells[n.view.owners[k]][k]; o == nil || !slices.Contains(o.cell.Holders(), n.holder()) {
+		return
+	}
+	p.resync(n, k, false)
+}
+
+// exchange tells every owner the totals of the pool's other cells. Owners on
+// one node share a message.
+func (p *owners) exchange() {
+	s := p.sim
+	var all cell.Totals
+	for _, n := range s.nodes {
+		for k, o := range p.cells[n.index] {
+			if o != nil && n.state == nodeUp {
+				p.totals[k] = o.cell.Totals()
+			}
+		}
+	}
+	for _, t := range p.totals {
+		all.InFlight += t.InFlight
+		all.Capacity += t.Capacity
+	}
+	var holding []*node
+	for _, n := range s.nodes {
+		owned := 0
+		for k, o := range p.cells[n.index] {
+			if o != nil {
+				owned++
+				o.cell.SetOthers(cell.Totals{InFlight: all.InFlight - p.totals[k].InFlight, Capacity: all.Capacity - p.totals[k].Capacity})
+			}
+		}
+		if owned > 0 {
+			holding = append(holding, n)
+		}
+	}
+	for _, from := range holding {
+		for _, to := range holding {
+			s.message(from, to, wireSizes.totals(p.ownedBy(from)))
+		}
+	}
+}
+
+func (p *owners) ownedBy(n *node) int {
+	owned := 0
+	for _, o := range p.cells[n.index] {
+		if o != nil {
+			owned++
+		}
+	}
+	return owned
+}
