Place a chat whose last target is full as if it were new

Cause: when a returning chat's last target was full, the chat went to the best-ranked target under the bound, often one that was nearly full too, so it soon had to move again.

--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -77,7 +77,9 @@
 // place picks the best target for an Ask, or -1 if none is under its bound.
 func (c *Cell) place(a Ask) int {
 	last, known := c.memory.get(a.Chat)
-	l := c.limits(known || a.Returning)
+	// Where the prefix is lost anyway, a chat is placed as if new; where it may
+	// be at home, home is worth more load.
+	l := c.limits(a.Returning && !known)
 	if i, ok := c.index[last]; ok && c.eligible(i, a.Exclude) && c.score(i, a.Chat, &l).tier > tierNone {
 		return i
 	}
