Serve claims: ask the shard's owner, keep outcomes until recorded

Cause: the claims core needs a node around it. The entry asks the shard's owner, by rendezvous over the nodes in the membership view, and another node if that one is unreachable or silent; any node serves any shard, since the store's compare is what arbitrates. Outcomes are queued and sent until an owner has recorded them.

Failure found while testing and mended: with a table that counts as fresh for too short a time, a shard read the log in a loop (TestOneOfManyIsGranted and eight others failed by waiting 1.2 s). Freshness is now per request: a read begun after the request came is fresh, however old it is by then.

Proof: go test -race ./claims/... ; tables of store faults, owner faults and outcomes over the real service with a faulty store and network.

--- /dev/null
+++ b/claims/claim.go
@@ -0,0 +1,159 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/claims/core"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/problem"
+)
+
+const (
+	// inProgressRetry and refusedRetry are the least times after which a
+	// caller is asked to come back; jitter adds up to as much again.
+	inProgressRetry = time.Second
+	refusedRetry    = time.Second
+	// answerTimeout bounds the wait for an answer held by another node.
+	answerTimeout = 500 * time.Millisecond
+	// callShare is the share of the time left that one owner gets, so that
+	// another can be asked if it is frozen.
+	callShare = 0.6
+)
+
+// Claim implements Claimer.
+func (s *Service) Claim(ctx context.Context, k Key, f Fingerprint) (Verdict, error) {
+	began := s.now()
+	v, err := s.claim(ctx, core.NewKeyID(k.Team, k.Workspace, k.Idempotency), f)
+	s.metrics.seconds.Observe((s.now() - began).Seconds())
+	if err == nil {
+		s.metrics.verdicts.WithLabelValues(stateNames[v.State]).Inc()
+	}
+	return v, err
+}
+
+func (s *Service) claim(ctx context.Context, key core.KeyID, f Fingerprint) (Verdict, error) {
+	if ans := s.answers.get(key, f); ans != nil {
+		s.metrics.answers.WithLabelValues("here").Inc()
+		return Verdict{State: Done, Answer: ans}, nil
+	}
+	a := core.NewAttempt(core.Ask{
+		Key: key, Fingerprint: f, Attempt: core.AttemptID(rand.Uint64()), Holder: s.self,
+	}, s.now(), s.deadline(ctx), s.settings.Attempt)
+	startedWall := time.Now().Round(0)
+	d, reason := s.decide(ctx, a)
+	if d.Abandon {
+		s.metrics.abandoned.Inc()
+		s.push(a.End(core.NotRun))
+	}
+	if d.Move == core.MoveRefuse {
+		s.metrics.refusals.WithLabelValues(reason).Inc()
+		return Verdict{}, problem.New(problem.ClaimsUnavailable, problem.RanNo,
+			"this attempt was not run ("+reason+"); what became of earlier ones with the same key can't be told now",
+		).After(jitter(refusedRetry))
+	}
+	v := Verdict{State: d.State}
+	switch d.State {
+	case Granted:
+		v.Ticket = &ticket{service: s, attempt: a, startedWall: startedWall}
+	case InProgress:
+		v.RetryAfter = jitter(inProgressRetry)
+	case Done:
+		v.Answer = s.fetchAnswer(ctx, d.Holder, key, f)
+	}
+	return v, nil
+}
+
+// decide asks owners until the attempt has a verdict or is refused for the
+// returned reason.
+func (s *Service) decide(ctx context.Context, a *core.Attempt) (core.Decision, string) {
+	for {
+		owner, ok := s.duties.pick(a.Ask.Key.Shard(), a.Asked())
+		if !ok {
+			owner = membership.Node{ID: s.self.Node}
+		}
+		reply, err := s.ask(ctx, owner, a)
+		if ctx.Err() != nil {
+			return a.GiveUp(), reasonCallerGone
+		}
+		if err == nil {
+			return a.Replied(s.now(), reply), refusalReason(reply)
+		}
+		s.duties.failed(owner.ID)
+		reason := callFailure(err)
+		d := a.Failed(s.now(), reason != reasonUnreachable)
+		if d.Move != core.MoveAsk {
+			return d, reason
+		}
+		s.metrics.retries.WithLabelValues(methodClaim, reason).Inc()
+	}
+}
+
+func (s *Service) ask(ctx context.Context, owner membership.Node, a *core.Attempt) (core.Reply, error) {
+	wait := max(0, a.Deadline()-s.now())
+	if a.Asked() == 0 {
+		wait = time.Duration(float64(wait) * callShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if owner.ID == s.self.Node {
+		return s.owners[a.Ask.Key.Shard()].ask(ctx, a.Ask, wait)
+	}
+	var reply core.Reply
+	err := s.peers.Call(ctx, owner.PeerAddr, methodClaim, claimParams{a.Ask, wait.Milliseconds()}, &reply)
+	return reply, err
+}
+
+// deadline is the caller's deadline on the service's clock.
+func (s *Service) deadline(ctx context.Context) core.Instant {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return core.Forever
+	}
+	return s.now() + time.Until(at)
+}
+
+func callFailure(err error) string {
+	if errors.Is(err, peer.ErrUnreachable) {
+		return reasonUnreachable
+	}
+	return reasonNoReply
+}
+
+// refusalReason is the metric label of a reply that leads to a refusal.
+func refusalReason(r core.Reply) string {
+	switch r.Status {
+	case core.Unavailable:
+		return reasonStore
+	case core.Expired:
+		return reasonExpired
+	case core.Closed:
+		return reasonClosed
+	default:
+		return reasonLate
+	}
+}
+
+// fetchAnswer asks the node that ran a request for its answer; nil if it is
+// no longer held.
+func (s *Service) fetchAnswer(ctx context.Context, h core.Holder, key core.KeyID, f Fingerprint) *Answer {
+	var r answerResult
+	node, ok := s.duties.view.View().Node(h.Node)
+	if ok && h.Node != s.self.Node {
+		ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+		defer cancel()
+		if err := s.peers.Call(ctx, node.PeerAddr, methodAnswer, answerParams{key, f}, &r); err != nil {
+			r.Answer = nil
+		}
+	}
+	found := "peer"
+	if r.Answer == nil {
+		found = "gone"
+	}
+	s.metrics.answers.WithLabelValues(found).Inc()
+	return r.Answer
+}
--- a/claims/core/batch.go
+++ b/claims/core/batch.go
@@ -66,13 +66,17 @@
 		state = Unknown
 	}
 	final := state == Granted || state == Done
-	if !final && !s.fresh(now) && now >= s.retryAt {
+	if !final && !s.fresh(now, r) && now >= s.retryAt {
 		return Reply{}, false
 	}
 	return Reply{State: state, Holder: e.Holder}, true
 }
 
-func (s *Shard) fresh(now Instant) bool { return !s.stale && now-s.syncedAt <= s.cfg.SyncAge }
+// fresh says whether the table was read since a request came, or not long
+// before.
+func (s *Shard) fresh(now Instant, r request) bool {
+	return !s.stale && (r.arrived <= s.syncedAt || now-s.syncedAt <= s.cfg.SyncAge)
+}
 
 // abandoned says whether an open claim's holder is gone or ran too long.
 func (s *Shard) abandoned(now Instant, e Entry) bool {
@@ -83,11 +87,8 @@
 // mustSync says whether a request waits for a fresher table: one that is
 // neither a write nor answered by answerKnown.
 func (s *Shard) mustSync(now Instant) bool {
-	if s.fresh(now) {
-		return false
-	}
 	for _, r := range s.queue {
-		if r.ask == nil {
+		if r.ask == nil || s.fresh(now, r) {
 			continue
 		}
 		e, ok := s.table.Lookup(r.ask.Key)
--- a/claims/core/load.go
+++ b/claims/core/load.go
@@ -47,7 +47,7 @@
 	s.head, s.revision = head, revision
 	s.table.Trim(head.Oldest)
 	s.loaded, s.stale = true, false
-	s.syncedAt, s.clockFrom = now, now
+	s.syncedAt, s.clockFrom = s.readAt, now
 	return nil
 }
 
--- a/claims/core/shard.go
+++ b/claims/core/shard.go
@@ -52,6 +52,7 @@
 	ref     Ref
 	ask     *Ask
 	end     *End
+	arrived Instant
 	expires Instant
 	// tainted is set once a transaction with the request's record was lost
 	// without a result.
@@ -106,12 +107,13 @@
 
 	table    *Table
 	head     Head
-	revision int64  // of the head in the store; 0 if there is none
-	openLog  []byte // the segments of the open group, joined
-	segments int    // their number
-	loaded   bool   // the table holds the whole log up to head
-	stale    bool   // another owner may have written since
-	syncedAt Instant
+	revision int64   // of the head in the store; 0 if there is none
+	openLog  []byte  // the segments of the open group, joined
+	segments int     // their number
+	loaded   bool    // the table holds the whole log up to head
+	stale    bool    // another owner may have written since
+	readAt   Instant // when the last read was begun
+	syncedAt Instant // the table holds all that was written before
 	// clockFrom is the local time at which the head's clock was right.
 	clockFrom Instant
 
@@ -131,13 +133,13 @@
 }
 
 // Ask queues a request for a claim.
-func (s *Shard) Ask(ref Ref, a Ask, expires Instant) {
-	s.queue = append(s.queue, request{ref: ref, ask: &a, expires: expires})
+func (s *Shard) Ask(now Instant, ref Ref, a Ask, expires Instant) {
+	s.queue = append(s.queue, request{ref: ref, ask: &a, arrived: now, expires: expires})
 }
 
 // End queues the outcome of an attempt.
-func (s *Shard) End(ref Ref, e End, expires Instant) {
-	s.queue = append(s.queue, request{ref: ref, end: &e, expires: expires})
+func (s *Shard) End(now Instant, ref Ref, e End, expires Instant) {
+	s.queue = append(s.queue, request{ref: ref, end: &e, arrived: now, expires: expires})
 }
 
 // Replies returns the replies since the last call.
@@ -162,15 +164,20 @@
 		s.refuseAll()
 		return Step{Kind: StepWait, Until: Forever}
 	case !s.loaded:
-		return Step{Kind: StepRead, Prefix: s.keys.all}
+		return s.read(now, s.keys.all)
 	case s.stale || s.mustSync(now):
-		return Step{Kind: StepRead, Prefix: s.keys.open}
+		return s.read(now, s.keys.open)
 	case now < s.next:
 		return Step{Kind: StepWait, Until: s.wakeAt()}
 	}
 	return s.commit(now)
 }
 
+func (s *Shard) read(now Instant, prefix string) Step {
+	s.readAt = now
+	return Step{Kind: StepRead, Prefix: prefix}
+}
+
 // wakeAt is the time of the next commit, or of the first request to expire.
 func (s *Shard) wakeAt() Instant {
 	at := s.next
--- a/claims/core/shard_test.go
+++ b/claims/core/shard_test.go
@@ -131,7 +131,7 @@
 					Attempt: AttemptID(len(asks) + 1),
 				}
 				asks = append(asks, a)
-				owner().Ask(Ref(len(asks)-1), a, now+time.Second)
+				owner().Ask(now, Ref(len(asks)-1), a, now+time.Second)
 			},
 			"ask again elsewhere": func(t *rapid.T) {
 				if len(asks) == 0 {
@@ -139,7 +139,7 @@
 				}
 				a := asks[rapid.IntRange(0, len(asks)-1).Draw(t, "ask")]
 				asks = append(asks, a)
-				owner().Ask(Ref(len(asks)-1), a, now+time.Second)
+				owner().Ask(now, Ref(len(asks)-1), a, now+time.Second)
 			},
 			"end": func(t *rapid.T) {
 				k := KeyID{byte(rapid.IntRange(1, testKeys).Draw(t, "key"))}
@@ -152,7 +152,7 @@
 					delete(ref.holder, k)
 					asks = dropAttempt(asks, a) // it never uses a grant again
 				}
-				owner().End(Ref(1<<32), End{Key: k, Attempt: a, Outcome: o}, now+time.Second)
+				owner().End(now, Ref(1<<32), End{Key: k, Attempt: a, Outcome: o}, now+time.Second)
 			},
 			"step": func(t *rapid.T) {
 				r := owner()
@@ -212,9 +212,9 @@
 		for i := range steps {
 			k := KeyID{byte(rapid.IntRange(1, 20).Draw(t, "key"))}
 			a := AttemptID(i + 1)
-			writer.Ask(0, Ask{Key: k, Attempt: a}, Forever)
+			writer.Ask(now, 0, Ask{Key: k, Attempt: a}, Forever)
 			if rapid.Bool().Draw(t, "end") {
-				writer.End(0, End{Key: k, Attempt: a, Outcome: Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))}, Forever)
+				writer.End(now, 0, End{Key: k, Attempt: a, Outcome: Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))}, Forever)
 			}
 			for range 8 {
 				writer.advance(now, noFault)
@@ -222,7 +222,7 @@
 			}
 		}
 		reader := &runner{Shard: NewShard(0, cfg, func(Holder) bool { return true }), net: net}
-		reader.Ask(0, Ask{Key: KeyID{1}, Attempt: 1 << 40}, Forever)
+		reader.Ask(now, 0, Ask{Key: KeyID{1}, Attempt: 1 << 40}, Forever)
 		reader.advance(now, noFault)
 		reader.advance(now, noFault)
 		if reader.head != writer.head {
--- a/claims/core/types.go
+++ b/claims/core/types.go
@@ -7,8 +7,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Shards is the number of logs the keys are spread over. All nodes must agree
@@ -24,9 +27,32 @@
 // KeyID is a digest of the team, the workspace and the Idempotency-Key.
 type KeyID [16]byte
 
+// MarshalText implements encoding.TextMarshaler.
+func (k KeyID) MarshalText() ([]byte, error) { return encodeText(k[:]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *KeyID) UnmarshalText(text []byte) error { return decodeText(k[:], text) }
+
 // Fingerprint is a digest of the request that a key was used for.
 type Fingerprint [16]byte
 
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return encodeText(f[:]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error { return decodeText(f[:], text) }
+
+func encodeText(b []byte) []byte { return base64.RawURLEncoding.AppendEncode(nil, b) }
+
+func decodeText(dst, text []byte) error {
+	b, err := base64.RawURLEncoding.DecodeString(string(text))
+	if err != nil || len(b) != len(dst) {
+		return errors.Newf("claims: %q is not %d bytes in base64url", text, len(dst))
+	}
+	copy(dst, b)
+	return nil
+}
+
 // AttemptID is the random identity of one try to run a request.
 type AttemptID uint64
 
--- /dev/null
+++ b/claims/owner.go
@@ -0,0 +1,162 @@
+package claims
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/knapweedgw/knapweedgw/claims/core"
+	"github.com/knapweedgw/knapweedgw/store"
+)
+
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 1500 * time.Millisecond
+	// idleLimit is the time without requests after which an owner forgets its
+	// table.
+	idleLimit = time.Minute
+)
+
+// owner runs one core.Shard: it passes requests in, takes its steps on the
+// store and passes the replies out.
+type owner struct {
+	number  int
+	cfg     core.Config
+	alive   core.Liveness
+	store   store.Store
+	metrics *metrics
+	log     *log.Logger
+	now     func() core.Instant
+
+	wake chan struct{}
+
+	mu    sync.Mutex
+	inbox []func(*core.Shard)
+	refs  core.Ref
+	waits map[core.Ref]chan<- core.Reply
+
+	shard *core.Shard // used by run only
+	seen  core.Counts
+}
+
+func (o *owner) ask(ctx context.Context, a core.Ask, wait time.Duration) (core.Reply, error) {
+	return o.do(ctx, func(s *core.Shard, now core.Instant, ref core.Ref) { s.Ask(now, ref, a, now+wait) })
+}
+
+func (o *owner) end(ctx context.Context, e core.End, wait time.Duration) (core.Reply, error) {
+	return o.do(ctx, func(s *core.Shard, now core.Instant, ref core.Ref) { s.End(now, ref, e, now+wait) })
+}
+
+func (o *owner) do(ctx context.Context, enqueue func(*core.Shard, core.Instant, core.Ref)) (core.Reply, error) {
+	reply := make(chan core.Reply, 1)
+	now := o.now()
+	o.mu.Lock()
+	o.refs++
+	ref := o.refs
+	o.waits[ref] = reply
+	o.inbox = append(o.inbox, func(s *core.Shard) { enqueue(s, now, ref) })
+	o.mu.Unlock()
+	o.nudge()
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return core.Reply{}, ctx.Err()
+	}
+}
+
+func (o *owner) nudge() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run takes the shard's steps until ctx ends.
+func (o *owner) run(ctx context.Context) {
+	o.forget()
+	for ctx.Err() == nil {
+		o.drain()
+		step := o.shard.Next(o.now())
+		o.deliver()
+		switch step.Kind {
+		case core.StepWait:
+			o.wait(ctx, step.Until)
+		case core.StepRead:
+			o.read(ctx, step.Prefix)
+		case core.StepCommit:
+			o.commit(ctx, step.Txn)
+		}
+	}
+}
+
+func (o *owner) forget() {
+	o.shard = core.NewShard(o.number, o.cfg, o.alive)
+	o.seen = core.Counts{}
+}
+
+func (o *owner) drain() {
+	o.mu.Lock()
+	inbox := o.inbox
+	o.inbox = nil
+	o.mu.Unlock()
+	for _, f := range inbox {
+		f(o.shard)
+	}
+}
+
+func (o *owner) deliver() {
+	o.metrics.addCounts(o.shard.Counts, o.seen)
+	o.seen = o.shard.Counts
+	keys, _ := o.shard.Len()
+	o.metrics.keys.WithLabelValues(strconv.Itoa(o.number)).Set(float64(keys))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.shard.Replies() {
+		o.waits[a.Ref] <- a.Reply
+		delete(o.waits, a.Ref)
+	}
+}
+
+// wait returns when a request arrives or at the given time. An idle owner
+// drops its table, which it reads again when asked.
+func (o *owner) wait(ctx context.Context, until core.Instant) {
+	idle := until == core.Forever
+	d := idleLimit
+	if !idle {
+		d = until - o.now()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		if idle {
+			o.forget()
+		}
+	case <-o.wake:
+	case <-ctx.Done():
+	}
+}
+
+func (o *owner) read(ctx context.Context, prefix string) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := o.store.List(ctx, prefix)
+	if err != nil {
+		o.log.Warn("claims: read failed", "shard", o.number, "err", err)
+	}
+	o.shard.Loaded(o.now(), page, err)
+}
+
+func (o *owner) commit(ctx context.Context, t store.Txn) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	revision, ok, err := o.store.Commit(ctx, t)
+	if err != nil {
+		o.log.Warn("claims: commit failed", "shard", o.number, "err", err)
+	}
+	o.shard.Committed(o.now(), revision, ok, err)
+}
--- /dev/null
+++ b/claims/service_test.go
@@ -0,0 +1,245 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/claims/core"
+)
+
+var (
+	testKey  = Key{Team: "tuberias", Workspace: "avisos", Idempotency: "notice-17"}
+	testBody = Fingerprint{1}
+)
+
+func TestOneOfManyIsGranted(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a", "b", "c")
+	const callers = 30
+	states := make(chan State, callers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		node := f.nodes[string(rune('a'+i%3))]
+		wg.Go(func() {
+			v, err := node.Claim(t.Context(), testKey, testBody)
+			if err == nil {
+				states <- v.State
+			}
+		})
+	}
+	wg.Wait()
+	close(states)
+	count := make(map[State]int)
+	for s := range states {
+		count[s]++
+	}
+	is.Equal(count[Granted], 1)
+	is.Equal(count[InProgress], callers-1)
+}
+
+func TestVerdictAfterAnOutcome(t *testing.T) {
+	answer := &Answer{Status: 200, ContentType: "text/plain", Body: []byte("sent")}
+	for _, tc := range []struct {
+		name        string
+		outcome     Outcome
+		answer      *Answer
+		fingerprint Fingerprint
+		want        State
+		wantAnswer  bool
+	}{
+		{"ran", Ran, answer, testBody, Done, true},
+		{"ran, without an answer to keep", Ran, nil, testBody, Done, false},
+		{"ran, with an answer too large to keep", Ran, &Answer{Body: make([]byte, 1<<20)}, testBody, Done, false},
+		{"ran, key used for another request", Ran, answer, Fingerprint{2}, Mismatch, false},
+		{"lost", Lost, nil, testBody, Unknown, false},
+		{"not run", NotRun, nil, testBody, Granted, false},
+		{"not run, key used for another request", NotRun, nil, Fingerprint{2}, Granted, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, quick(), "a", "b", "c")
+			v := claim(t, f.nodes["a"], testKey, testBody)
+			is.Equal(v.State, Granted)
+			is.True(v.Ticket.Valid())
+			v.Ticket.Finish(tc.outcome, tc.answer)
+			is.True(!v.Ticket.Valid()) // a finished ticket sends nothing
+			v.Ticket.Finish(NotRun, nil)
+			for _, id := range []string{"b", "c"} {
+				is.NoErr(f.nodes["a"].Stop(t.Context())) // the outcome is recorded
+				v := claim(t, f.nodes[id], testKey, tc.fingerprint)
+				is.Equal(v.State, tc.want)
+				is.Equal(v.Answer != nil, tc.wantAnswer)
+				if v.State == Granted {
+					v.Ticket.Finish(tc.outcome, nil)
+					is.NoErr(f.nodes[id].Stop(t.Context()))
+				}
+			}
+		})
+	}
+}
+
+func TestStoreFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		fault   func(*faultyStore)
+		refused bool
+	}{
+		{"refuses", func(s *faultyStore) { s.refuse = true }, true},
+		{"loses an answer after the effect", func(s *faultyStore) { s.loseAnswers = 1 }, false},
+		{"loses many answers after the effect", func(s *faultyStore) { s.loseAnswers = 5 }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, quick(), "a", "b", "c")
+			f.store.set(tc.fault)
+			v, err := f.nodes["a"].Claim(t.Context(), testKey, testBody)
+			if tc.refused {
+				refusal(is, err)
+				f.store.set(func(s *faultyStore) { s.refuse = false })
+				time.Sleep(2 * time.Millisecond) // the owner's pause
+				v = claim(t, f.nodes["b"], testKey, testBody)
+			}
+			is.Equal(v.State, Granted)
+			v.Ticket.Finish(Ran, nil)
+			is.NoErr(f.nodes["a"].Stop(t.Context()))
+			is.NoErr(f.nodes["b"].Stop(t.Context()))
+			is.Equal(claim(t, f.nodes["c"], testKey, testBody).State, Done)
+		})
+	}
+}
+
+func TestOutcomesOutliveAnOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a", "b", "c")
+	v := claim(t, f.nodes["a"], testKey, testBody)
+	f.store.set(func(s *faultyStore) { s.refuse = true })
+	v.Ticket.Finish(Ran, nil)
+	for range 3 { // the outcome is tried and kept
+		n := f.commits()
+		for f.commits() == n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	f.store.set(func(s *faultyStore) { s.refuse = false })
+	is.NoErr(f.nodes["a"].Stop(t.Context()))
+	is.Equal(claim(t, f.nodes["b"], testKey, testBody).State, Done)
+}
+
+func (f *fleet) commits() (n int) {
+	f.store.set(func(s *faultyStore) { n = s.commits })
+	return n
+}
+
+func TestKnownKeysAreAnsweredInAnOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a", "b", "c")
+	v := claim(t, f.nodes["a"], testKey, testBody)
+	v.Ticket.Finish(Ran, nil)
+	is.NoErr(f.nodes["a"].Stop(t.Context()))
+	is.Equal(claim(t, f.nodes["b"], testKey, testBody).State, Done)
+	f.store.set(func(s *faultyStore) { s.refuse = true })
+	is.Equal(claim(t, f.nodes["c"], testKey, testBody).State, Done) // from the owner's table
+}
+
+func TestOwnerFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		link link
+	}{
+		{"unreachable", linkDown},
+		{"frozen", linkSilent},
+		{"its replies are lost", linkMuffled},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			set := quick()
+			set.Attempt.Wait = 500 * time.Millisecond
+			f := newFleet(t, set, "a", "b", "c")
+			owner := f.owner(testKey)
+			f.link(owner, tc.link)
+			var granted Ticket
+			for granted == nil { // a slow machine may need another try
+				v, err := f.other(testKey).Claim(t.Context(), testKey, testBody)
+				if err == nil && v.State == Granted {
+					granted = v.Ticket
+				}
+			}
+			f.link(owner, linkUp)
+			is.Equal(claimOnce(t, f.nodes[owner]), InProgress) // the old owner doesn't give it again
+			granted.Finish(Ran, nil)
+			is.Equal(claim(t, f.nodes[owner], testKey, testBody).State, Done)
+		})
+	}
+}
+
+func claimOnce(t *testing.T, s *Service) State {
+	t.Helper()
+	v, err := s.Claim(t.Context(), testKey, testBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.State
+}
+
+func TestAbandonedClaimIsFreed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a", "b", "c")
+	owner, entry := f.owner(testKey), f.other(testKey)
+	f.link(owner, linkMuffled)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for f.commits() == 0 { // the claim is recorded, its reply lost
+			time.Sleep(time.Millisecond)
+		}
+		cancel() // the caller goes away
+	}()
+	_, err := entry.Claim(ctx, testKey, testBody)
+	refusal(is, err)
+	f.link(owner, linkUp)
+	is.Equal(claim(t, f.nodes[owner], testKey, testBody).State, Granted)
+}
+
+func TestTicketAges(t *testing.T) {
+	is := is.New(t)
+	set := quick()
+	set.Attempt.Life = 0
+	f := newFleet(t, set, "a")
+	v := claim(t, f.nodes["a"], testKey, testBody)
+	is.Equal(v.State, Granted)
+	is.True(!v.Ticket.Valid())
+	v.Ticket.Finish(NotRun, nil)
+	is.Equal(claim(t, f.nodes["a"], testKey, testBody).State, Granted)
+}
+
+func TestHolderThatIsGoneIsUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a", "b", "c")
+	entry := f.other(testKey)
+	is.Equal(claim(t, entry, testKey, testBody).State, Granted)
+	for i := range f.view.Nodes {
+		if n := &f.view.Nodes[i]; n.ID == entry.self.Node {
+			n.Incarnation = 2 // it runs again, and knows nothing
+		}
+	}
+	is.Equal(claimOnce(t, f.nodes[f.owner(testKey)]), Unknown)
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := newAnswers(AnswerLimits{EntryBytes: 100, TotalBytes: 3 * (entryOverhead + 100)})
+	body := make([]byte, 100)
+	for i := range 5 {
+		is.True(a.put(core.KeyID{byte(i)}, testBody, &Answer{Body: body}))
+	}
+	is.True(!a.put(core.KeyID{9}, testBody, &Answer{Body: make([]byte, 101)}))
+	is.True(!a.put(core.KeyID{9}, testBody, nil))
+	is.Equal(len(a.held), 3)
+	is.Equal(a.bytes, 3*(entryOverhead+100))
+	is.True(a.get(core.KeyID{1}, testBody) == nil)
+	is.True(a.get(core.KeyID{4}, testBody) != nil)
+	is.True(a.get(core.KeyID{4}, Fingerprint{2}) == nil)
+}
--- a/config/config.go
+++ b/config/config.go
@@ -36,6 +36,8 @@
 	StreamHold      time.Duration
 	DrainGrace      time.Duration
 	DrainDeadline   time.Duration
+	ClaimRetention  time.Duration
+	ClaimInterval   time.Duration
 	IncarnationTime time.Time
 }
 
@@ -49,6 +51,9 @@
 	defaultResumeHold     = 10 * time.Second
 	defaultStreamHold     = 250 * time.Millisecond
 	defaultDrainGrace     = 2 * time.Second
+	defaultClaimRetention = 15 * time.Minute
+	minClaimRetention     = time.Minute
+	defaultClaimInterval  = 100 * time.Millisecond
 )
 
 // Bind registers the node's flags.
@@ -71,6 +76,8 @@
 	fs.DurationVar(&c.StreamHold, "stream-hold", defaultStreamHold, "longest time empty opening events of a stream are held back, so that an overload behind them can be retried; 0 for none")
 	fs.DurationVar(&c.DrainGrace, "drain-grace", defaultDrainGrace, "time between failing readiness and closing the listener")
 	fs.DurationVar(&c.DrainDeadline, "drain-deadline", 0, "longest wait for requests in progress when stopping; 0 waits for all")
+	fs.DurationVar(&c.ClaimRetention, "claim-retention", defaultClaimRetention, "time for which an Idempotency-Key runs at most once; the same on all nodes")
+	fs.DurationVar(&c.ClaimInterval, "claim-interval", defaultClaimInterval, "shortest time between two writes of a shard of claims")
 	return c
 }
 
@@ -118,6 +125,8 @@
 	check(c.ResumeHold >= 0, "--resume-hold is negative: use 0 for none")
 	check(c.StreamHold >= 0, "--stream-hold is negative: use 0 for none")
 	check(c.DrainGrace >= 0, "--drain-grace is negative: use 0 or more")
+	check(c.ClaimRetention >= minClaimRetention, "--claim-retention is under 1m: use 15m")
+	check(c.ClaimInterval > 0, "--claim-interval is not positive: use 100ms")
 	check(c.DrainDeadline >= 0, "--drain-deadline is negative: use 0 for none")
 	return errors.Join(faults...)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/claims"
+	"github.com/knapweedgw/knapweedgw/claims/core"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
@@ -55,6 +57,16 @@
 	return membership.New(self, hub, t, l, reg)
 }
 
+func provideClaims(
+	cfg *config.Node, st store.Store, hub *peer.Hub, mem *membership.Members, l *log.Logger, reg prometheus.Registerer,
+) *claims.Service {
+	set := claims.DefaultSettings()
+	set.Shard.Retention = cfg.ClaimRetention
+	set.Shard.Interval = cfg.ClaimInterval
+	self := core.Holder{Node: cfg.NodeID, Incarnation: cfg.IncarnationTime.UnixNano()}
+	return claims.NewService(self, set, st, hub, mem, l, reg)
+}
+
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
 	hub *peer.Hub,
@@ -63,7 +75,8 @@
 	set *follower.Follower,
 	acc *acceptor.Acceptor,
 	adm *admission.Local,
+	clm *claims.Service,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(hub, mem, reg, set, acc, adm, gw)
+	return kernel.New(hub, mem, reg, set, acc, adm, clm, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -32,6 +32,7 @@
 	acceptor.New,
 	wire.Bind(new(admission.TargetSource), new(*targets.Registry)),
 	admission.NewLocal,
+	provideClaims,
 	gateway.New,
 	provideKernel,
 )
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -37,8 +37,9 @@
 	followerFollower := follower.New(store, logger, registry)
 	acceptorAcceptor := acceptor.New(store, logger, registry)
 	local := admission.NewLocal(targetsRegistry)
+	service := provideClaims(cfg, store, hub, members, logger, registry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, local, gatewayGateway)
+	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, local, service, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -53,5 +54,5 @@
 	provideVMList,
 	provideTargets,
 	provideHub,
-	provideMembers, follower.New, acceptor.New, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, gateway.New, provideKernel,
+	provideMembers, follower.New, acceptor.New, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, provideClaims, gateway.New, provideKernel,
 )
