Keep the store's connection after an answer of any size

Cause: the client closed an answer after its JSON without reading the body's end, so that a chunked one cost the connection: a new TCP connection for some reads and, with it, a call that can fail to connect. TestConnectionIsReused failed before: 2 connections for 15 calls.

Ruled out: reading the body whole before decoding (a second copy of up to 1.4 MB).

Before: 2 connections.

A service that stalls after its JSON delays the answer up to the client's timeout.

--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -18,7 +19,11 @@
 // DefaultTimeout bounds one call to the service, waiting watches excepted.
 const DefaultTimeout = 2 * time.Second
 
-const idleConns = 16
+const (
+	idleConns = 16
+	// maxRestBytes bounds what is read after an answer's JSON.
+	maxRestBytes = 4 << 10
+)
 
 // Client is a store.Store. It is safe for concurrent use.
 type Client struct {
@@ -132,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer finish(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return statusError(path, resp)
 	}
@@ -142,6 +147,13 @@
 	return nil
 }
 
+// finish closes a body whose end it reads, so that the connection can be used
+// again.
+func finish(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxRestBytes)
+	_ = body.Close()
+}
+
 // post sends a request to the first endpoint that accepts a connection. A
 // failure to connect is ErrUnavailable; any later failure is ErrUncertain,
 // for the service may have acted.
--- a/store/etcd/etcd_test.go
+++ b/store/etcd/etcd_test.go
@@ -1,13 +1,18 @@
 package etcd_test
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
+	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/store"
 	"github.com/knapweedgw/knapweedgw/store/etcd"
 	"github.com/knapweedgw/knapweedgw/store/memory"
 	"github.com/knapweedgw/knapweedgw/store/storetest"
@@ -34,3 +39,30 @@
 		return storetest.Fixture{Store: c, Advance: advance, Compact: s.Compact}
 	})
 }
+
+// TestConnectionIsReused checks that answers of any size, and refusals, leave
+// the connection to the next call.
+func TestConnectionIsReused(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	ws := new(restful.WebService)
+	etcd.NewServer(memory.New(time.Now)).Routes(ws)
+	srv := httptest.NewUnstartedServer(restful.NewContainer().Add(ws))
+	var opened atomic.Int64
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	c := etcd.New([]string{srv.URL}, callTimeout)
+	for _, size := range []int{0, 1000, 5000, 100_000, store.MaxValueBytes} {
+		_, _, err := c.Commit(ctx, store.Txn{Ops: []store.Op{{Key: "k", Value: make([]byte, size)}}})
+		is.NoErr(err)
+		_, _, err = c.Get(ctx, "k")
+		is.NoErr(err)
+		is.True(c.Revoke(ctx, 99) != nil)
+	}
+	is.Equal(opened.Load(), int64(1))
+}
--- a/store/memory/history_test.go
+++ b/store/memory/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,16 +40,23 @@
 	is.Equal(b.Revision, s.revision)
 }
 
-// BenchmarkCommit measures a put while many leases are held and many watches
-// wait under another prefix.
+// BenchmarkCommit measures a put while leases are held and watches wait under
+// another prefix.
 func BenchmarkCommit(b *testing.B) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	s := New(time.Now)
-	for range 10_000 {
-		_, _ = s.Grant(ctx, time.Hour)
-	}
-	for b.Loop() {
-		_, _, _ = s.Commit(ctx, store.Txn{Ops: []store.Op{{Key: "k", Value: []byte("v")}}})
+	for _, size := range []struct{ leases, watches int }{{0, 0}, {10_000, 0}, {0, 370}} {
+		b.Run(fmt.Sprintf("leases=%d,watches=%d", size.leases, size.watches), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			s := New(time.Now)
+			for range size.leases {
+				_, _ = s.Grant(ctx, time.Hour)
+			}
+			for range size.watches {
+				_, _ = s.Watch(ctx, "other", 0)
+			}
+			for b.Loop() {
+				_, _, _ = s.Commit(ctx, store.Txn{Ops: []store.Op{{Key: "k", Value: []byte("v")}}})
+			}
+		})
 	}
 }
