Count a read run again after a failure as repeated, not as doubled

Cause: make faults reported 170 requests run more than once; all were reads that a node rightly sent to a second service after the first lost its answer. Only chats were exempt.

Ruled out: exempting reads always (in a healthy run none may repeat).

--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -153,6 +153,21 @@
 	}
 }
 
+func TestRepeatableRequestsMayRunAgain(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	for _, k := range []kind{kindChat, kindRead, kindNotice} {
+		_, id := l.attempt(k)
+		l.ranRequests(map[string]int{id: 1})
+		l.ranRequests(map[string]int{id: 1}) // at another target
+	}
+	key := l.key()
+	l.ranKeys(map[string]int{key: 1})
+	l.ranKeys(map[string]int{key: 2, "another-0": 5})
+	is.Equal(l.verdict(true), verdict{doubled: 2, repeated: 2})
+	is.Equal(l.verdict(false), verdict{doubled: 4})
+}
+
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	is := is.New(t)
 	srv := httptest.NewServer(nil)
