Tell a notice of unknown outcome from a lost answer

All were notices whose answer the service had lost after running them; the node said so, ran nothing again, and no other answer exists. Counted as lost they hid whether anything was lost without a word.

Ruled out: counting them as whole; leaving the fault out of make faults.

--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -22,7 +22,8 @@
 const (
 	outcomeWhole   outcome = iota
 	outcomeRefused         // told that it was not run, at every try
-	outcomeLost            // failed, cut or of unknown fate
+	outcomeLost            // failed or cut
+	outcomeUnknown         // a notice that may or may not have been run
 	outcomeWrong           // another caller's answer
 )
 
--- a/lab/load/config.go
+++ b/lab/load/config.go
@@ -38,9 +38,10 @@
 	MaxRetryAfter time.Duration
 	// Window is the time between samples of the engines' load.
 	Window time.Duration
-	// MayRepeat allows a chat turn or a read to run at a second target after
-	// the first failed: it counts as repeated, not as doubled.
-	MayRepeat bool
+	// UnderFaults says that targets fail: a chat turn or a read that runs
+	// again counts as repeated, not as doubled, and a notice may end with its
+	// outcome unknown, if the caller was told so.
+	UnderFaults bool
 }
 
 // Validate reports the first fault of a configuration.
--- a/lab/load/settle.go
+++ b/lab/load/settle.go
@@ -27,7 +27,7 @@
 		r.ledger.ranRequests(runs.ByRequest)
 		r.ledger.ranKeys(runs.ByKey)
 	}
-	v := r.ledger.verdict(r.cfg.MayRepeat)
+	v := r.ledger.verdict(r.cfg.UnderFaults)
 	r.result.Doubled, r.result.Repeated, r.result.FalseNotRun = v.doubled, v.repeated, v.falseNotRun
 	return r.result, nil
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -28,7 +28,7 @@
 "$bin"/knapweedlab load --nodes "$(join "${node_urls[@]}")" --engines "$(join "${engine_urls[@]}")" \
   --services "$(join "${service_urls[@]}")" --keys "$(join "${keys[@]}")" --service obras-api \
   --chats "${DEMO_CHATS:-120}" --turns 20 --emergency 0.1 --batch 0.2 --notices 0.3 --resend 0.2 \
-  --may-repeat --max-tries 6 &
+  --under-faults --max-tries 6 &
 load=$!
 pids+=("$load")
 wait "$load" || status=$?
