--- a/settings/accepted/state.go
+++ b/settings/accepted/state.go
@@ -101,6 +101,9 @@
 // follows from there.
 func (s *State) Since(revision int64) Delta {
 	d := Delta{Since: revision, Through: s.head}
+	if revision >= s.head {
+		return d
+	}
 	pending := s.newerThan(revision)
 	size := 0
 	for i, r := range pending {
--- a/settings/acceptor/acceptor.go
+++ b/settings/acceptor/acceptor.go
@@ -27,10 +27,10 @@
 const (
 	// dutyInterval is the time between looks at the membership view.
 	dutyInterval = 500 * time.Millisecond
-	// groupDelay lets changes that come together share a transaction.
-	groupDelay = 50 * time.Millisecond
-	// standbyDelay is how long the standby leaves a change to the first.
-	standbyDelay = 2 * time.Second
+	// GroupDelay lets changes that come together share a transaction.
+	GroupDelay = 50 * time.Millisecond
+	// StandbyDelay is how long the standby leaves a change to the first.
+	StandbyDelay = time.Second
 	// resyncInterval is the time after which everything is listed anew, in
 	// case a watch lost a change without an error.
 	resyncInterval = 5 * time.Minute
@@ -157,9 +157,9 @@
 
 // delay returns how long to wait for more changes, or for the first acceptor.
 func (s *session) delay() time.Duration {
-	wait := groupDelay
+	wait := GroupDelay
 	if s.a.position() > 0 {
-		wait = standbyDelay
+		wait = StandbyDelay
 	}
 	return wait - s.a.now().Sub(s.since)
 }
--- a/settings/acceptor/plan.go
+++ b/settings/acceptor/plan.go
@@ -17,7 +17,7 @@
 // Limits of one commit: etcd allows 128 operations in a transaction, of which
 // a team takes three and the head one.
 const (
-	maxGroup      = 40
+	MaxGroup      = 40
 	maxGroupBytes = 512 << 10
 )
 
@@ -30,7 +30,7 @@
 
 func (p Plan) empty() bool { return len(p.Accept)+len(p.Refuse) == 0 }
 
-// plan decides on up to maxGroup teams whose documents changed, oldest change
+// plan decides on up to MaxGroup teams whose documents changed, oldest change
 // first. A revision is above the tree's head and above floor, the highest
 // revision that this node has seen anywhere.
 func (t *Tree) plan(floor int64, now time.Time) Plan {
@@ -39,7 +39,7 @@
 	teams := t.inForce()
 	size := 0
 	for _, team := range t.pending() {
-		if len(p.Accept)+len(p.Refuse) == maxGroup || size > maxGroupBytes {
+		if len(p.Accept)+len(p.Refuse) == MaxGroup || size > maxGroupBytes {
 			break
 		}
 		doc, faults := t.check(team, teams)
--- a/settings/duty/duty_test.go
+++ b/settings/duty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -55,3 +56,29 @@
 	is.Equal(after[0].ID, before[1].ID)
 	is.Equal(Position(after, before[0].ID), -1)
 }
+
+func TestPeersAreNeverSelfOrDead(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		v := view(rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(1, 4).Draw(rt, "nodes"))
+		v.Self = rapid.SampledFrom(v.Nodes).Draw(rt, "self").ID
+		living := 0
+		for i := range v.Nodes {
+			if v.Nodes[i].ID == v.Self {
+				continue
+			}
+			v.Nodes[i].State = rapid.SampledFrom([]membership.State{membership.Alive, membership.Dead}).Draw(rt, "state")
+			if v.Nodes[i].State == membership.Alive {
+				living++
+			}
+		}
+		peer, ok := AntiEntropyPeer(v, rapid.IntRange(0, 1).Draw(rt, "round"), rnd)
+		is.Equal(ok, living > 0)
+		is.Equal(len(Announcees(v)) > 0, living > 0) // some other node comes to hold a revision
+		is.Equal(len(Seeds(v, rnd)), living)         // one region here
+		for _, n := range append(append(Announcees(v), Seeds(v, rnd)...), peer) {
+			is.True(n.ID != v.Self && n.State != membership.Dead)
+		}
+	})
+}
--- a/settings/duty/peers.go
+++ b/settings/duty/peers.go
@@ -47,8 +47,8 @@
 
 // Seeds returns the nodes that a starting node asks: all of its region, for any
 // of them may be the only one that holds the newest revision; without any, all
-// the fleet.
-func Seeds(v *membership.View) []membership.Node {
+// the fleet. The order is random, so that starting nodes spread.
+func Seeds(v *membership.View, rnd *rand.Rand) []membership.Node {
 	self, _ := v.Node(v.Self)
 	near, far := others(v)
 	out := near
@@ -58,8 +58,9 @@
 		}
 	}
 	if len(out) == 0 {
-		return far
+		out = far
 	}
+	rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
--- a/settings/follower/bootstrap.go
+++ b/settings/follower/bootstrap.go
@@ -50,7 +50,7 @@
 // though what they hold counts.
 func (f *Follower) askSeeds(ctx context.Context) bool {
 	best, ready := f.bestSeed(ctx)
-	if best.head > f.Head() && f.pull(ctx, best.addr) != nil {
+	if best.head > f.Head() && f.pull(ctx, best.addr, callTimeout) != nil {
 		return false
 	}
 	return ready
@@ -58,8 +58,8 @@
 
 func (f *Follower) bestSeed(ctx context.Context) (best hint, ready bool) {
 	var mu sync.Mutex
-	f.each(duty.Seeds(f.members.View()), func(n membership.Node) {
-		reply, err := f.askHead(ctx, n.PeerAddr, methodHead, headMessage{})
+	f.each(duty.Seeds(f.members.View(), newRand()), func(n membership.Node) {
+		reply, err := f.askHead(ctx, n.PeerAddr, methodHead, headMessage{}, callTimeout)
 		if err != nil {
 			return
 		}
@@ -67,7 +67,7 @@
 		defer mu.Unlock()
 		ready = ready || reply.Ready
 		if reply.Head > best.head {
-			best = hint{n.PeerAddr, reply.Head}
+			best = hint{addr: n.PeerAddr, head: reply.Head}
 		}
 	})
 	return best, ready
--- a/settings/follower/exchange.go
+++ b/settings/follower/exchange.go
@@ -22,9 +22,17 @@
 const (
 	// callTimeout bounds one call to a peer.
 	callTimeout = time.Second
-	// AntiEntropyInterval is the mean time between a node's comparisons of
-	// heads with another node.
-	AntiEntropyInterval = 2 * time.Second
+	// HintTimeout bounds one call that follows a new revision: the peer is
+	// near and the delta small.
+	HintTimeout = 300 * time.Millisecond
+	// HintTries is the number of tries of such a call.
+	HintTries = 3
+	// antiEntropyInterval is the mean time between a node's comparisons of
+	// heads with another node; it is freshInterval during freshTime after the
+	// start, for the relays' views don't show a new node at once.
+	antiEntropyInterval = 2 * time.Second
+	freshInterval       = 500 * time.Millisecond
+	freshTime           = 15 * time.Second
 	// maxParallelCalls bounds the calls of one announcement or start.
 	maxParallelCalls = 16
 )
@@ -39,8 +47,9 @@
 
 // hint says that a peer may hold more than this node.
 type hint struct {
-	addr string
-	head int64
+	addr  string
+	head  int64
+	tries int
 }
 
 func (f *Follower) handle() {
@@ -75,7 +84,7 @@
 func (f *Follower) learn(m headMessage) {
 	f.confirm(m.Head)
 	if m.From != "" && m.Head > f.Head() {
-		f.hint(hint{m.From, m.Head})
+		f.hint(hint{addr: m.From, head: m.Head})
 	}
 }
 
@@ -103,17 +112,28 @@
 	}
 	f.spawn(func() {
 		f.each(duty.Announcees(v), func(n membership.Node) {
-			reply, err := f.askHead(ctx, n.PeerAddr, methodAnnounce, headMessage{Head: head, From: self.PeerAddr})
-			f.metrics.announcements.WithLabelValues(resultOf(err)).Inc()
-			if err == nil {
-				f.confirm(reply.Head)
-			}
+			f.announceTo(ctx, n.PeerAddr, headMessage{Head: head, From: self.PeerAddr})
 		})
 	})
 }
 
-func (f *Follower) askHead(ctx context.Context, addr, method string, m headMessage) (headMessage, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// announceTo tries until the peer answers or a newer head makes it needless.
+func (f *Follower) announceTo(ctx context.Context, addr string, m headMessage) {
+	for range HintTries {
+		reply, err := f.askHead(ctx, addr, methodAnnounce, m, HintTimeout)
+		f.metrics.announcements.WithLabelValues(resultOf(err)).Inc()
+		if err == nil {
+			f.confirm(reply.Head)
+			return
+		}
+		if f.Head() > m.Head {
+			return
+		}
+	}
+}
+
+func (f *Follower) askHead(ctx context.Context, addr, method string, m headMessage, timeout time.Duration) (headMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply headMessage
 	err := f.peers.Call(ctx, addr, method, m, &reply)
@@ -141,22 +161,33 @@
 		case <-ctx.Done():
 			return
 		case h := <-f.hints:
-			if h.head <= f.Head() {
-				continue
-			}
-			if err := f.pull(ctx, h.addr); err != nil {
-				f.log.Debug("settings not pulled; the next comparison tries again", "peer", h.addr, "err", err)
-			}
+			f.follow(ctx, h)
 		}
 	}
 }
 
+// follow pulls what a hint promises, unless this node holds it by now and
+// knows of another that does. A pull that fails goes to the end of the queue.
+func (f *Follower) follow(ctx context.Context, h hint) {
+	if f.confirmed() >= h.head {
+		return
+	}
+	err := f.pull(ctx, h.addr, HintTimeout)
+	if err == nil {
+		return
+	}
+	f.log.Debug("settings not pulled", "peer", h.addr, "tries", h.tries, "err", err)
+	if h.tries++; h.tries < HintTries {
+		f.hint(h)
+	}
+}
+
 // pull takes over what the peer holds beyond this node's head. The last call,
 // which brings nothing, tells each of both that the other holds it.
-func (f *Follower) pull(ctx context.Context, addr string) error {
+func (f *Follower) pull(ctx context.Context, addr string, timeout time.Duration) error {
 	for {
 		since := f.Head()
-		d, err := f.pullOnce(ctx, addr, since)
+		d, err := f.pullOnce(ctx, addr, since, timeout)
 		f.metrics.pulls.WithLabelValues(resultOf(err)).Inc()
 		if err != nil {
 			return err
@@ -169,33 +200,42 @@
 	}
 }
 
-func (f *Follower) pullOnce(ctx context.Context, addr string, since int64) (accepted.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (f *Follower) pullOnce(ctx context.Context, addr string, since int64, timeout time.Duration) (accepted.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var d accepted.Delta
 	err := f.peers.Call(ctx, addr, methodPull, headMessage{Head: since, From: f.self().PeerAddr}, &d)
 	return d, err
 }
 
+// newRand returns a random source of its own for one loop.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // antiEntropyLoop compares heads with another node now and then; the one that
 // is behind pulls.
 func (f *Follower) antiEntropyLoop(ctx context.Context) {
-	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	rnd := newRand()
+	start := f.now()
 	for round := 0; ctx.Err() == nil; round++ {
-		sleep(ctx, Jitter(AntiEntropyInterval, rnd))
+		sleep(ctx, AntiEntropyDelay(f.now().Sub(start), rnd))
 		n, ok := duty.AntiEntropyPeer(f.members.View(), round, rnd)
 		if !ok {
 			continue
 		}
-		if err := f.pull(ctx, n.PeerAddr); err != nil {
+		if err := f.pull(ctx, n.PeerAddr, callTimeout); err != nil {
 			f.log.Debug("heads not compared; the next round asks another node", "peer", n.PeerAddr, "err", err)
 		}
 	}
 }
 
-// Jitter returns a duration between half and one and a half times d.
-func Jitter(d time.Duration, rnd *rand.Rand) time.Duration {
-	return d/2 + time.Duration(rnd.Int64N(int64(d)))
+// AntiEntropyDelay returns the time until the next comparison of a node that
+// started some time ago: between half and one and a half times the mean.
+func AntiEntropyDelay(age time.Duration, rnd *rand.Rand) time.Duration {
+	mean := antiEntropyInterval
+	if age < freshTime {
+		mean = freshInterval
+	}
+	return mean/2 + time.Duration(rnd.Int64N(int64(mean)))
 }
 
 func resultOf(err error) string {
--- a/settings/follower/fake_test.go
+++ b/settings/follower/fake_test.go
@@ -128,7 +128,7 @@
 	for {
 		select {
 		case h := <-f.nodes[i].hints:
-			_ = f.nodes[i].pull(context.Background(), h.addr)
+			f.nodes[i].follow(context.Background(), h)
 		default:
 			return
 		}
--- a/settings/follower/follower.go
+++ b/settings/follower/follower.go
@@ -161,6 +161,14 @@
 	f.publish()
 }
 
+// confirmed returns the highest revision held here and known to be held by
+// another node.
+func (f *Follower) confirmed() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.confirmed
+}
+
 // publish puts in force what this node holds, if the gate allows it.
 func (f *Follower) publish() {
 	alone := len(f.members.View().Nodes) <= 1
--- a/settings/follower/follower_test.go
+++ b/settings/follower/follower_test.go
@@ -121,7 +121,7 @@
 		f.accept(big, team)
 	}
 	f.start(0)
-	is.NoErr(f.nodes[1].pull(context.Background(), nodeID(0)))
+	is.NoErr(f.nodes[1].pull(context.Background(), nodeID(0), callTimeout))
 	is.Equal(f.nodes[1].Head(), int64(4))
 	is.True(testutil.ToFloat64(f.nodes[1].metrics.pulls.WithLabelValues("ok")) > 2)
 }
@@ -144,7 +144,7 @@
 		node := func(t *rapid.T) int { return rapid.IntRange(0, nodes-1).Draw(t, "node") }
 		pull := func(t *rapid.T) {
 			if to, from := node(t), node(t); to != from {
-				_ = f.nodes[to].pull(ctx, nodeID(from))
+				_ = f.nodes[to].pull(ctx, nodeID(from), callTimeout)
 			}
 		}
 		answer := func(t *rapid.T) {
@@ -192,10 +192,10 @@
 		f.store.stale = len(f.store.pages) - 1
 		for i := range nodes {
 			_, _ = f.nodes[i].catchUp(ctx)
-			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes))
+			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes), callTimeout)
 		}
 		for i := range nodes {
-			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes))
+			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes), callTimeout)
 			f.nodes[i].publish()
 			is.New(rt).Equal(f.nodes[i].Snapshot().Revision, int64(len(f.store.pages)))
 		}
--- a/settings/follower/relay.go
+++ b/settings/follower/relay.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// dutyInterval is the time between looks at the membership view.
-	dutyInterval = 500 * time.Millisecond
-	// headCheckInterval is the time between a relay's reads of the head, in
+	// DutyInterval is the time between looks at the membership view.
+	DutyInterval = 500 * time.Millisecond
+	// HeadCheckInterval is the time between a relay's reads of the head, in
 	// case its watch is late or has lost a change without an error.
-	headCheckInterval = 5 * time.Second
+	HeadCheckInterval = 5 * time.Second
 	// retryDelay is the wait after the store failed.
 	retryDelay = time.Second
 )
@@ -33,7 +33,7 @@
 func (f *Follower) relayLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.isRelay() {
-			sleep(ctx, dutyInterval)
+			sleep(ctx, DutyInterval)
 			continue
 		}
 		if err := f.watch(ctx); err != nil && ctx.Err() == nil {
@@ -68,9 +68,9 @@
 	if err != nil {
 		return err
 	}
-	relay := time.NewTicker(dutyInterval)
+	relay := time.NewTicker(DutyInterval)
 	defer relay.Stop()
-	check := time.NewTicker(headCheckInterval)
+	check := time.NewTicker(HeadCheckInterval)
 	defer check.Stop()
 	for {
 		select {
