--- a/admission/admission.go
+++ b/admission/admission.go
@@ -21,6 +21,8 @@
 	Priority  int // urgency as in RFC 9218: 0 highest to 7 lowest
 	Pool      settings.PoolRef
 	Exclude   []string // IDs of targets already tried
+	// Returning says that the chat has had an answer before.
+	Returning bool
 }
 
 // Grant is a place on a target. Release must be called once the target no
--- /dev/null
+++ b/admission/ask.go
@@ -0,0 +1,210 @@
+package admission
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/peer"
+)
+
+// maxAsks is the most asks for a place in one cell, counting changes of owner
+// and targets that this node knows to be leaving.
+const maxAsks = 3
+
+type answerKind int
+
+const (
+	answerNone answerKind = iota // no owner answered: fall back
+	answerGranted
+	answerFull
+	answerRefused
+	answerCanceled // the caller gave up
+)
+
+// answer is what came of asking a cell's owner.
+type answer struct {
+	kind    answerKind
+	reply   holds.Reply
+	place   place
+	outcome string // of a grant
+	reason  string // of no answer
+}
+
+// askCell asks the owner of a cell, and another if the first says that it
+// isn't or if the view changes meanwhile.
+func (e *entry) askCell(ctx context.Context, index int) answer {
+	s := e.service
+	k := holds.Key{Pool: e.request.Pool.Pool, Region: e.region, Cell: index, Of: e.plan.pools[e.request.Pool.Pool].cells}
+	exclude := e.request.Exclude
+	owner, ok := e.plan.owner(k)
+	var a answer
+	for range maxAsks {
+		if !ok {
+			return answer{reason: reasonNoOwner}
+		}
+		a = e.askOwner(ctx, owner, k, exclude)
+		var again bool
+		switch {
+		case a.kind == answerGranted && a.place.target.ID == "":
+			// This node knows better than the owner that the target is gone.
+			exclude = append(slices.Clip(exclude), a.reply.Target)
+			a = answer{kind: answerFull}
+			again = true
+		case a.kind == answerNone:
+			owner, again = s.nextOwner(k, owner, a)
+		}
+		if !again {
+			return a
+		}
+		s.metrics.redirects.WithLabelValues("owner").Inc()
+	}
+	return a
+}
+
+// nextOwner returns the owner to ask after one gave no answer, if there is
+// another.
+func (s *Service) nextOwner(k holds.Key, asked membership.Node, a answer) (membership.Node, bool) {
+	if a.reply.Leaving {
+		s.noteLeft(holds.From{Node: asked.ID, Incarnation: asked.Incarnation})
+	}
+	p := s.plan()
+	if n, ok := p.owner(k); ok && n.ID != asked.ID {
+		return n, true
+	}
+	if n, ok := p.inputs.view.Node(a.reply.Owner); ok && n.ID != asked.ID && n.State == membership.Alive {
+		return n, true
+	}
+	return asked, false
+}
+
+// askOwner asks one node. A grant that comes after this node gave up is
+// released.
+func (e *entry) askOwner(ctx context.Context, owner membership.Node, k holds.Key, exclude []string) answer {
+	s := e.service
+	h := holderOf(owner)
+	seq := s.table.Begin(s.now(), k, h)
+	m := holds.Acquire{
+		From: s.self, Key: k, Seq: seq, Chat: e.request.Chat, Workspace: workspaceName(e.request),
+		Weight: e.request.Workspace.Weight, Urgency: e.request.Priority, Exclude: exclude,
+		Returning: e.request.Returning, Left: s.leavers(),
+	}
+	if m.Weight == 1 {
+		m.Weight = 0
+	}
+	outcome := outcomeOwner
+	var reply holds.Reply
+	var err error
+	if owner.ID == s.cfg.Node {
+		outcome = outcomeSelf
+		reply = s.acquireOwned(m)
+	} else {
+		reply, err = s.askRemote(ctx, owner, m)
+	}
+	if err != nil {
+		return s.noAnswer(ctx, owner, k, seq, err)
+	}
+	return e.heed(reply, outcome, owner, k, seq)
+}
+
+// askRemote sends an ask within the time that the owner usually needs.
+func (s *Service) askRemote(ctx context.Context, owner membership.Node, m holds.Acquire) (holds.Reply, error) {
+	start := s.now()
+	s.mu.Lock()
+	l := s.links[owner.ID]
+	if l == nil {
+		l = &link{}
+		s.links[owner.ID] = l
+	}
+	allowed, timeout := l.allow(start), l.timeout(s.cfg.Timeout)
+	s.mu.Unlock()
+	if !allowed {
+		return holds.Reply{}, errBreakerOpen
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply holds.Reply
+	err := s.call(bounded, owner, methodAcquire, m, &reply)
+	took := s.now().Sub(start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		l.answered(took)
+		s.metrics.roundTrip.Observe(took.Seconds())
+	case ctx.Err() == nil:
+		l.failed(s.now())
+	}
+	return reply, err
+}
+
+// noAnswer gives an ask up. The owner may still grant it, so it is released,
+// unless the owner never saw it.
+func (s *Service) noAnswer(ctx context.Context, owner membership.Node, k holds.Key, seq uint64, err error) answer {
+	s.table.GiveUp(k, seq)
+	reason := failureReason(err)
+	if reason != reasonUnreachable && reason != reasonBreaker {
+		s.metrics.givenUp.Inc()
+		s.sendRelease(owner.ID, k, seq)
+	}
+	if ctx.Err() != nil {
+		return answer{kind: answerCanceled}
+	}
+	return answer{reason: reason}
+}
+
+func failureReason(err error) string {
+	switch {
+	case errors.Is(err, errBreakerOpen):
+		return reasonBreaker
+	case errors.Is(err, peer.ErrUnreachable):
+		return reasonUnreachable
+	case errors.Is(err, context.DeadlineExceeded):
+		return reasonTimeout
+	default:
+		return reasonFailed
+	}
+}
+
+// heed acts on an owner's reply.
+func (e *entry) heed(r holds.Reply, outcome string, owner membership.Node, k holds.Key, seq uint64) answer {
+	s := e.service
+	if r.Code != holds.Granted {
+		s.table.GiveUp(k, seq)
+	}
+	switch r.Code {
+	case holds.Granted:
+		return e.heedGrant(r, outcome, owner, k, seq)
+	case holds.Full:
+		if r.Reason == cell.ReasonRecovering {
+			return answer{reply: r, reason: reasonRecovering}
+		}
+		return answer{kind: answerFull, reply: r}
+	case holds.Refused:
+		return answer{kind: answerRefused, reply: r}
+	case holds.NotOwner:
+		return answer{reply: r, reason: reasonNotOwner}
+	default:
+		return answer{reply: r, reason: reasonStale}
+	}
+}
+
+// heedGrant records the place, or releases it and leaves the place empty if
+// this node knows that the target is leaving or gone.
+func (e *entry) heedGrant(r holds.Reply, outcome string, owner membership.Node, k holds.Key, seq uint64) answer {
+	s := e.service
+	t, ok := s.plan().liveTarget(k, r.Target)
+	if !ok {
+		s.table.GiveUp(k, seq)
+		s.sendRelease(owner.ID, k, seq)
+		return answer{kind: answerGranted, reply: r}
+	}
+	s.table.Grant(s.now(), k, holderOf(owner), holds.Detail{
+		Seq: seq, Target: t.ID, Workspace: workspaceName(e.request), Chat: e.request.Chat,
+	})
+	return answer{kind: answerGranted, outcome: outcome, place: place{key: k, seq: seq, target: t, done: s.local.sent(t.ID)}}
+}
--- /dev/null
+++ b/admission/entry.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// maxCells is the most cells asked for one request.
+const maxCells = 4
+
+// entry is one Acquire under way.
+type entry struct {
+	service *Service
+	plan    *plan
+	group   *group
+	region  string
+	request Request
+	order   []int // live targets, best first
+	tried   []int // cells that were full
+}
+
+// place is a place on a target, granted by an owner or taken by the estimate.
+type place struct {
+	key    holds.Key
+	seq    uint64
+	target targets.Target
+	done   func() // ends the local count
+}
+
+// Acquire implements Admitter. It asks the owner of the cell that holds the
+// best target; while that is full, the next ones. Without an answer the local
+// estimate decides, so that no request waits for another node.
+func (s *Service) Acquire(ctx context.Context, r Request) (Grant, error) {
+	p := s.plan()
+	g, region := p.group(r.Pool.Pool)
+	e := &entry{service: s, plan: p, group: g, region: region, request: r}
+	e.rank()
+	if len(e.order) == 0 {
+		s.metrics.requests.WithLabelValues(outcomeNoTarget).Inc()
+		return Grant{}, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+	}
+	if p.pools[r.Pool.Pool].cells == 0 {
+		return e.fallBack(reasonNoOwner)
+	}
+	return e.acquire(ctx)
+}
+
+func (e *entry) rank() {
+	if e.group == nil {
+		return
+	}
+	top := routing.Top(nil, e.request.Chat, e.group.hashes, len(e.request.Exclude)+maxCells*2)
+	e.order = slices.DeleteFunc(top, func(i int) bool {
+		return slices.Contains(e.request.Exclude, e.group.live[i].ID)
+	})
+}
+
+func (e *entry) acquire(ctx context.Context) (Grant, error) {
+	var last answer
+	for next := e.home(); next >= 0 && len(e.tried) < maxCells; next = e.next(last) {
+		if len(e.tried) > 0 {
+			e.service.metrics.redirects.WithLabelValues("full").Inc()
+		}
+		last = e.askCell(ctx, next)
+		switch last.kind {
+		case answerGranted:
+			return e.grant(last.place, last.outcome), nil
+		case answerFull:
+			e.tried = append(e.tried, next)
+		case answerRefused:
+			return Grant{}, e.refuse(outcomeRefused, last.reply)
+		case answerCanceled:
+			e.service.metrics.requests.WithLabelValues(outcomeCanceled).Inc()
+			return Grant{}, problem.New(problem.DeadlineExceeded, problem.RanNo, "while waiting for a place")
+		default:
+			return e.fallBack(last.reason)
+		}
+	}
+	// A pool without room refuses; if every cell is merely over its bound, then
+	// their owners know too little of each other.
+	return e.fallBack(reasonAllFull)
+}
+
+// home returns the cell of the best target.
+func (e *entry) home() int { return e.group.cells[e.order[0]] }
+
+// next returns the cell to ask after the last was full: that of the best
+// target in none tried, at last the one with the least load; -1 if there is
+// none.
+func (e *entry) next(last answer) int {
+	least := last.reply.Least - 1
+	if len(e.tried) == maxCells-1 && least >= 0 && !slices.Contains(e.tried, least) {
+		return least
+	}
+	for _, i := range e.order {
+		if !slices.Contains(e.tried, e.group.cells[i]) {
+			return e.group.cells[i]
+		}
+	}
+	if least >= 0 && !slices.Contains(e.tried, least) {
+		return least
+	}
+	return -1
+}
+
+func (e *entry) refuse(outcome string, r holds.Reply) error {
+	e.service.metrics.requests.WithLabelValues(outcome).Inc()
+	reason := problem.Saturated
+	switch r.Reason {
+	case cell.ReasonWorkspaceLimit:
+		reason = problem.WorkspaceLimit
+	case cell.ReasonNoTarget:
+		reason = problem.NoTarget
+	}
+	after := time.Duration(r.RetryAfterMS) * time.Millisecond
+	if after <= 0 {
+		after = saturatedRetryAfter
+	}
+	return problem.New(reason, problem.RanNo, e.request.Pool.Name).After(after)
+}
+
+// fallBack lets the local estimate decide. The owner is told of the place by
+// the next resync.
+func (e *entry) fallBack(reason string) (Grant, error) {
+	s := e.service
+	s.metrics.fallbacks.WithLabelValues(reason).Inc()
+	r := e.request
+	if c, ok := e.plan.pools[r.Pool.Pool]; ok {
+		r.Pool.LoadFactor, r.Pool.MaxInFlight = c.cell.LoadFactor, c.cell.MaxInFlight
+	}
+	t, done, err := s.local.place(eligible(e.group.live, r.Exclude), r)
+	if err != nil {
+		s.metrics.requests.WithLabelValues(outcomeFull).Inc()
+		return Grant{}, err
+	}
+	k := e.plan.keyOf(holds.Key{Pool: r.Pool.Pool, Region: e.region}, t.ID)
+	owner, _ := e.plan.owner(k)
+	seq := s.table.Take(s.now(), k, holderOf(owner), holds.Detail{Target: t.ID, Workspace: workspaceName(r), Chat: r.Chat})
+	return e.grant(place{key: k, seq: seq, target: t, done: done}, outcomeFallback), nil
+}
+
+func (e *entry) grant(p place, outcome string) Grant {
+	s := e.service
+	s.metrics.requests.WithLabelValues(outcome).Inc()
+	return Grant{Target: p.target, Release: sync.OnceFunc(func() { s.release(p) })}
+}
+
+// release ends a place at the cell's present owner.
+func (s *Service) release(p place) {
+	p.done()
+	k := s.table.Release(p.key, p.seq)
+	owner, ok := s.plan().owner(k)
+	if !ok {
+		return
+	}
+	s.sendRelease(owner.ID, k, p.seq)
+}
+
+func (s *Service) sendRelease(node string, k holds.Key, seq uint64) {
+	if node == s.cfg.Node {
+		s.releaseOwned(s.self.Holder(), holds.Released{Key: k, Seqs: holds.Seqs{seq}})
+		return
+	}
+	s.releases.add(node, k, seq)
+}
+
+func workspaceName(r Request) string { return r.Workspace.Team + "/" + r.Workspace.Name }
+
+var errBreakerOpen = errors.New("admission: the owner didn't answer of late; it is asked again soon")
--- /dev/null
+++ b/admission/fleet_test.go
@@ -0,0 +1,247 @@
+package admission
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+const (
+	testPool   = "pool"
+	testRegion = "region"
+)
+
+// fault is what happens to calls to a node.
+type fault int
+
+const (
+	faultNone        fault = iota
+	faultUnreachable       // the call fails before it is seen
+	faultFrozen            // the call times out and isn't seen
+	faultSlow              // the call is run but its answer comes too late
+)
+
+// fleet is several services linked in memory, with one clock. Everything runs
+// in the calling goroutine.
+type fleet struct {
+	now   time.Time
+	nodes []*fakeNode
+}
+
+// fakeNode is one node with its own views.
+type fakeNode struct {
+	*Service
+	addr     string
+	handlers map[string]peer.Handler
+	fault    fault
+	views    source[membership.View]
+	targets  source[targets.Snapshot]
+	settings source[settings.Snapshot]
+	// onCall runs before each call of this node is sent.
+	onCall func(method string)
+}
+
+type source[T any] struct{ v atomic.Pointer[T] }
+
+func (s *source[T]) View() *T     { return s.v.Load() }
+func (s *source[T]) Snapshot() *T { return s.v.Load() }
+
+// fakeHub is a node's end of the fleet's network.
+type fakeHub struct {
+	fleet *fleet
+	self  *fakeNode
+}
+
+func (h *fakeHub) Handle(method string, f peer.Handler) { h.self.handlers[method] = f }
+
+func (h *fakeHub) Call(ctx context.Context, addr, method string, params, result any) error {
+	to := h.fleet.at(addr)
+	if h.self.onCall != nil {
+		h.self.onCall(method)
+	}
+	switch to.fault {
+	case faultUnreachable:
+		return peer.ErrUnreachable
+	case faultFrozen:
+		return context.DeadlineExceeded
+	}
+	answer, err := to.handlers[method](ctx, params.(json.RawMessage))
+	if err != nil {
+		return err
+	}
+	if to.fault == faultSlow {
+		return context.DeadlineExceeded
+	}
+	raw, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	*result.(*json.RawMessage) = raw
+	return nil
+}
+
+func (h *fakeHub) Notify(ctx context.Context, addr, method string, params any) error {
+	var ignored json.RawMessage
+	return h.Call(ctx, addr, method, params, &ignored)
+}
+
+func newFleet(nodes, engines, cells int) *fleet {
+	f := &fleet{now: time.Unix(1_000_000, 0)}
+	for i := range nodes {
+		f.nodes = append(f.nodes, f.newNode(i))
+	}
+	f.setSettings(cells)
+	f.setTargets(engineList(engines))
+	f.setViews(f.view())
+	for _, n := range f.nodes {
+		n.connect(&fakeHub{fleet: f, self: n}, &n.views, &n.targets, &n.settings)
+	}
+	f.settle()
+	return f
+}
+
+func (f *fleet) newNode(i int) *fakeNode {
+	name := fmt.Sprintf("node-%d", i)
+	s := New(Config{
+		Node: name, Incarnation: 1, Region: testRegion, Timeout: time.Millisecond, Resync: 5 * time.Second,
+	}, log.New(io.Discard), prometheus.NewRegistry())
+	s.now = func() time.Time { return f.now }
+	s.spawn = func(do func()) { do() }
+	return &fakeNode{Service: s, addr: name + ":1", handlers: make(map[string]peer.Handler)}
+}
+
+func engineList(n int) []targets.Target {
+	out := make([]targets.Target, n)
+	for i := range out {
+		out[i] = targets.Target{ID: fmt.Sprintf("engine-%02d", i), Pool: testPool, Region: testRegion, Capacity: 1}
+	}
+	return out
+}
+
+func (f *fleet) at(addr string) *fakeNode {
+	i := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n.addr == addr })
+	return f.nodes[i]
+}
+
+// view returns a view of all nodes but those named, which are dead.
+func (f *fleet) view(dead ...string) *membership.View {
+	v := &membership.View{}
+	for _, n := range f.nodes {
+		state := membership.Alive
+		if slices.Contains(dead, n.cfg.Node) {
+			state = membership.Dead
+		}
+		v.Nodes = append(v.Nodes, membership.Node{
+			ID: n.cfg.Node, PeerAddr: n.addr, Region: testRegion, Incarnation: 1, State: state,
+		})
+	}
+	slices.SortFunc(v.Nodes, func(a, b membership.Node) int { return strings.Compare(a.ID, b.ID) })
+	return v
+}
+
+func (f *fleet) setViews(v *membership.View) {
+	for _, n := range f.nodes {
+		n.views.v.Store(v)
+	}
+}
+
+func (f *fleet) setTargets(list []targets.Target) {
+	for _, n := range f.nodes {
+		n.targets.v.Store(&targets.Snapshot{Pools: map[string][]targets.Target{testPool: list}})
+	}
+}
+
+func (f *fleet) setSettings(cells int) {
+	s := settings.NewSnapshot(1, map[string]settings.Team{"team": {
+		Models: map[string]settings.Model{testPool: {Cells: cells, MaxInFlight: 1000}},
+	}})
+	for _, n := range f.nodes {
+		n.settings.v.Store(s)
+	}
+}
+
+// pass moves the clock on and runs every live node's work.
+func (f *fleet) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	for _, n := range f.nodes {
+		if n.fault == faultNone || n.fault == faultSlow {
+			n.tick(context.Background())
+			n.flush(context.Background())
+		}
+	}
+}
+
+// share sends the releases, then lets the owners tell each other their totals
+// and heed them.
+func (f *fleet) share() {
+	f.pass(releaseDelay)
+	f.pass(totalsInterval)
+	f.pass(0)
+}
+
+// settle lets every takeover end, every resync happen and every place of a
+// silent node be dropped.
+func (f *fleet) settle() {
+	for range 20 {
+		f.pass(time.Second)
+	}
+}
+
+func (f *fleet) acquire(node int, chat uint64) (Grant, error) {
+	n := f.nodes[node]
+	ref, _ := n.settings.Snapshot().Model("team", testPool)
+	return n.Acquire(context.Background(), Request{
+		Chat: chat, Pool: ref, Priority: 3, Workspace: settings.WorkspaceRef{Team: "team", Name: "ws", Weight: 1},
+	})
+}
+
+// owner returns the node that owns a cell in the first node's view.
+func (f *fleet) owner(t testing.TB, cell int) *fakeNode {
+	t.Helper()
+	p := f.nodes[0].plan()
+	n, ok := p.owner(p.keys(testPool, testRegion)[cell])
+	if !ok {
+		t.Fatal("no owner")
+	}
+	return f.at(n.PeerAddr)
+}
+
+// counted returns the places on each target that the owners know.
+func (f *fleet) counted() map[string]int {
+	out := make(map[string]int)
+	for _, n := range f.nodes {
+		if n.fault != faultNone {
+			continue
+		}
+		n.owned.each(func(_ holds.Key, c *ownedCell) {
+			for _, l := range c.owner.Targets() {
+				out[l.ID] += l.InFlight
+			}
+		})
+	}
+	return out
+}
+
+func (n *fakeNode) requests(outcome string) int {
+	return int(testutil.ToFloat64(n.metrics.requests.WithLabelValues(outcome)))
+}
+
+func (n *fakeNode) fallbacks(reason string) int {
+	return int(testutil.ToFloat64(n.metrics.fallbacks.WithLabelValues(reason)))
+}
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -54,13 +54,17 @@
 	Weight    float64  `json:"g,omitempty"` // 0 means 1
 	Urgency   int      `json:"u"`
 	Exclude   []string `json:"x,omitempty"`
+	Returning bool     `json:"y,omitempty"`
+	// Left are nodes that the asking node knows to hand their cells over.
+	Left []From `json:"z,omitempty"`
 }
 
 // Reply answers an Acquire.
 type Reply struct {
-	Code         Code   `json:"k,omitempty"`
-	Target       string `json:"t,omitempty"`
-	RetryAfterMS int64  `json:"a,omitempty"`
+	Code         Code        `json:"k,omitempty"`
+	Reason       cell.Reason `json:"s,omitempty"`
+	Target       string      `json:"t,omitempty"`
+	RetryAfterMS int64       `json:"a,omitempty"`
 	// Owner is the owner in the view of the answering node (NotOwner).
 	Owner string `json:"o,omitempty"`
 	// Leaving means that the answering node hands its cells over.
@@ -128,9 +132,6 @@
 	Cells []CellTotals `json:"e"`
 }
 
-// Leave tells that a node hands its cells over.
-type Leave struct{ From }
-
 // Seqs is an ascending list of sequence numbers; on the wire each is the
 // difference from the one before.
 type Seqs []uint64
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -11,10 +11,8 @@
 
 // Owner is the record of one cell at the node that owns it.
 type Owner struct {
-	cell     *cell.Cell
-	targets  []cell.Target
-	holders  map[cell.Holder]*holder
-	takeover takeover
+	cell    *cell.Cell
+	holders map[cell.Holder]*holder
 }
 
 // holder is what the owner knows of one run of a node.
@@ -48,10 +46,7 @@
 func (o *Owner) Configure(cfg cell.Config) { o.cell.Configure(cfg) }
 
 // SetTargets replaces the cell's targets.
-func (o *Owner) SetTargets(targets []cell.Target) {
-	o.targets = targets
-	o.cell.SetTargets(targets)
-}
+func (o *Owner) SetTargets(targets []cell.Target) { o.cell.SetTargets(targets) }
 
 // SetOthers sets the load of the pool's other cells.
 func (o *Owner) SetOthers(t cell.Totals) { o.cell.SetOthers(t) }
@@ -68,6 +63,27 @@
 	return n
 }
 
+// Takeover begins a wait for the places of the given holders; until it ends
+// the cell is careful. It ends when all were heard or with EndTakeover.
+func (o *Owner) Takeover(holders []cell.Holder) { o.cell.Takeover(holders) }
+
+// Heard ends the wait for a holder that answered under another incarnation.
+func (o *Owner) Heard(h cell.Holder) {
+	if _, known := o.holders[h]; !known && slices.Contains(o.cell.Waiting(), h) {
+		o.cell.Forget(h)
+	}
+}
+
+// EndTakeover stops waiting.
+func (o *Owner) EndTakeover() { o.cell.EndTakeover() }
+
+// Waiting returns the holders that haven't been heard since the takeover.
+func (o *Owner) Waiting() []cell.Holder { return o.cell.Waiting() }
+
+// Tick tells the cell that its process runs. After a pause the cell begins a
+// takeover by itself.
+func (o *Owner) Tick(now time.Time) { o.cell.Tick(now) }
+
 // Acquire decides an ask.
 func (o *Owner) Acquire(now time.Time, m Acquire) Reply {
 	h := o.hear(now, m.Holder())
@@ -75,13 +91,10 @@
 		return Reply{Code: Stale}
 	}
 	h.top = max(h.top, m.Seq)
-	weight := m.Weight
-	if weight == 0 {
-		weight = 1
-	}
 	v := o.cell.Acquire(now, cell.Ask{
 		Holder: m.Holder(), Request: requestName(m.Seq), Chat: m.Chat,
-		Workspace: m.Workspace, Weight: weight, Urgency: m.Urgency, Exclude: m.Exclude,
+		Workspace: m.Workspace, Weight: m.Weight, Urgency: m.Urgency,
+		Exclude: m.Exclude, Returning: m.Returning,
 	})
 	if v.Outcome == cell.Granted {
 		h.holds[m.Seq] = holdOf(Detail{Seq: m.Seq, Target: v.Target, Workspace: m.Workspace, Chat: m.Chat})
@@ -92,12 +105,15 @@
 // Targets returns the number of requests known on each target, in the order
 // of the target IDs.
 func (o *Owner) Targets() []TargetLoad {
-	known := o.knownByTarget()
+	known := make(map[string]int)
+	for _, h := range o.holders {
+		for _, hold := range h.holds {
+			known[hold.Target]++
+		}
+	}
 	out := make([]TargetLoad, 0, len(known))
 	for id, n := range known {
-		if n > 0 {
-			out = append(out, TargetLoad{ID: id, InFlight: n})
-		}
+		out = append(out, TargetLoad{ID: id, InFlight: n})
 	}
 	slices.SortFunc(out, func(a, b TargetLoad) int { return strings.Compare(a.ID, b.ID) })
 	return out
@@ -132,13 +148,17 @@
 	o.dropUnlisted(m.Holder(), h, listed)
 	h.forgetEnded(listed)
 	o.addDetails(m.Holder(), h, m.Details)
-	o.takeover.heard(m.Node)
 	return ResyncReply{Missing: h.missing(m.Held)}
 }
 
 // Expire forgets the dead holders, and the places of those last heard before
 // the given time.
 func (o *Owner) Expire(before time.Time, dead func(cell.Holder) bool) {
+	for _, id := range o.cell.Waiting() {
+		if dead(id) {
+			o.forget(id)
+		}
+	}
 	for id, h := range o.holders {
 		switch {
 		case dead(id):
@@ -212,7 +232,7 @@
 			added = true
 		}
 	}
-	if !added {
+	if !added && len(o.cell.Waiting()) == 0 {
 		return
 	}
 	all := make([]cell.Hold, 0, len(h.holds))
@@ -272,7 +292,7 @@
 }
 
 func replyOf(v cell.Verdict) Reply {
-	r := Reply{RetryAfterMS: v.RetryAfter.Milliseconds()}
+	r := Reply{Reason: v.Reason, RetryAfterMS: v.RetryAfter.Milliseconds()}
 	switch v.Outcome {
 	case cell.Granted:
 		r.Target = v.Target
--- a/admission/holds/owner_test.go
+++ b/admission/holds/owner_test.go
@@ -22,38 +22,38 @@
 	return holds.Acquire{From: holds.From{Node: node, Incarnation: incarnation}, Key: key, Seq: seq}
 }
 
-func TestTakeoverCountsReportsUntilAllAreHeard(t *testing.T) {
-	reported := func(string) int { return 5 }
+func TestTakeoverEnds(t *testing.T) {
+	holders := []cell.Holder{{Node: "x", Incarnation: 1}, {Node: "y", Incarnation: 1}}
 	tests := []struct {
-		name   string
-		resync []string
-		at     time.Time
-		want   int
-		active bool
+		name    string
+		then    func(o *holds.Owner)
+		waiting int
 	}{
-		{"nobody heard", nil, start, 5, true},
-		{"one heard", []string{"x"}, start, 5, true},
-		{"all heard", []string{"x", "y"}, start, 2, false},
-		{"time over", nil, start.Add(time.Second), 0, false},
+		{"nobody heard", func(*holds.Owner) {}, 2},
+		{"one heard", func(o *holds.Owner) { o.Resync(start, resyncOf("x")) }, 1},
+		{"an ask is no account of places", func(o *holds.Owner) { o.Acquire(start, acquire("x", 1, 1)) }, 2},
+		{"all heard", func(o *holds.Owner) {
+			o.Resync(start, resyncOf("x"))
+			o.Resync(start, resyncOf("y"))
+		}, 0},
+		{"ended", func(o *holds.Owner) { o.EndTakeover() }, 0},
+		{"dead", func(o *holds.Owner) { o.Expire(start, func(cell.Holder) bool { return true }) }, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			o := newOwner()
-			o.BeginTakeover(start.Add(time.Second), []string{"x", "y"})
-			for _, node := range tt.resync {
-				o.Resync(start, holds.Resync{
-					From: holds.From{Node: node, Incarnation: 1}, Key: key, At: 9,
-					Details: []holds.Detail{{Seq: 1, Target: "a"}},
-				})
-			}
-			o.AdvanceTakeover(tt.at, reported)
-			is.Equal(o.Totals().InFlight, tt.want)
-			is.Equal(o.InTakeover(), tt.active)
+			o.Takeover(holders)
+			tt.then(o)
+			is.Equal(len(o.Waiting()), tt.waiting)
 		})
 	}
 }
 
+func resyncOf(node string) holds.Resync {
+	return holds.Resync{From: holds.From{Node: node, Incarnation: 1}, Key: key, At: 9}
+}
+
 func TestHolderIsForgotten(t *testing.T) {
 	none := func(cell.Holder) bool { return false }
 	tests := []struct {
--- a/admission/holds/table.go
+++ b/admission/holds/table.go
@@ -148,7 +148,7 @@
 }
 
 // Build returns the resync of a cell for an owner. Places that the owner
-// knows are listed by number only.
+// knows are listed by number only; the zero owner knows none.
 func (t *Table) Build(k Key, owner cell.Holder) Resync {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -159,7 +159,7 @@
 		return m
 	}
 	for q, p := range c.holds {
-		if p.knownTo == owner {
+		if p.knownTo == owner && owner != (cell.Holder{}) {
 			m.Held = append(m.Held, q)
 		} else {
 			m.Details = append(m.Details, p.Detail)
--- a/admission/local.go
+++ b/admission/local.go
@@ -13,65 +13,141 @@
 	"github.com/knapweedgw/knapweedgw/targets"
 )
 
-const saturatedRetryAfter = 2 * time.Second
+const (
+	saturatedRetryAfter = 2 * time.Second
+	// reportMaxAge is the age from which a target's report no longer counts.
+	reportMaxAge = 10 * time.Second
+)
 
 // TargetSource gives the current targets.
 type TargetSource interface{ Snapshot() *targets.Snapshot }
 
-// Local admits by the requests that this node itself has in flight. It is the
-// baseline, and the fallback when no admission owner answers.
+// Local estimates load from what targets last reported and what this node has
+// sent since. It is the baseline, and the fallback when no owner answers.
 type Local struct {
 	targets TargetSource
+	now     func() time.Time
+
+	mu    sync.Mutex
+	loads map[string]*estimate
+}
 
-	mu       sync.Mutex
-	inFlight map[string]int
+// estimate is what a node knows of one target's load by itself.
+type estimate struct {
+	own      int // requests of this node in flight
+	reported int
+	at       time.Time
+	epoch    int // number of reports
+	since    int // own requests in flight that began after the report
+}
+
+func (e *estimate) load(now time.Time) int {
+	if now.Sub(e.at) > reportMaxAge {
+		return e.own
+	}
+	return max(e.own, e.reported+e.since)
 }
 
 // NewLocal returns a Local over the node's targets.
 func NewLocal(t TargetSource) *Local {
-	return &Local{targets: t, inFlight: make(map[string]int)}
+	return &Local{targets: t, now: time.Now, loads: make(map[string]*estimate)}
 }
 
 // ID implements kernel.Service.
 func (l *Local) ID() kernel.ID { return ServiceID }
 
+// Observe takes a target's report of its requests in flight. A report older
+// than the last is ignored.
+func (l *Local) Observe(target string, inFlight int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.estimate(target)
+	if at.Before(e.at) {
+		return
+	}
+	e.reported, e.at, e.since = inFlight, at, 0
+	e.epoch++
+}
+
 // Acquire implements Admitter.
 func (l *Local) Acquire(_ context.Context, r Request) (Grant, error) {
-	candidates := eligible(l.targets.Snapshot().Pool(r.Pool.Pool), r.Exclude)
+	t, release, err := l.place(eligible(l.targets.Snapshot().Pool(r.Pool.Pool), r.Exclude), r)
+	if err != nil {
+		return Grant{}, err
+	}
+	return Grant{Target: t, Release: sync.OnceFunc(release)}, nil
+}
+
+// place counts the request on the first target in the rendezvous order under
+// the bound. The returned function must be called once.
+func (l *Local) place(candidates []targets.Target, r Request) (targets.Target, func(), error) {
 	if len(candidates) == 0 {
-		return Grant{}, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+		return targets.Target{}, nil, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit := l.limit(candidates, r)
+	now := l.now()
+	mean := l.mean(candidates, now)
 	for _, i := range rank(candidates, r.Chat) {
 		t := candidates[i]
-		if l.inFlight[t.ID] < limit {
-			return l.grant(t), nil
+		bound := int(math.Ceil(r.Pool.LoadFactor * mean * float64(t.Capacity)))
+		if l.estimate(t.ID).load(now) < min(bound, r.Pool.MaxInFlight*t.Capacity) {
+			return t, l.count(t.ID), nil
 		}
 	}
-	return Grant{}, problem.New(problem.Saturated, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+	return targets.Target{}, nil, problem.New(problem.Saturated, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
 }
 
-func (l *Local) grant(t targets.Target) Grant {
-	l.inFlight[t.ID]++
-	var once sync.Once
-	release := func() {
+// sent counts a request of this node until the returned function is called.
+func (l *Local) sent(target string) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count(target)
+}
+
+func (l *Local) count(target string) func() {
+	e := l.estimate(target)
+	e.own++
+	e.since++
+	epoch := e.epoch
+	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.inFlight[t.ID]--
+		e.own--
+		if e.epoch == epoch {
+			e.since--
+		}
 	}
-	return Grant{Target: t, Release: func() { once.Do(release) }}
 }
 
-// limit is ceil(c × mean), where the mean counts the request to be placed.
-func (l *Local) limit(candidates []targets.Target, r Request) int {
-	total := 1
+// mean is the load of a target of capacity 1 with the request to be placed.
+func (l *Local) mean(candidates []targets.Target, now time.Time) float64 {
+	total, capacity := 1, 0
 	for _, t := range candidates {
-		total += l.inFlight[t.ID]
+		total += l.estimate(t.ID).load(now)
+		capacity += t.Capacity
+	}
+	return float64(total) / float64(max(capacity, 1))
+}
+
+func (l *Local) estimate(target string) *estimate {
+	e, ok := l.loads[target]
+	if !ok {
+		e = &estimate{}
+		l.loads[target] = e
+	}
+	return e
+}
+
+// keep forgets the targets that are gone and hold no request.
+func (l *Local) keep(known func(target string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, e := range l.loads {
+		if e.own == 0 && !known(id) {
+			delete(l.loads, id)
+		}
 	}
-	bound := int(math.Ceil(r.Pool.LoadFactor * float64(total) / float64(len(candidates))))
-	return min(bound, r.Pool.MaxInFlight)
 }
 
 func eligible(pool []targets.Target, exclude []string) []targets.Target {
--- /dev/null
+++ b/admission/metrics.go
@@ -0,0 +1,87 @@
+package admission
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/knapweedgw/knapweedgw/telemetry"
+)
+
+const subsystem = "admission"
+
+// The outcomes of an Acquire.
+const (
+	outcomeOwner    = "owner"    // granted by the cell's owner
+	outcomeSelf     = "self"     // granted by this node, which owns the cell
+	outcomeFallback = "fallback" // placed by the local estimate
+	outcomeRefused  = "refused"
+	outcomeFull     = "full" // by the local estimate
+	outcomeNoTarget = "no_target"
+	outcomeCanceled = "canceled"
+)
+
+// The reasons for falling back on the local estimate.
+const (
+	reasonTimeout     = "timeout"
+	reasonUnreachable = "unreachable"
+	reasonBreaker     = "breaker_open"
+	reasonFailed      = "failed"
+	reasonNoOwner     = "no_owner"
+	reasonNotOwner    = "not_owner"
+	reasonRecovering  = "recovering"
+	reasonStale       = "stale"
+	reasonAllFull     = "all_full"
+)
+
+type metrics struct {
+	requests  *prometheus.CounterVec
+	fallbacks *prometheus.CounterVec
+	redirects *prometheus.CounterVec
+	givenUp   prometheus.Counter
+	resyncs   *prometheus.CounterVec
+	takeovers prometheus.Counter
+	roundTrip prometheus.Histogram
+	bytes     *prometheus.CounterVec
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := promauto.With(reg)
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return f.NewCounterVec(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+		}, labels)
+	}
+	return &metrics{
+		requests:  counters("requests_total", "Places asked for, by outcome.", "outcome"),
+		fallbacks: counters("fallbacks_total", "Places decided by the local estimate, by reason.", "reason"),
+		redirects: counters("redirects_total", "Further owners asked, by reason.", "reason"),
+		givenUp: f.NewCounter(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "asks_given_up_total",
+			Help: "Asks without an answer in time; a late grant is released.",
+		}),
+		resyncs: counters("resyncs_total", "Accounts of places sent to owners, by cause and result.", "cause", "result"),
+		takeovers: f.NewCounter(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "takeovers_total",
+			Help: "Cells that this node became the owner of.",
+		}),
+		roundTrip: f.NewHistogram(prometheus.HistogramOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "owner_round_trip_seconds",
+			Help:    "Time until another node that owns a cell answered.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 1.6, 18),
+		}),
+		bytes: counters("bytes_total", "Parameters and results exchanged with other nodes, by method.", "direction", "method"),
+	}
+}
+
+// observeState publishes gauges of the service's state.
+func observeState(reg prometheus.Registerer, s *Service) {
+	f := promauto.With(reg)
+	gauge := func(name, help string, value func() int) {
+		f.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+		}, func() float64 { return float64(value()) })
+	}
+	gauge("places_held", "Places that this node's requests hold.", s.table.Len)
+	gauge("cells_owned", "Cells that this node owns.", s.owned.len)
+	gauge("places_owned", "Places known on the targets of owned cells.", s.owned.places)
+}
--- /dev/null
+++ b/admission/serve.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/peer"
+)
+
+// The methods between nodes. Release and totals are notifications.
+const (
+	methodAcquire = "admission.acquire"
+	methodRelease = "admission.release"
+	methodResync  = "admission.resync"
+	methodPull    = "admission.pull"
+	methodTotals  = "admission.totals"
+)
+
+var errNotInView = errors.New("admission: the node is not in the view; it may have been replaced")
+
+// serve registers the handlers.
+func (s *Service) serve() {
+	s.hub.Handle(methodAcquire, handler(s, methodAcquire, s.serveAcquire))
+	s.hub.Handle(methodRelease, notice(s, methodRelease, s.serveRelease))
+	s.hub.Handle(methodResync, handler(s, methodResync, s.serveResync))
+	s.hub.Handle(methodPull, handler(s, methodPull, s.servePull))
+	s.hub.Handle(methodTotals, notice(s, methodTotals, s.serveTotals))
+}
+
+// handler decodes a call for f, encodes its result and counts the bytes.
+func handler[M, R any](s *Service, method string, f func(M) R) peer.Handler {
+	in, out := s.metrics.bytes.WithLabelValues("in", method), s.metrics.bytes.WithLabelValues("out", method)
+	return func(_ context.Context, params json.RawMessage) (any, error) {
+		in.Add(float64(len(params)))
+		var m M
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, errors.Wrapf(err, "admission: %s", method)
+		}
+		raw, err := json.Marshal(f(m))
+		out.Add(float64(len(raw)))
+		return json.RawMessage(raw), err
+	}
+}
+
+// notice decodes a notification for f and counts its bytes.
+func notice[M any](s *Service, method string, f func(M)) peer.Handler {
+	in := s.metrics.bytes.WithLabelValues("in", method)
+	return func(_ context.Context, params json.RawMessage) (any, error) {
+		in.Add(float64(len(params)))
+		var m M
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, errors.Wrapf(err, "admission: %s", method)
+		}
+		f(m)
+		return nil, nil
+	}
+}
+
+func (s *Service) serveAcquire(m holds.Acquire) holds.Reply {
+	for _, f := range m.Left {
+		s.noteLeft(f)
+	}
+	m.Region = s.cfg.Region
+	return s.acquireOwned(m)
+}
+
+// acquireOwned decides an ask for a cell that this node should own.
+func (s *Service) acquireOwned(m holds.Acquire) holds.Reply {
+	p := s.plan()
+	c, ok := s.owned.get(m.Key)
+	if !ok {
+		return s.notOwner(p, m.Key)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.owner.Acquire(s.now(), m)
+	if r.Code == holds.Full {
+		r.Least = 1 + s.totals.least(m.Key)
+	}
+	return r
+}
+
+func (s *Service) notOwner(p *plan, k holds.Key) holds.Reply {
+	r := holds.Reply{Code: holds.NotOwner, Leaving: s.draining.Load()}
+	if n, ok := p.owner(k); ok && !p.stale(k) {
+		r.Owner = n.ID
+	}
+	return r
+}
+
+func (s *Service) serveRelease(m holds.Release) {
+	for _, e := range m.Cells {
+		e.Region = s.cfg.Region
+		s.releaseOwned(m.Holder(), e)
+	}
+}
+
+func (s *Service) releaseOwned(h cell.Holder, e holds.Released) {
+	c, ok := s.owned.get(e.Key)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owner.Release(s.now(), h, e.Seqs)
+}
+
+func (s *Service) serveResync(m holds.Resync) holds.ResyncReply {
+	m.Region = s.cfg.Region
+	return s.resyncOwned(m)
+}
+
+func (s *Service) resyncOwned(m holds.Resync) holds.ResyncReply {
+	s.plan()
+	c, ok := s.owned.get(m.Key)
+	if !ok {
+		return holds.ResyncReply{NotOwner: true}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owner.Resync(s.now(), m)
+}
+
+func (s *Service) servePull(m holds.Pull) holds.Resync {
+	m.Region = s.cfg.Region
+	return s.table.Build(m.Key, cell.Holder{})
+}
--- /dev/null
+++ b/admission/service.go
@@ -0,0 +1,315 @@
+package admission
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// Intervals of the service's work.
+const (
+	tickInterval     = 50 * time.Millisecond
+	totalsInterval   = time.Second
+	releaseDelay     = 25 * time.Millisecond // releases are gathered that long
+	reportDelay      = 200 * time.Millisecond
+	resyncRetry      = time.Second
+	resyncTimeout    = time.Second
+	takeoverTime     = time.Second
+	pullInterval     = 250 * time.Millisecond
+	silentIntervals  = 3 // resync intervals after which a silent node's places are dropped
+	leftRemembered   = 30 * time.Second
+	drainFlushBudget = 500 * time.Millisecond
+)
+
+// Caller calls other nodes and serves their calls; see package peer.
+type Caller interface {
+	Handle(method string, f peer.Handler)
+	Call(ctx context.Context, addr, method string, params, result any) error
+	Notify(ctx context.Context, addr, method string, params any) error
+}
+
+// SettingsSource gives the settings in force, nil before the first.
+type SettingsSource interface{ Snapshot() *settings.Snapshot }
+
+// Config identifies the node and sets its timing.
+type Config struct {
+	Node        string
+	Incarnation int64
+	Region      string
+	// Timeout is the shortest wait for an owner's answer before the local
+	// estimate decides.
+	Timeout time.Duration
+	// Resync is the interval of a node's full account to each owner.
+	Resync time.Duration
+}
+
+// Service admits requests together with the services of the other nodes: it
+// asks the owners of cells for places, and owns cells itself.
+type Service struct {
+	cfg     Config
+	self    holds.From
+	log     *log.Logger
+	metrics *metrics
+	now     func() time.Time
+	spawn   func(func())
+
+	hub      Caller
+	view     membership.Source
+	targets  TargetSource
+	settings SettingsSource
+
+	local    *Local
+	table    *holds.Table
+	releases *releases
+	owned    *owned
+	totals   *totals
+	draining atomic.Bool
+
+	mu         sync.Mutex
+	links      map[string]*link
+	left       map[string]leaver
+	planned    *plan
+	nextTotals time.Time
+}
+
+// leaver is a node that said that it hands its cells over.
+type leaver struct {
+	incarnation int64
+	until       time.Time
+}
+
+// New returns a service.
+func New(cfg Config, l *log.Logger, reg prometheus.Registerer) *Service {
+	s := &Service{
+		cfg: cfg, self: holds.From{Node: cfg.Node, Incarnation: cfg.Incarnation},
+		log: l, metrics: newMetrics(reg), now: time.Now, spawn: func(f func()) { go f() },
+		releases: newReleases(), owned: newOwned(), totals: newTotals(),
+		links: make(map[string]*link), left: make(map[string]leaver),
+	}
+	s.table = holds.NewTable(s.self, holds.Timing{Interval: cfg.Resync, Retry: resyncRetry, Report: reportDelay})
+	observeState(reg, s)
+	return s
+}
+
+// ID implements kernel.Service.
+func (s *Service) ID() kernel.ID { return ServiceID }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	hub, err := kernel.Lookup[Caller](k, peer.ServiceID)
+	if err != nil {
+		return err
+	}
+	view, err := kernel.Lookup[membership.Source](k, membership.ServiceID)
+	if err != nil {
+		return err
+	}
+	tgts, err := kernel.Lookup[TargetSource](k, targets.ServiceID)
+	if err != nil {
+		return err
+	}
+	set, err := kernel.Lookup[SettingsSource](k, settings.ServiceID)
+	if err != nil {
+		return err
+	}
+	s.connect(hub, view, tgts, set)
+	return nil
+}
+
+func (s *Service) connect(hub Caller, view membership.Source, t TargetSource, set SettingsSource) {
+	s.hub, s.view, s.targets, s.settings = hub, view, t, set
+	s.local = NewLocal(t)
+	s.local.now = func() time.Time { return s.now() }
+	s.serve()
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(ctx context.Context) error {
+	go s.run(ctx)
+	go s.runReleases(ctx)
+	return nil
+}
+
+// Drain implements kernel.Drainer: from now on this node owns no cell and says
+// so to who asks. Its own requests go on.
+func (s *Service) Drain(context.Context) error {
+	s.draining.Store(true)
+	s.replan()
+	return nil
+}
+
+// Stop implements kernel.Stopper: it sends the releases that are left.
+func (s *Service) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainFlushBudget)
+	defer cancel()
+	s.flush(ctx)
+	return nil
+}
+
+// Observe takes a target's report of its requests in flight, for the local
+// estimate.
+func (s *Service) Observe(target string, inFlight int, at time.Time) {
+	s.local.Observe(target, inFlight, at)
+}
+
+func (s *Service) run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.tick(ctx)
+		}
+	}
+}
+
+// tick does what is due: it follows changes of the plan, tells owners what
+// this node holds, and tends the cells owned.
+func (s *Service) tick(ctx context.Context) {
+	now := s.now()
+	p := s.plan()
+	s.table.Rekey(now, p.stale, p.keyOf)
+	s.resyncDue(ctx, p)
+	s.tendOwned(ctx, p, now)
+	if s.totalsDue(now) {
+		s.sendTotals(ctx, p, now)
+		s.expire(p, now)
+	}
+}
+
+func (s *Service) totalsDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.nextTotals) {
+		return false
+	}
+	s.nextTotals = now.Add(totalsInterval)
+	return true
+}
+
+// expire drops what is known of nodes and targets that are gone.
+func (s *Service) expire(p *plan, now time.Time) {
+	dead := func(h cell.Holder) bool {
+		n, ok := p.inputs.view.Node(h.Node)
+		return ok && n.State == membership.Dead
+	}
+	silent := now.Add(-silentIntervals * s.cfg.Resync)
+	s.owned.each(func(_ holds.Key, c *ownedCell) { c.owner.Expire(silent, dead) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.left {
+		if now.After(l.until) {
+			delete(s.left, id)
+		}
+	}
+	for id := range s.links {
+		if _, ok := p.inputs.view.Node(id); !ok {
+			delete(s.links, id)
+		}
+	}
+}
+
+// plan returns the plan of the current snapshots. A new plan is put in force
+// in the owned cells before it is returned.
+func (s *Service) plan() *plan {
+	in := inputs{settings: s.settings.Snapshot(), view: s.view.View(), targets: s.targets.Snapshot()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.planned != nil && s.planned.inputs == in {
+		return s.planned
+	}
+	p := newPlan(in, s.cfg.Region, s.hasLeft)
+	s.planned = p
+	s.ownPlanned(p)
+	s.local.keep(p.hasTarget)
+	return p
+}
+
+// replan makes the next call of plan begin anew.
+func (s *Service) replan() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.planned = nil
+}
+
+// hasLeft says whether a node hands its cells over though its view entry is
+// still good.
+func (s *Service) hasLeft(n membership.Node) bool {
+	if n.ID == s.cfg.Node {
+		return s.draining.Load()
+	}
+	l, ok := s.left[n.ID]
+	return ok && n.Incarnation <= l.incarnation
+}
+
+// noteLeft remembers a node that hands its cells over.
+func (s *Service) noteLeft(f holds.From) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.left[f.Node]; ok && l.incarnation >= f.Incarnation || f.Node == s.cfg.Node {
+		return
+	}
+	s.left[f.Node] = leaver{incarnation: f.Incarnation, until: s.now().Add(leftRemembered)}
+	s.planned = nil
+}
+
+// leavers returns the nodes that hand their cells over, this one included,
+// while the view doesn't show it yet.
+func (s *Service) leavers() []holds.From {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []holds.From
+	for _, n := range s.view.View().Nodes {
+		if n.State <= membership.Suspect && s.hasLeft(n) {
+			out = append(out, holds.From{Node: n.ID, Incarnation: n.Incarnation})
+		}
+	}
+	return out
+}
+
+// call runs a method on another node and counts its bytes.
+func (s *Service) call(ctx context.Context, n membership.Node, method string, params, result any) error {
+	raw, err := s.encode(method, params)
+	if err != nil {
+		return err
+	}
+	var answer json.RawMessage
+	if err := s.hub.Call(ctx, n.PeerAddr, method, raw, &answer); err != nil {
+		return err
+	}
+	s.metrics.bytes.WithLabelValues("in", method).Add(float64(len(answer)))
+	return json.Unmarshal(answer, result)
+}
+
+func (s *Service) notify(ctx context.Context, n membership.Node, method string, params any) error {
+	raw, err := s.encode(method, params)
+	if err != nil {
+		return err
+	}
+	return s.hub.Notify(ctx, n.PeerAddr, method, raw)
+}
+
+func (s *Service) encode(method string, params any) (json.RawMessage, error) {
+	raw, err := json.Marshal(params)
+	s.metrics.bytes.WithLabelValues("out", method).Add(float64(len(raw)))
+	return raw, err
+}
+
+func holderOf(n membership.Node) cell.Holder {
+	return cell.Holder{Node: n.ID, Incarnation: n.Incarnation}
+}
--- /dev/null
+++ b/admission/service_test.go
@@ -0,0 +1,336 @@
+package admission
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// load is the places that callers really hold, by target.
+type load struct {
+	grants []Grant
+	counts map[string]int
+}
+
+func newLoad() *load { return &load{counts: make(map[string]int)} }
+
+func (l *load) add(g Grant) {
+	l.grants = append(l.grants, g)
+	l.counts[g.Target.ID]++
+}
+
+func (l *load) release(i int) {
+	g := l.grants[i]
+	g.Release()
+	l.grants = slices.Delete(l.grants, i, i+1)
+	if l.counts[g.Target.ID]--; l.counts[g.Target.ID] == 0 {
+		delete(l.counts, g.Target.ID)
+	}
+}
+
+// bound is ceil(c × mean) with the requests there are now.
+func (l *load) bound(engines int) int {
+	return int(math.Ceil(settings.DefaultLoadFactor * float64(len(l.grants)) / float64(engines)))
+}
+
+// TestBoundWhicheverNodeAsks: at one view, no grant takes a target beyond
+// ceil(c × mean), whichever node asks and however many cells there are.
+func TestBoundWhicheverNodeAsks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const nodes, engines = 4, 6
+		f := newFleet(nodes, engines, rapid.IntRange(1, 3).Draw(rt, "cells"))
+		held := newLoad()
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			if len(held.grants) > 0 && rapid.IntRange(0, 3).Draw(rt, "release") == 0 {
+				held.release(rapid.IntRange(0, len(held.grants)-1).Draw(rt, "place"))
+				f.share()
+				continue
+			}
+			g, err := f.acquire(rapid.IntRange(0, nodes-1).Draw(rt, "node"), rapid.Uint64Range(0, 3).Draw(rt, "chat"))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			held.add(g)
+			if n, limit := held.counts[g.Target.ID], held.bound(engines); n > limit {
+				rt.Fatalf("%s has %d requests, limit %d of %v", g.Target.ID, n, limit, held.counts)
+			}
+			f.share()
+		}
+		for _, n := range f.nodes {
+			if n.requests(outcomeFallback) > 0 {
+				rt.Fatal("the estimate decided without a fault")
+			}
+		}
+	})
+}
+
+// TestNoOwnerFaultLosesARequest: whatever is wrong with the owner, a request
+// gets a place, and the count is exact again after it is mended.
+func TestNoOwnerFaultLosesARequest(t *testing.T) {
+	tests := []struct {
+		name   string
+		break_ func(f *fleet, owner *fakeNode)
+		reason string // of the fallback; empty if an owner decides
+	}{
+		{"healthy", func(*fleet, *fakeNode) {}, ""},
+		{"unreachable", func(_ *fleet, o *fakeNode) { o.fault = faultUnreachable }, reasonUnreachable},
+		{"frozen", func(_ *fleet, o *fakeNode) { o.fault = faultFrozen }, reasonTimeout},
+		{"answers too late", func(_ *fleet, o *fakeNode) { o.fault = faultSlow }, reasonTimeout},
+		{"hands over", func(_ *fleet, o *fakeNode) { _ = o.Drain(context.Background()) }, reasonRecovering},
+		{"says another owns it", func(f *fleet, o *fakeNode) { o.views.v.Store(f.view(o.cfg.Node)) }, reasonNotOwner},
+		{"has no settings", func(_ *fleet, o *fakeNode) { o.settings.v.Store(nil) }, reasonNotOwner},
+		{"dead in every view", func(f *fleet, o *fakeNode) {
+			o.fault = faultUnreachable
+			f.setViews(f.view(o.cfg.Node))
+			f.pass(0)
+		}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(4, 6, 1)
+			owner := f.owner(t, 0)
+			asker := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n != owner })
+			tt.break_(f, owner)
+			held := newLoad()
+			g, err := f.acquire(asker, 1)
+			is.NoErr(err)
+			held.add(g)
+			if tt.reason == "" {
+				is.Equal(f.nodes[asker].requests(outcomeFallback), 0)
+			} else {
+				is.Equal(f.nodes[asker].fallbacks(tt.reason), 1)
+			}
+			owner.fault = faultNone
+			if tt.reason != "" && !owner.draining.Load() {
+				f.setViews(f.view())
+				f.setSettings(1)
+			}
+			f.settle()
+			is.Equal(f.counted(), held.counts)
+			held.release(0)
+			f.settle()
+			is.Equal(f.counted(), held.counts)
+		})
+	}
+}
+
+// TestViewChangesHeal: while nodes hold different views and calls fail, every
+// request gets a place; once the views agree, the counts become exact.
+func TestViewChangesHeal(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const nodes, engines = 4, 4
+		f := newFleet(nodes, engines, rapid.IntRange(1, 2).Draw(rt, "cells"))
+		held := newLoad()
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			n := rapid.IntRange(0, nodes-1).Draw(rt, "node")
+			switch rapid.SampledFrom([]string{"acquire", "acquire", "acquire", "release", "view", "fault", "pass"}).Draw(rt, "kind") {
+			case "acquire":
+				g, err := f.acquire(n, rapid.Uint64Range(0, 3).Draw(rt, "chat"))
+				if err != nil {
+					rt.Fatal(err)
+				}
+				held.add(g)
+			case "release":
+				if len(held.grants) > 0 {
+					held.release(rapid.IntRange(0, len(held.grants)-1).Draw(rt, "place"))
+				}
+			case "view":
+				dead := f.nodes[rapid.IntRange(0, nodes-1).Draw(rt, "dead")].cfg.Node
+				f.nodes[n].views.v.Store(f.view(dead))
+			case "fault":
+				f.nodes[n].fault = fault(rapid.IntRange(0, int(faultSlow)).Draw(rt, "fault"))
+			default:
+				f.pass(time.Duration(rapid.IntRange(10, 1500).Draw(rt, "ms")) * time.Millisecond)
+			}
+		}
+		for _, n := range f.nodes {
+			n.fault = faultNone
+		}
+		f.setViews(f.view())
+		f.settle()
+		if got := f.counted(); !maps.Equal(got, held.counts) {
+			rt.Fatalf("owners count %v, callers hold %v", got, held.counts)
+		}
+	})
+}
+
+// TestNewOwnerKnowsThePlaces: a killed owner's successor pulls all places
+// before it grants, so that the bound holds on.
+func TestNewOwnerKnowsThePlaces(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 4, 1)
+	held := newLoad()
+	owner := f.owner(t, 0)
+	asker := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n != owner })
+	for chat := range uint64(40) {
+		g, err := f.acquire(asker, chat)
+		is.NoErr(err)
+		held.add(g)
+	}
+	owner.fault = faultUnreachable
+	f.setViews(f.view(owner.cfg.Node))
+	f.pass(0)
+	is.Equal(f.counted(), held.counts)
+	for range 40 {
+		g, err := f.acquire(asker, 1) // one chat: all would go to its home
+		is.NoErr(err)
+		held.add(g)
+		is.True(held.counts[g.Target.ID] <= held.bound(4))
+	}
+}
+
+// TestResyncBuiltBeforeTheGrant: an account that was built while an ask was
+// under way, and comes after the grant, doesn't lose the place.
+func TestResyncBuiltBeforeTheGrant(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 4, 1)
+	owner := f.owner(t, 0)
+	asker := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n != owner })
+	n := f.nodes[asker]
+	k := n.plan().keys(testPool, testRegion)[0]
+	var early holds.Resync
+	n.onCall = func(method string) {
+		if method == methodAcquire {
+			early = n.table.Build(k, owner.self.Holder())
+		}
+	}
+	g, err := f.acquire(asker, 1)
+	is.NoErr(err)
+	is.Equal(len(early.Pending), 1)
+	owner.resyncOwned(early)
+	is.Equal(f.counted(), map[string]int{g.Target.ID: 1})
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	tests := []struct {
+		name  string
+		knows func(f *fleet, owner, asker *fakeNode) []*fakeNode
+	}{
+		{"only the asking node knows", func(_ *fleet, _, asker *fakeNode) []*fakeNode { return []*fakeNode{asker} }},
+		{"only the owner knows", func(_ *fleet, owner, _ *fakeNode) []*fakeNode { return []*fakeNode{owner} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3, 3, 1)
+			owner := f.owner(t, 0)
+			asker := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n != owner })
+			before, err := f.acquire(asker, 1)
+			is.NoErr(err)
+			list := engineList(3)
+			for i := range list {
+				list[i].Leaving = list[i].ID == before.Target.ID
+			}
+			for _, n := range tt.knows(f, owner, f.nodes[asker]) {
+				n.targets.v.Store(&targets.Snapshot{Pools: map[string][]targets.Target{testPool: list}})
+			}
+			held := newLoad()
+			held.add(before)
+			for range 10 {
+				g, err := f.acquire(asker, 1)
+				is.NoErr(err)
+				is.True(g.Target.ID != before.Target.ID)
+				held.add(g)
+			}
+			f.pass(releaseDelay)
+			is.Equal(f.counted(), held.counts) // the work in flight stays counted
+		})
+	}
+}
+
+func TestCellsChange(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 6, 1)
+	held := newLoad()
+	for chat := range uint64(20) {
+		g, err := f.acquire(int(chat)%3, chat)
+		is.NoErr(err)
+		held.add(g)
+	}
+	f.setSettings(3)
+	f.settle()
+	is.Equal(f.counted(), held.counts)
+	for len(held.grants) > 0 {
+		held.release(0)
+	}
+	f.pass(releaseDelay)
+	is.Equal(f.counted(), held.counts)
+}
+
+func TestRefusals(t *testing.T) {
+	// The one workspace may also be told that it is over its share.
+	saturated := []problem.Reason{problem.Saturated, problem.WorkspaceLimit}
+	full := func(cells int) *fleet {
+		f := newFleet(3, 3, cells)
+		s := settings.NewSnapshot(2, map[string]settings.Team{"team": {
+			Models: map[string]settings.Model{testPool: {MaxInFlight: 1, Cells: cells}},
+		}})
+		for _, n := range f.nodes {
+			n.settings.v.Store(s)
+		}
+		f.settle()
+		for chat := range uint64(3) {
+			_, _ = f.acquire(0, chat)
+			f.share()
+		}
+		return f
+	}
+	tests := []struct {
+		name    string
+		fleet   func() *fleet
+		reasons []problem.Reason
+	}{
+		{"full", func() *fleet { return full(1) }, saturated},
+		{"full in every cell", func() *fleet { return full(3) }, saturated},
+		{"no target", func() *fleet {
+			f := newFleet(3, 3, 1)
+			f.setTargets(nil)
+			return f
+		}, []problem.Reason{problem.NoTarget}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := tt.fleet().acquire(1, 1)
+			p, ok := err.(*problem.Problem)
+			is.True(ok)
+			is.True(slices.Contains(tt.reasons, p.Reason))
+			is.Equal(p.Ran, problem.RanNo)
+			is.True(p.RetryAfter > 0)
+		})
+	}
+}
+
+// TestDrainMovesCells: a node that drains owns nothing more; its own requests
+// stay counted at the next owner.
+func TestDrainMovesCells(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 4, 1)
+	owner := f.owner(t, 0)
+	self := slices.Index(f.nodes, owner)
+	held := newLoad()
+	g, err := f.acquire(self, 1)
+	is.NoErr(err)
+	held.add(g)
+	is.NoErr(owner.Drain(context.Background()))
+	is.Equal(owner.plan().duty[testRegion].nodes, slices.DeleteFunc(f.view().Duty(testRegion), func(n membership.Node) bool { return n.ID == owner.cfg.Node }))
+	_, err = f.acquire((self+1)%4, 2) // tells the next owner
+	is.NoErr(err)
+	f.pass(0)
+	f.pass(releaseDelay)
+	is.Equal(owner.owned.len(), 0)
+	is.Equal(f.counted()[g.Target.ID] >= 1, true)
+}
--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,8 @@
 	RetryShare      float64
 	ResumeHold      time.Duration
 	StreamHold      time.Duration
+	AdmissionWait   time.Duration
+	AdmissionResync time.Duration
 	DrainGrace      time.Duration
 	DrainDeadline   time.Duration
 	ClaimRetention  time.Duration
@@ -50,6 +52,8 @@
 	defaultRetryShare     = 0.1
 	defaultResumeHold     = 10 * time.Second
 	defaultStreamHold     = 250 * time.Millisecond
+	defaultAdmissionWait  = 25 * time.Millisecond
+	defaultResync         = 5 * time.Second
 	defaultDrainGrace     = 2 * time.Second
 	defaultClaimRetention = 15 * time.Minute
 	minClaimRetention     = time.Minute
@@ -74,6 +78,8 @@
 	fs.Float64Var(&c.RetryShare, "retry-share", defaultRetryShare, "most retries a request, on average: the fleet's load grows by this share at most")
 	fs.DurationVar(&c.ResumeHold, "resume-hold", defaultResumeHold, "time an engine is asked to hold a cut stream for resumption; 0 for none")
 	fs.DurationVar(&c.StreamHold, "stream-hold", defaultStreamHold, "longest time empty opening events of a stream are held back, so that an overload behind them can be retried; 0 for none")
+	fs.DurationVar(&c.AdmissionWait, "admission-timeout", defaultAdmissionWait, "shortest wait for an owner's answer before the node decides by its own estimate; at most four times that")
+	fs.DurationVar(&c.AdmissionResync, "admission-resync", defaultResync, "interval of a node's full account of its places to each owner")
 	fs.DurationVar(&c.DrainGrace, "drain-grace", defaultDrainGrace, "time between failing readiness and closing the listener")
 	fs.DurationVar(&c.DrainDeadline, "drain-deadline", 0, "longest wait for requests in progress when stopping; 0 waits for all")
 	fs.DurationVar(&c.ClaimRetention, "claim-retention", defaultClaimRetention, "time for which an Idempotency-Key runs at most once; the same on all nodes")
@@ -124,6 +130,8 @@
 	check(c.RetryShare >= 0 && c.RetryShare <= 1, "--retry-share is not between 0 and 1: use 0.1")
 	check(c.ResumeHold >= 0, "--resume-hold is negative: use 0 for none")
 	check(c.StreamHold >= 0, "--stream-hold is negative: use 0 for none")
+	check(c.AdmissionWait > 0, "--admission-timeout is not positive: use 25ms")
+	check(c.AdmissionResync > 0, "--admission-resync is not positive: use 5s")
 	check(c.DrainGrace >= 0, "--drain-grace is negative: use 0 or more")
 	check(c.ClaimRetention >= minClaimRetention, "--claim-retention is under 1m: use 15m")
 	check(c.ClaimInterval > 0, "--claim-interval is not positive: use 100ms")
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,13 @@
 	return claims.NewService(self, set, st, hub, mem, l, reg)
 }
 
+func provideAdmission(cfg *config.Node, l *log.Logger, reg prometheus.Registerer) *admission.Service {
+	return admission.New(admission.Config{
+		Node: cfg.NodeID, Incarnation: cfg.IncarnationTime.UnixNano(), Region: cfg.Region,
+		Timeout: cfg.AdmissionWait, Resync: cfg.AdmissionResync,
+	}, l, reg)
+}
+
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
 	hub *peer.Hub,
@@ -74,7 +81,7 @@
 	mem *membership.Members,
 	set *follower.Follower,
 	acc *acceptor.Acceptor,
-	adm *admission.Local,
+	adm *admission.Service,
 	clm *claims.Service,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
--- a/node/wire.go
+++ b/node/wire.go
@@ -8,13 +8,11 @@
 	"github.com/google/wire"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/knapweedgw/knapweedgw/admission"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
-	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
 
@@ -30,8 +28,7 @@
 	provideMembers,
 	follower.New,
 	acceptor.New,
-	wire.Bind(new(admission.TargetSource), new(*targets.Registry)),
-	admission.NewLocal,
+	provideAdmission,
 	provideClaims,
 	gateway.New,
 	provideKernel,
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -8,13 +8,11 @@
 
 import (
 	"github.com/google/wire"
-	"github.com/knapweedgw/knapweedgw/admission"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
-	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 	"github.com/prometheus/client_golang/prometheus"
 	"io"
@@ -36,10 +34,10 @@
 	store := provideStore(cfg)
 	followerFollower := follower.New(store, logger, registry)
 	acceptorAcceptor := acceptor.New(store, logger, registry)
-	local := admission.NewLocal(targetsRegistry)
-	service := provideClaims(cfg, store, hub, members, logger, registry)
+	service := provideAdmission(cfg, logger, registry)
+	claimsService := provideClaims(cfg, store, hub, members, logger, registry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, local, service, gatewayGateway)
+	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, service, claimsService, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -54,5 +52,6 @@
 	provideVMList,
 	provideTargets,
 	provideHub,
-	provideMembers, follower.New, acceptor.New, wire.Bind(new(admission.TargetSource), new(*targets.Registry)), admission.NewLocal, provideClaims, gateway.New, provideKernel,
+	provideMembers, follower.New, acceptor.New, provideAdmission,
+	provideClaims, gateway.New, provideKernel,
 )
