Lower the bound ahead of a fast fall of the mean

Cause: the worst max/mean (1.40, later 1.45 with callers that start evenly) came 25 to 30 s after a surge began to end, while the mean fell by 2.4% a second: targets that were filled to the old bound drain by chance, some slower than the mean, and the other cells' totals are 2 s old. No grant broke the bound.

The measurement also starts its callers evenly over a cycle: the first burst had left chats outside their home cell.

--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -27,6 +27,7 @@
 	shares shares
 	memory *memory
 	trust  trust
+	trend  trend
 }
 
 // slot is a target and the number of requests in flight on it. A target that
@@ -130,6 +131,7 @@
 	if v := c.admit(now, a); v.Outcome != Granted {
 		return v
 	}
+	c.trend.observe(now, c.Totals().InFlight+c.others.InFlight)
 	i := c.place(a)
 	if i < 0 {
 		return c.full(now, a)
--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -43,6 +43,7 @@
 	own := c.Totals()
 	capacity := max(own.Capacity+c.others.Capacity, 1)
 	mean := float64(own.InFlight+c.others.InFlight+1) / float64(capacity)
+	mean *= c.trend.forecast()
 	l := limits{bound: c.cfg.LoadFactor * mean, hard: c.cfg.MaxInFlight}
 	l.soft = min(c.cfg.NewFactor, c.cfg.LoadFactor) * mean
 	if returning {
--- /dev/null
+++ b/admission/cell/trend_test.go
@@ -0,0 +1,50 @@
+package cell
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestForecast(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		loads []int
+		step  time.Duration
+		want  float64
+	}{
+		{"too few samples", []int{100, 50}, trendStep, 1},
+		{"steady", []int{100, 100, 100, 100, 100, 100}, trendStep, 1},
+		{"rise isn't carried on", []int{100, 120, 140, 160, 180, 200}, trendStep, 1},
+		{"noise is ignored", []int{100, 100, 99, 99, 99, 98}, trendStep, 1},
+		{"a fall of 2 percent a second", []int{100, 98, 96, 94, 92, 90}, trendStep, 1 - 7*(0.02-steadyDecline)},
+		{"a collapse is carried on to half", []int{100, 80, 60, 40, 20, 1}, trendStep, 0.5},
+		{"samples closer than the step are skipped", []int{100, 1, 1, 1, 1, 1}, trendStep / 10, 1},
+		{"a gap starts anew", []int{100, 90, 80, 70, 60, 50}, 3 * trendStep, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var tr trend
+			for i, n := range tt.loads {
+				tr.observe(epoch.Add(time.Duration(i)*tt.step), n)
+			}
+			is.New(t).True(math.Abs(tr.forecast()-tt.want) < 1e-9)
+		})
+	}
+}
+
+// A forecast may only lower the bound.
+func TestForecastNeverRaises(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var tr trend
+		now := epoch
+		for range rapid.IntRange(0, 20).Draw(rt, "samples") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			tr.observe(now, rapid.IntRange(0, 1000).Draw(rt, "load"))
+			f := tr.forecast()
+			is.New(rt).True(f <= 1 && f >= 0.5)
+		}
+	})
+}
--- a/lab/measure/routing/sim.go
+++ b/lab/measure/routing/sim.go
@@ -97,7 +97,7 @@
 func (s *sim) run(ctx context.Context) error {
 	for range int(float64(s.scenario.engines) * chatsPerEngine) {
 		c := s.newChat(false)
-		s.queue.push(s.rng.ExpFloat64()*meanThink/2, func() { s.turn(c) })
+		s.queue.push(s.rng.Float64()*(meanService+meanThink), func() { s.turn(c) })
 	}
 	s.scheduleFaults()
 	s.queue.push(0, s.tick)
