Bound the duties of a node and announce totals when they change

Cause: control bytes at the target were 23.3 kB/s a node on average and 49 kB/s on the busiest node, over the 27 kB/s that a node may spend: plain rendezvous gave some nodes three or four cells, and every owner told every other its totals each 2 s, changed or not.

Ruled out, by the number of other duties that move over all 53 single losses: a limit of 1.0 times the mean (53 duties on 53 nodes: 1,236), 1.25 (212 duties: 694) and 2 (53 duties: 254, since the limit itself steps from 2 to 3); with 1.5 it is 11 and 295.

Bytes count both directions of a node.

--- a/lab/measure/routing/node.go
+++ b/lab/measure/routing/node.go
@@ -13,7 +13,7 @@
 type node struct {
 	index       int
 	id          string
-	key         uint64
+	hash        uint64
 	incarnation int64
 	state       nodeState
 	view        *view
@@ -31,7 +31,7 @@
 
 func newNode(i int) *node {
 	id := fmt.Sprintf("node-%03d", i)
-	return &node{index: i, id: id, key: routing.Key(routing.Hash(id)), inFlight: make(map[*request]struct{})}
+	return &node{index: i, id: id, hash: routing.Hash(id), inFlight: make(map[*request]struct{})}
 }
 
 func (n *node) holder() cell.Holder { return cell.Holder{Node: n.id, Incarnation: n.incarnation} }
--- a/lab/measure/routing/owners.go
+++ b/lab/measure/routing/owners.go
@@ -23,7 +23,8 @@
 	// holds are by node: the places it knows it has.
 	holds  []map[*request]struct{}
 	totals []cell.Totals // by cell, as last exchanged
-	next   float64       // time of the next exchange
+	// announcers are by node.
+	announcers []cell.Announcer
 }
 
 // owner is one node's state for one cell.
@@ -38,6 +39,7 @@
 	for range s.scenario.nodes {
 		p.cells = append(p.cells, make([]*owner, len(p.totals)))
 		p.holds = append(p.holds, make(map[*request]struct{}))
+		p.announcers = append(p.announcers, cell.Announcer{Quiet: seconds(s.quiet), Gap: min(seconds(s.quiet), cell.DefaultGap)})
 	}
 	return p
 }
@@ -284,10 +286,7 @@
 		}
 	}
 	p.resyncDue()
-	if s.now >= p.next {
-		p.next = s.now + max(s.lag, tickPeriod)
-		p.exchange()
-	}
+	p.exchange()
 }
 
 func (p *owners) pullMissing(o *owner) {
@@ -321,48 +320,79 @@
 	p.resync(n, k, false)
 }
 
-// exchange tells every owner the totals of the pool's other cells. Owners on
-// one node share a message.
+// exchange lets each node that is due tell the others the totals of its cells,
+// in one message to each node that owns some.
 func (p *owners) exchange() {
 	s := p.sim
-	var all cell.Totals
+	var due, holding []*node
 	for _, n := range s.nodes {
-		for k, o := range p.cells[n.index] {
-			if o != nil && n.state == nodeUp {
-				p.totals[k] = o.cell.Totals()
-			}
-		}
-	}
-	for _, t := range p.totals {
-		all.InFlight += t.InFlight
-		all.Capacity += t.Capacity
-	}
-	var holding []*node
-	for _, n := range s.nodes {
-		owned := 0
-		for k, o := range p.cells[n.index] {
-			if o != nil {
-				owned++
-				o.cell.SetOthers(cell.Totals{InFlight: all.InFlight - p.totals[k].InFlight, Capacity: all.Capacity - p.totals[k].Capacity})
-			}
+		if n.state != nodeUp {
+			continue
 		}
-		if owned > 0 {
+		if t := p.ownTotals(n); t.Capacity > 0 {
 			holding = append(holding, n)
+			if p.announcers[n.index].Due(s.time(), t) {
+				due = append(due, n)
+			}
 		}
 	}
-	for _, from := range holding {
-		for _, to := range holding {
-			s.message(from, to, wireSizes.totals(p.ownedBy(from)))
+	for _, from := range due {
+		p.announce(from, holding)
+	}
+	p.tellOthers(holding)
+}
+
+func (p *owners) ownTotals(n *node) cell.Totals {
+	var t cell.Totals
+	for _, o := range p.cells[n.index] {
+		if o != nil {
+			t = plus(t, o.cell.Totals())
 		}
 	}
+	return t
 }
 
-func (p *owners) ownedBy(n *node) int {
+func (p *owners) announce(from *node, to []*node) {
 	owned := 0
-	for _, o := range p.cells[n.index] {
+	for k, o := range p.cells[from.index] {
 		if o != nil {
+			p.totals[k] = o.cell.Totals()
 			owned++
 		}
 	}
-	return owned
+	for _, n := range to {
+		p.sim.message(from, n, wireSizes.totals(owned))
+	}
+}
+
+// tellOthers sets what each owner knows of the other cells. Of the cells on its
+// own node it knows the present load.
+func (p *owners) tellOthers(holding []*node) {
+	var all cell.Totals
+	for _, t := range p.totals {
+		all = plus(all, t)
+	}
+	for _, n := range holding {
+		others := all
+		for k, o := range p.cells[n.index] {
+			if o != nil {
+				others = plus(minus(others, p.totals[k]), o.cell.Totals())
+			}
+		}
+		for _, o := range p.cells[n.index] {
+			if o != nil {
+				o.cell.SetOthers(minus(others, o.cell.Totals()))
+			}
+		}
+	}
 }
+
+func plus(a, b cell.Totals) cell.Totals {
+	return cell.Totals{InFlight: a.InFlight + b.InFlight, Capacity: a.Capacity + b.Capacity}
+}
+
+func minus(a, b cell.Totals) cell.Totals {
+	return cell.Totals{InFlight: a.InFlight - b.InFlight, Capacity: a.Capacity - b.Capacity}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/lab/measure/routing/scenario.go
+++ b/lab/measure/routing/scenario.go
@@ -1,5 +1,7 @@
 package routing
 
+import "github.com/knapweedgw/knapweedgw/admission/cell"
+
 // scenario is one run: a pool in one region, its callers and its faults.
 // Times are in virtual seconds.
 type scenario struct {
@@ -9,7 +11,8 @@
 	way         way
 	c           float64
 	newFactor   float64
-	lag         float64 // age of load reports, and period of the owners' exchange
+	lag         float64 // age of load reports (ways 1 and 2)
+	quiet       float64 // longest time between two exchanges of owners (way 3)
 	cells       int
 	maxInFlight int
 	cacheTokens int // of one engine
@@ -69,6 +72,7 @@
 	set(&s.warmup, 120)
 	set(&s.length, 180)
 	set(&s.spread, 2)
+	set(&s.quiet, cell.DefaultQuiet.Seconds())
 	return s
 }
 
--- a/lab/measure/routing/view.go
+++ b/lab/measure/routing/view.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"strconv"
+
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/routing"
 )
@@ -92,22 +94,29 @@
 	for i, n := range s.nodes {
 		v.alive[i] = !hidden.nodes[i] && n.state == nodeUp
 	}
-	v.owners = make([]int, k)
-	for c := range v.owners {
-		v.owners[c] = s.ownerOf(c, v.alive)
-	}
+	v.owners = s.assign(k, v.alive)
 	return v
 }
 
-// ownerOf picks a cell's owner by rendezvous.
-func (s *sim) ownerOf(c int, alive []bool) int {
-	best, bestRank := -1, uint64(0)
+// assign picks the cells' owners among the nodes that may hold duties.
+func (s *sim) assign(cells int, alive []bool) []int {
+	var candidates []int
+	var hashes []uint64
 	for i, n := range s.nodes {
-		if r := routing.Rank(uint64(c)+1, n.key); alive[i] && (best < 0 || r > bestRank) {
-			best, bestRank = i, r
+		if alive[i] {
+			candidates = append(candidates, i)
+			hashes = append(hashes, n.hash)
 		}
 	}
-	return best
+	duties := make([]uint64, cells)
+	for c := range duties {
+		duties[c] = routing.Hash(strconv.Itoa(c))
+	}
+	owners := routing.Assign(duties, hashes)
+	for c, i := range owners {
+		owners[c] = candidates[i]
+	}
+	return owners
 }
 
 // cellOf returns the cell of an engine.
