Rebuild a lost memory of chats and estimate unheard holders with care

Now an owner hands its memory over, and entry nodes keep a bounded one of what they placed and tell a new owner; the newest place of a chat wins. A recovering cell says so (Recovering) and isn't announced; unheard requests are estimated with one standard deviation.

--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -25,7 +25,7 @@
 	others Totals
 	holds  map[Holder]map[string]Hold
 	shares shares
-	memory *memory
+	memory *Memory
 	trust  trust
 	trend  trend
 }
@@ -48,7 +48,7 @@
 		index:  make(map[string]int),
 		holds:  make(map[Holder]map[string]Hold),
 		shares: newShares(),
-		memory: newMemory(cfg.Memory),
+		memory: NewMemory(cfg.Memory),
 	}
 }
 
@@ -116,8 +116,13 @@
 // reported it.
 func (c *Cell) SetOthers(t Totals) { c.others = t }
 
+// Memory returns the cell's memory of chats. A new owner merges the memories
+// of the previous owner, if it can, and of the entry nodes.
+func (c *Cell) Memory() *Memory { return c.memory }
+
 // Totals returns the load of this cell's usable targets. During a takeover
-// the requests of holders that haven't been heard are estimated.
+// the requests of holders that haven't been heard are estimated; before half
+// of them are heard there is nothing to tell other owners (see Recovering).
 func (c *Cell) Totals() Totals {
 	return Totals{InFlight: c.trust.scale(c.own.InFlight), Capacity: c.own.Capacity}
 }
@@ -138,6 +143,7 @@
 	}
 	id := c.slots[i].id
 	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat})
+	c.memory.Put(now, a.Chat, id)
 	c.shares.setWeight(a.Workspace, a.Weight)
 	return Verdict{Outcome: Granted, Target: id}
 }
@@ -212,7 +218,9 @@
 	m[place.Request] = place
 	c.count(place.Target, 1)
 	c.shares.add(place.Workspace, 1)
-	c.memory.put(place.Chat, place.Target)
+	if _, known := c.memory.Get(place.Chat); !known {
+		c.memory.Put(time.UnixMilli(0), place.Chat, place.Target)
+	}
 }
 
 func (c *Cell) remove(place Hold) {
--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -77,7 +77,7 @@
 
 // place picks the best target for an Ask, or -1 if none is under its bound.
 func (c *Cell) place(a Ask) int {
-	last, known := c.memory.get(a.Chat)
+	last, known := c.memory.Get(a.Chat)
 	// Where the prefix is lost anyway, a chat is placed as if new; where it may
 	// be at home, home is worth more load.
 	l := c.limits(a.Returning && !known)
@@ -101,7 +101,7 @@
 // score ranks one target by its load and rendezvous rank.
 func (c *Cell) score(i int, chat uint64, l *limits) candidate {
 	s := &c.slots[i]
-	count := c.trust.scale(s.count)
+	count := c.trust.cautious(s.count)
 	l.round(s.capacity)
 	if count >= l.whole.bound {
 		return candidate{slot: i}
--- a/admission/cell/shares.go
+++ b/admission/cell/shares.go
@@ -1,5 +1,7 @@
 package cell
 
+import "math"
+
 // shares counts requests in flight by workspace.
 type shares struct {
 	active  map[string]share
@@ -42,8 +44,9 @@
 }
 
 // over says whether one more request takes a workspace beyond its weighted
-// share of a capacity that is divided among the active workspaces. A share is
-// at least one request.
+// share of a capacity that is divided among the active workspaces. A cell sees
+// a part of each workspace's requests, so the share has a margin: one request
+// and the standard deviation of a Poisson count.
 func (s *shares) over(workspace string, weight float64, capacity int) bool {
 	weight = orDefault(weight, 1)
 	w, ok := s.active[workspace]
@@ -52,5 +55,5 @@
 		weights = s.weights + weight
 	}
 	fair := float64(capacity) * weight / weights
-	return float64(w.inFlight+1) > max(fair, 1)
+	return float64(w.inFlight+1) > fair+1+math.Sqrt(fair)
 }
--- a/admission/cell/trust.go
+++ b/admission/cell/trust.go
@@ -29,6 +29,10 @@
 	}
 }
 
+// Recovering says that too few holders have been heard since the Takeover, so
+// that the cell grants nothing and its Totals mean nothing.
+func (c *Cell) Recovering() bool { return c.trust.recovering() }
+
 // EndTakeover stops waiting: holders that haven't answered are taken to have
 // nothing in flight.
 func (c *Cell) EndTakeover() { c.trust.waiting = nil }
@@ -75,11 +79,24 @@
 	return len(t.waiting) > 0 && float64(t.heard) < minHeard*float64(all)
 }
 
-// scale estimates a count from the holders that have been heard.
+// estimating says whether counts stand for holders that haven't been heard.
+func (t *trust) estimating() bool { return len(t.waiting) > 0 && !t.recovering() }
+
+// scale estimates a count from the holders that have been heard, rounded up.
 func (t *trust) scale(count int) int {
-	if len(t.waiting) == 0 || t.heard == 0 {
+	if !t.estimating() {
+		return count
+	}
+	return (count*(t.heard+len(t.waiting)) + t.heard - 1) / t.heard
+}
+
+// cautious is scale with one standard deviation of the requests that haven't
+// been heard of, taken as Poisson.
+func (t *trust) cautious(count int) int {
+	if !t.estimating() {
 		return count
 	}
-	all := float64(t.heard + len(t.waiting))
-	return int(math.Ceil(float64(count) * all / float64(t.heard)))
+	ratio := float64(len(t.waiting)) / float64(t.heard)
+	unheard := float64(count) * ratio
+	return int(math.Ceil(float64(count) + unheard + math.Sqrt(unheard*(1+ratio))))
 }
--- a/admission/cell/trust_test.go
+++ b/admission/cell/trust_test.go
@@ -72,11 +72,36 @@
 			}
 			c.Resync(h, holds)
 			is.True(c.Totals().InFlight >= each*(heard+1))
-			is.Equal(c.Totals().InFlight, each*n) // even callers: exact at once
+			is.Equal(c.Recovering(), 2*(heard+1) < n)
+			if !c.Recovering() {
+				is.Equal(c.Totals().InFlight, each*n) // even callers: exact at once
+			}
 		}
 	})
 }
 
+// An owner that has heard only a part leaves room for what it can't know.
+func TestTakeoverIsCautious(t *testing.T) {
+	for _, tt := range []struct {
+		name                  string
+		waiting, heard, count int
+		want                  int
+	}{
+		{"all heard", 0, 4, 9, 9},
+		{"half heard: 9 more, and the root of 9 x 2", 4, 4, 9, 23},
+		{"three quarters: 3 more, and the root of 3 x 4/3", 1, 3, 9, 14},
+		{"nothing heard of", 4, 4, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := trust{heard: tt.heard, waiting: make(map[Holder]bool)}
+			for _, h := range nodes(tt.waiting) {
+				tr.waiting[h] = true
+			}
+			is.New(t).Equal(tr.cautious(tt.count), tt.want)
+		})
+	}
+}
+
 func TestPause(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
--- a/lab/measure/routing/scenario.go
+++ b/lab/measure/routing/scenario.go
@@ -27,6 +27,7 @@
 	ownerLoss  bool    // a node dies each minute
 	freeze     bool    // a node is frozen for 10 s
 	noPauseFix bool    // owners don't watch for their own pauses
+	noHandover bool    // new owners start without a memory of chats
 	spread     float64 // time over which a change reaches the nodes' views
 }
 
@@ -56,6 +57,7 @@
 	answerTokens      = 435
 	workspaces        = 686 // a seventh of 4,800
 	surgeShare        = 0.10
+	surgingWorkspaces = 3
 	surgeAfter        = 20.0 // from the end of the warm-up
 	surgeLength       = 100.0
 )
--- a/lab/measure/routing/wire.go
+++ b/lab/measure/routing/wire.go
@@ -3,12 +3,23 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 )
 
+// workspaceWeight is what an operator would set: a workspace's usual share of
+// the callers.
+func workspaceWeight(i int) float64 {
+	if i < surgingWorkspaces {
+		return surgeShare / surgingWorkspaces
+	}
+	rank := float64(i - surgingWorkspaces + 1)
+	return (1 - surgeShare) * math.Log1p(1/rank) / math.Log(workspaces-surgingWorkspaces)
+}
+
 func workspaceName(i int) string { return fmt.Sprintf("team-%02d/ws-%03d", i%20, i) }
 
 // frameBytes is the length prefix of a message.
@@ -25,6 +36,7 @@
 	sampleSync   = `{` + sampleFrom + `,` + samplePool + `,"s":123456,"q":[]}`
 	sampleSeq    = `1234,`
 	sampleDetail = `{"q":123456,"t":"engine-0001","w":"team-01/ws-001","h":12345678901234567890},`
+	sampleRecent = `[12345678901234567890,"engine-0001",120],`
 	samplePull   = `{` + sampleFrom + `,` + samplePool + `}`
 	sampleTotals = `{` + sampleFrom + `,"s":123456,"e":[]}`
 	sampleCell   = `{` + samplePool + `,"f":270,"a":15},`
@@ -77,6 +89,11 @@
 	return z.call + len(sampleSync) + places*len(sampleDetail) + z.answer + len("{}")
 }
 
+// remember is the size of a list of chats' last targets.
+func (z sizes) remember(chats int) int {
+	return z.notice + len(samplePull) + chats*len(sampleRecent)
+}
+
 func (z sizes) pull() int { return z.notice + len(samplePull) }
 
 // totals is the size of a node's message on that many cells.
