Say "not run" of a refused claim only if the key's past is known

Cause: a refusal was true of the attempt that it answered, but a caller that sent the key before, and lost the answer, would read it as the fate of the key.

A refusal now says ran "no" only if the owner's table shows that no attempt with the key ran: read since the request came, or within two seconds before it or before the store failed. Otherwise it says "unknown" and that this attempt was not run. An owner keeps its table fresh while idle, one read a second for each shard, so that it also knows the past at the start of an outage; keys known as run, in progress or unknown are answered in an outage.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -52,9 +52,7 @@
 	}
 	if d.Move == core.MoveRefuse {
 		s.metrics.refusals.WithLabelValues(reason).Inc()
-		return Verdict{}, problem.New(problem.ClaimsUnavailable, problem.RanNo,
-			"this attempt was not run ("+reason+"); what became of earlier ones with the same key can't be told now",
-		).After(jitter(refusedRetry))
+		return Verdict{}, refuse(d.Clear, reason)
 	}
 	v := Verdict{State: d.State}
 	switch d.State {
@@ -68,6 +66,17 @@
 	return v, nil
 }
 
+// refuse returns the refusal of an attempt that was not run. It says "no" only
+// if no earlier attempt with the key was run either.
+func refuse(clear bool, reason string) *problem.Problem {
+	if clear {
+		return problem.New(problem.ClaimsUnavailable, problem.RanNo, reason).After(jitter(refusedRetry))
+	}
+	return problem.New(problem.ClaimsUnavailable, problem.RanUnknown,
+		reason+": this attempt was not run; whether an earlier one with the same key was can't be told now",
+	).After(jitter(refusedRetry))
+}
+
 // decide asks owners until the attempt has a verdict or is refused for the
 // returned reason.
 func (s *Service) decide(ctx context.Context, a *core.Attempt) (core.Decision, string) {
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -84,7 +84,9 @@
 
 // Claimer grants claims.
 type Claimer interface {
-	// Claim asks for the right to run a request. It returns a
-	// *problem.Problem with ran "no" if the claim can't be recorded now.
+	// Claim asks for the right to run a request. If the claim can't be
+	// recorded now it returns a *problem.Problem: this attempt must not be
+	// run, and ran is "no" if no earlier one with the key was run either, else
+	// "unknown".
 	Claim(ctx context.Context, k Key, f Fingerprint) (Verdict, error)
 }
--- a/claims/core/attempt.go
+++ b/claims/core/attempt.go
@@ -38,6 +38,9 @@
 	Move   Move
 	State  State
 	Holder Holder
+	// Clear means, of MoveRefuse, that no earlier attempt with the key ran the
+	// request either.
+	Clear bool
 	// Abandon means that a record of the attempt may be in the log: an End
 	// with NotRun must be recorded.
 	Abandon bool
@@ -88,14 +91,18 @@
 		a.phase = granted
 		return Decision{Move: MoveVerdict, State: Granted}
 	case r.Status == Decided && r.State == Granted:
-		a.tainted = true
-		return a.close(MoveRefuse)
+		a.tainted = true // the claim is ours, but too late
+		d := a.close(MoveRefuse)
+		d.Clear = true
+		return d
 	case r.Status == Decided:
 		d := a.close(MoveVerdict)
 		d.State, d.Holder = r.State, r.Holder
 		return d
 	default:
-		return a.close(MoveRefuse)
+		d := a.close(MoveRefuse)
+		d.Clear = r.Clear
+		return d
 	}
 }
 
--- a/claims/core/batch.go
+++ b/claims/core/batch.go
@@ -78,6 +78,17 @@
 	return !s.stale && (r.arrived <= s.syncedAt || now-s.syncedAt <= s.cfg.SyncAge)
 }
 
+// clear says whether the log shows that no attempt ran the key of an ask
+// before it came. A table that may be too old shows nothing.
+func (s *Shard) clear(now Instant, r request) bool {
+	vouched := r.arrived <= s.syncedAt || min(now, s.failedAt)-s.syncedAt <= s.cfg.VouchAge
+	if r.ask == nil || !s.loaded || !vouched {
+		return false
+	}
+	e, ok := s.table.Lookup(r.ask.Key)
+	return !ok || e.Phase == Free || e.Phase == Open && e.Attempt == r.ask.Attempt
+}
+
 // abandoned says whether an open claim's holder is gone or ran too long.
 func (s *Shard) abandoned(now Instant, e Entry) bool {
 	age := time.Duration(s.clock(now)-e.Clock) * time.Millisecond
--- a/claims/core/load.go
+++ b/claims/core/load.go
@@ -48,6 +48,7 @@
 	s.table.Trim(head.Oldest)
 	s.loaded, s.stale = true, false
 	s.syncedAt, s.clockFrom = s.readAt, now
+	s.failedAt = Forever
 	return nil
 }
 
--- a/claims/core/shard.go
+++ b/claims/core/shard.go
@@ -18,6 +18,10 @@
 	// SyncAge is the age from which the table is read again before it is
 	// trusted to say that a claim is in progress, unknown or mismatched.
 	SyncAge time.Duration
+	// VouchAge is the age of the table up to which a refusal says that the key
+	// was not run before; with 0 the table must have been read since the
+	// request came. While the store is out, the age when it failed counts.
+	VouchAge time.Duration
 	// RunLimit is the age from which an open claim counts as unknown.
 	RunLimit time.Duration
 	// Backoff is the pause after a failed call to the store; requests that
@@ -36,6 +40,7 @@
 		Interval:      100 * time.Millisecond,
 		Retention:     15 * time.Minute,
 		SyncAge:       time.Second,
+		VouchAge:      2 * time.Second,
 		RunLimit:      5 * time.Minute,
 		Backoff:       500 * time.Millisecond,
 		GroupSegments: 64,
@@ -117,11 +122,15 @@
 	// clockFrom is the local time at which the head's clock was right.
 	clockFrom Instant
 
+	onDuty  bool // this node is the first to be asked
 	queue   []request
 	batch   *batch
 	next    Instant // earliest next commit
 	retryAt Instant // the store is not called before
-	replies []Answered
+	// failedAt is when the store failed first since it last answered, or
+	// Forever.
+	failedAt Instant
+	replies  []Answered
 
 	// Counts may be read between calls.
 	Counts Counts
@@ -129,7 +138,7 @@
 
 // NewShard returns a shard that has read nothing yet.
 func NewShard(number int, cfg Config, alive Liveness) *Shard {
-	return &Shard{cfg: cfg, keys: newLayout(number), alive: alive, table: NewTable()}
+	return &Shard{cfg: cfg, keys: newLayout(number), alive: alive, table: NewTable(), failedAt: Forever}
 }
 
 // Ask queues a request for a claim.
@@ -149,6 +158,10 @@
 	return out
 }
 
+// SetDuty says whether this node believes that it is the shard's owner. An
+// owner keeps its table fresh while it is idle.
+func (s *Shard) SetDuty(on bool) { s.onDuty = on }
+
 // Len returns the number of keys in the table and of requests that wait.
 func (s *Shard) Len() (keys, waiting int) { return s.table.Len(), len(s.queue) }
 
@@ -159,10 +172,10 @@
 	s.answerKnown(now)
 	switch {
 	case len(s.queue) == 0:
-		return Step{Kind: StepWait, Until: Forever}
+		return s.idle(now)
 	case now < s.retryAt:
-		s.refuseAll()
-		return Step{Kind: StepWait, Until: Forever}
+		s.refuseAll(now)
+		return s.idle(now)
 	case !s.loaded:
 		return s.read(now, s.keys.all)
 	case s.stale || s.mustSync(now):
@@ -173,6 +186,20 @@
 	return s.commit(now)
 }
 
+// idle returns the step of a shard that no request waits for.
+func (s *Shard) idle(now Instant) Step {
+	due := max(s.retryAt, s.syncedAt+s.cfg.VouchAge/2)
+	switch {
+	case !s.onDuty || s.cfg.VouchAge == 0:
+		return Step{Kind: StepWait, Until: Forever}
+	case now < due:
+		return Step{Kind: StepWait, Until: due}
+	case !s.loaded:
+		return s.read(now, s.keys.all)
+	}
+	return s.read(now, s.keys.open)
+}
+
 func (s *Shard) read(now Instant, prefix string) Step {
 	s.readAt = now
 	return Step{Kind: StepRead, Prefix: prefix}
@@ -214,6 +241,7 @@
 	s.head = b.head
 	s.revision = revision
 	s.syncedAt = b.sent
+	s.failedAt = Forever
 	s.clockFrom = b.sent
 	s.apply(b.group, b.records)
 	s.Counts.Records += len(b.records)
@@ -251,13 +279,14 @@
 func (s *Shard) fail(now Instant) {
 	s.Counts.Failures++
 	s.retryAt = now + s.cfg.Backoff
+	s.failedAt = min(s.failedAt, now)
 	s.answerKnown(now)
-	s.refuseAll()
+	s.refuseAll(now)
 }
 
-func (s *Shard) refuseAll() {
+func (s *Shard) refuseAll(now Instant) {
 	for _, r := range s.queue {
-		s.reply(r, Reply{Status: Unavailable})
+		s.reply(r, Reply{Status: Unavailable, Clear: s.clear(now, r)})
 	}
 	s.queue = s.queue[:0]
 }
@@ -269,7 +298,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		s.reply(r, Reply{Status: Expired})
+		s.reply(r, Reply{Status: Expired, Clear: s.clear(now, r)})
 	}
 	s.queue = kept
 }
--- a/claims/core/types.go
+++ b/claims/core/types.go
@@ -150,4 +150,7 @@
 	// Tainted means that a record of the attempt may be in the store though
 	// the claim was not granted; the attempt must be ended.
 	Tainted bool `json:"tainted,omitempty"`
+	// Clear means, of a reply that decides nothing, that no attempt with the
+	// key can have run the request when this one asked.
+	Clear bool `json:"clear,omitempty"`
 }
--- a/claims/duty.go
+++ b/claims/duty.go
@@ -34,9 +34,7 @@
 func (d *duties) pick(shard, tries int) (n membership.Node, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if v := d.view.View(); v != d.ranked {
-		d.rank(v)
-	}
+	d.refresh()
 	now := d.now()
 	for _, n := range d.ranks[shard] {
 		if until, bad := d.avoid[n.ID]; bad && now < until {
@@ -51,6 +49,23 @@
 	return d.ranks[shard][tries%len(d.ranks[shard])], true
 }
 
+// first returns the owner of a shard, whether it was avoided or not.
+func (d *duties) first(shard int) (n membership.Node, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	if len(d.ranks[shard]) == 0 {
+		return membership.Node{}, false
+	}
+	return d.ranks[shard][0], true
+}
+
+func (d *duties) refresh() {
+	if v := d.view.View(); v != d.ranked {
+		d.rank(v)
+	}
+}
+
 // failed notes that a node gave no reply.
 func (d *duties) failed(id string) {
 	d.mu.Lock()
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -18,6 +18,8 @@
 	// idleLimit is the time without requests after which an owner forgets its
 	// table.
 	idleLimit = time.Minute
+	// dutyPoll is how often an idle node looks whether it became the owner.
+	dutyPoll = time.Second
 )
 
 // owner runs one core.Shard: it passes requests in, takes its steps on the
@@ -26,6 +28,7 @@
 	number  int
 	cfg     core.Config
 	alive   core.Liveness
+	onDuty  func(shard int) bool
 	store   store.Store
 	metrics *metrics
 	log     *log.Logger
@@ -38,8 +41,10 @@
 	refs  core.Ref
 	waits map[core.Ref]chan<- core.Reply
 
-	shard *core.Shard // used by run only
-	seen  core.Counts
+	// Used by run only.
+	shard  *core.Shard
+	seen   core.Counts
+	usedAt core.Instant
 }
 
 func (o *owner) ask(ctx context.Context, a core.Ask, wait time.Duration) (core.Reply, error) {
@@ -80,6 +85,7 @@
 	o.forget()
 	for ctx.Err() == nil {
 		o.drain()
+		o.shard.SetDuty(o.onDuty(o.number))
 		step := o.shard.Next(o.now())
 		o.deliver()
 		switch step.Kind {
@@ -121,24 +127,22 @@
 	}
 }
 
-// wait returns when a request arrives or at the given time. An idle owner
-// drops its table, which it reads again when asked.
+// wait returns when a request arrives, at the given time, or when it is time
+// to look at the duty again. A node that is not the owner drops an idle table;
+// it reads it again when asked.
 func (o *owner) wait(ctx context.Context, until core.Instant) {
-	idle := until == core.Forever
-	d := idleLimit
-	if !idle {
-		d = until - o.now()
-	}
-	timer := time.NewTimer(d)
+	timer := time.NewTimer(min(until-o.now(), dutyPoll))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		if idle {
-			o.forget()
-		}
 	case <-o.wake:
+		o.usedAt = o.now()
 	case <-ctx.Done():
 	}
+	keys, _ := o.shard.Len()
+	if keys > 0 && until == core.Forever && o.now()-o.usedAt > idleLimit {
+		o.forget()
+	}
 }
 
 func (o *owner) read(ctx context.Context, prefix string) {
--- a/claims/service.go
+++ b/claims/service.go
@@ -79,8 +79,8 @@
 	s.duties = newDuties(view, s.now)
 	for i := range s.owners {
 		s.owners[i] = &owner{
-			number: i, cfg: set.Shard, alive: s.duties.alive, store: st, metrics: s.metrics,
-			log: l, now: s.now, wake: make(chan struct{}, 1), waits: make(map[core.Ref]chan<- core.Reply),
+			number: i, cfg: set.Shard, alive: s.duties.alive, onDuty: s.onDuty, store: st,
+			metrics: s.metrics, log: l, now: s.now, wake: make(chan struct{}, 1), waits: make(map[core.Ref]chan<- core.Reply),
 		}
 	}
 	peers.Handle(methodClaim, s.handleClaim)
@@ -95,6 +95,12 @@
 // now is the monotonic time since the service was made.
 func (s *Service) now() core.Instant { return time.Since(s.start) }
 
+// onDuty says whether this node is the first to be asked for a shard.
+func (s *Service) onDuty(shard int) bool {
+	n, ok := s.duties.first(shard)
+	return ok && n.ID == s.self.Node
+}
+
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
 	for _, o := range s.owners {
