Generate fault histories of claims and measure their cost

Cause: the claims core needs a witness over whole requests, and the three ways of recording claims need figures. The histories drive the real Shard, Attempt and Ends on virtual time in one goroutine: callers that retry, targets that refuse, run or die, and two faults out of fifteen kinds, each at one of eight moments of a request. The targets' own count of runs is the witness.

--- a/lab/cmd/knapweedlab/measure.go
+++ b/lab/cmd/knapweedlab/measure.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedgw/knapweedgw/lab/measure"
+	"github.com/knapweedgw/knapweedgw/lab/measure/claims"
 	"github.com/knapweedgw/knapweedgw/lab/measure/fanout"
 	"github.com/knapweedgw/knapweedgw/lab/measure/routing"
 )
@@ -16,6 +17,10 @@
 // sections are the measurements, in the order in which they run; the one
 // whose summary closes the output is last.
 var sections = []measure.Section{fanout.Section{}, routing.Section{}}
+var sections = []measure.Section{
+	claims.Section{},
+	routing.Section{},
+}
 
 func measureCommand() *cobra.Command {
 	cmd := &cobra.Command{
--- /dev/null
+++ b/lab/measure/claims/cost.go
@@ -0,0 +1,344 @@
+package claims
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/claims/core"
+	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/store"
+	"github.com/knapweedgw/knapweedgw/store/memory"
+)
+
+// Assumptions of the cost measurement. The brief gives 0.5 ms one way between
+// failure domains and a store that answers in milliseconds and takes several
+// hundred writes a second; the way between regions is assumed.
+const (
+	nearOneWay    = 500 * time.Microsecond
+	farOneWay     = 25 * time.Millisecond
+	jitterOneWay  = time.Millisecond
+	writeService  = 2500 * time.Microsecond // 400 writes a second
+	requestsPerS  = 4600
+	nodesInRegion = 53
+	costTime      = 60 * time.Second
+	costWarmUp    = 30 * time.Second
+	costRetention = 20 * time.Second
+	runTimeMin    = 100 * time.Millisecond
+	runTimeMax    = 5 * time.Second
+	// keysPerTrim is the most keys that etcd's default limit lets one
+	// transaction delete.
+	keysPerTrim = 128
+)
+
+// load is what a run of the cost measurement is asked to carry.
+type load struct {
+	nodes int
+	share float64 // of the requests, that may not be repeated
+	// splitViews is the share of entries that take another node for the owner.
+	splitViews float64
+	// The store refuses every call in [outFrom, outUntil).
+	outFrom, outUntil time.Duration
+}
+
+func (l load) claimsPerS() float64 { return requestsPerS * l.share }
+func (l load) regions() int        { return (l.nodes + nodesInRegion - 1) / nodesInRegion }
+
+// cost is what a run of the cost measurement showed, after the warm-up.
+type cost struct {
+	writes, reads, conflicts, trims int
+	latencies, refusals             []time.Duration
+	values, valueBytes, maxValue    int
+	sentBytes                       int
+	keysKept, bytesKept             int
+	firstGrant                      time.Duration // after the outage, of the last shard
+}
+
+// bench carries a load on virtual time.
+type bench struct {
+	*clock
+	load    load
+	store   *memory.Store
+	freeAt  time.Duration // when the store's writer is free
+	cost    cost
+	granted [core.Shards]bool // since the outage ended
+}
+
+func newBench(seed uint64, l load) *bench {
+	return &bench{clock: newClock(seed, 0), load: l, store: memory.New(func() time.Time { return time.Time{} })}
+}
+
+func (b *bench) measured() bool { return b.now >= costWarmUp }
+
+// oneWay is the time from a region to another.
+func (b *bench) oneWay(from, to int) time.Duration {
+	d := nearOneWay
+	if from != to {
+		d = farOneWay
+	}
+	return d + b.between(0, jitterOneWay)
+}
+
+func (b *bench) region(node int) int { return node % b.load.regions() }
+
+func (b *bench) out() bool { return b.now >= b.load.outFrom && b.now < b.load.outUntil }
+
+// The store is in region 0.
+
+func (b *bench) list(region int, prefix string, done func(store.Page, error)) {
+	if b.measured() {
+		b.cost.reads++
+	}
+	b.after(b.oneWay(region, 0), func() {
+		page, err := b.store.List(context.Background(), prefix)
+		if b.out() {
+			page, err = store.Page{}, store.ErrUnavailable
+		}
+		b.after(b.oneWay(0, region), func() { done(page, err) })
+	})
+}
+
+// commit writes one transaction after those that wait at the store.
+func (b *bench) commit(region int, t store.Txn, done func(int64, bool, error)) {
+	if b.measured() {
+		b.count(t)
+	}
+	b.after(b.oneWay(region, 0), func() {
+		if b.out() {
+			b.after(b.oneWay(0, region), func() { done(0, false, store.ErrUnavailable) })
+			return
+		}
+		b.freeAt = max(b.freeAt, b.now) + writeService
+		b.after(b.freeAt-b.now, func() {
+			revision, ok, err := b.store.Commit(context.Background(), t)
+			b.after(b.oneWay(0, region), func() { done(revision, ok, err) })
+		})
+	})
+}
+
+func (b *bench) count(t store.Txn) {
+	b.cost.writes++
+	for _, op := range t.Ops {
+		b.cost.sentBytes += len(op.Key) + len(op.Value)
+		if op.Delete {
+			b.cost.trims++
+			continue
+		}
+		b.cost.values++
+		b.cost.valueBytes += len(op.Value)
+		b.cost.maxValue = max(b.cost.maxValue, len(op.Value))
+	}
+}
+
+// arrivals calls f with a fresh ask and its entry node, as Poisson arrivals.
+func (b *bench) arrivals(f func(entry int, a core.Ask)) {
+	var next func()
+	n := uint64(0)
+	next = func() {
+		n++
+		a := core.Ask{Attempt: core.AttemptID(n), Holder: core.Holder{Node: "entry-0123", Incarnation: 1 << 60}}
+		binary.BigEndian.PutUint64(a.Key[:], b.rng.Uint64())
+		binary.BigEndian.PutUint64(a.Key[8:], n)
+		a.Fingerprint = core.Fingerprint(a.Key)
+		f(b.rng.IntN(b.load.nodes), a)
+		b.after(time.Duration(b.rng.ExpFloat64()/b.load.claimsPerS()*float64(time.Second)), next)
+	}
+	next()
+}
+
+func (b *bench) latency(since time.Duration) {
+	if b.measured() {
+		b.cost.latencies = append(b.cost.latencies, b.now-since)
+	}
+}
+
+// kept counts what the store holds at the end.
+func (b *bench) kept() {
+	page, _ := b.store.List(context.Background(), "")
+	b.cost.keysKept = len(page.KVs)
+	for _, kv := range page.KVs {
+		b.cost.bytesKept += len(kv.Key) + len(kv.Value)
+	}
+}
+
+// recordPerKey claims by creating a record for each key, replaces it at the
+// end, and deletes it after the retention with others of its node.
+func recordPerKey(seed uint64, l load) cost {
+	b := newBench(seed, l)
+	expired := make([][]string, l.nodes)
+	b.arrivals(func(entry int, a core.Ask) {
+		region, began := b.region(entry), b.now
+		key := "k/" + strconv.FormatUint(uint64(a.Attempt), 16) + string(a.Key[:])
+		value := make([]byte, claimBytes)
+		create := store.Txn{Compares: []store.Compare{{Key: key}}, Ops: []store.Op{{Key: key, Value: value}}}
+		b.commit(region, create, func(int64, bool, error) {
+			b.latency(began)
+			b.after(b.between(runTimeMin, runTimeMax), func() {
+				end := store.Txn{Ops: []store.Op{{Key: key, Value: value}}}
+				b.commit(region, end, func(int64, bool, error) {})
+			})
+			b.after(costRetention, func() {
+				expired[entry] = append(expired[entry], key)
+				if len(expired[entry]) == keysPerTrim {
+					b.commit(region, deleteAll(expired[entry]), func(int64, bool, error) {})
+					expired[entry] = nil
+				}
+			})
+		})
+	})
+	b.run(costTime)
+	b.kept()
+	return b.cost
+}
+
+// claimBytes is the size of a claim's record (core.TestRecordSizes).
+const claimBytes = 71
+
+func deleteAll(keys []string) (t store.Txn) {
+	for _, k := range keys {
+		t.Ops = append(t.Ops, store.Op{Key: k, Delete: true})
+	}
+	return t
+}
+
+// grouped claims by the real Shard state machines.
+func grouped(seed uint64, l load) cost {
+	b := newBench(seed, l)
+	owners := make([][2]*benchShard, core.Shards)
+	for i := range owners {
+		for j := range owners[i] {
+			owners[i][j] = newBenchShard(b, i, j)
+		}
+	}
+	b.arrivals(func(entry int, a core.Ask) {
+		region, began := b.region(entry), b.now
+		view := 0
+		if float64(entry) < l.splitViews*float64(l.nodes) {
+			view = 1
+		}
+		o := owners[a.Key.Shard()][view]
+		b.after(b.oneWay(region, o.region), func() {
+			o.ask(a, func(r core.Reply) {
+				b.after(b.oneWay(o.region, region), func() { b.replied(a, r, began) })
+				if r.Status != core.Decided {
+					return
+				}
+				b.after(b.between(runTimeMin, runTimeMax), func() {
+					o.end(core.End{Key: a.Key, Attempt: a.Attempt, Outcome: core.Ran})
+				})
+			})
+		})
+	})
+	b.run(costTime)
+	b.kept()
+	for _, pair := range owners {
+		b.cost.conflicts += pair[0].shard.Counts.Conflicts + pair[1].shard.Counts.Conflicts
+	}
+	return b.cost
+}
+
+func (b *bench) replied(a core.Ask, r core.Reply, began time.Duration) {
+	if r.Status != core.Decided {
+		b.cost.refusals = append(b.cost.refusals, b.now-began)
+		return
+	}
+	b.latency(began)
+	shard := a.Key.Shard()
+	if b.load.outUntil > 0 && b.now >= b.load.outUntil && !b.granted[shard] {
+		b.granted[shard] = true
+		b.cost.firstGrant = max(b.cost.firstGrant, b.now-b.load.outUntil)
+	}
+}
+
+// benchShard takes the steps of a core.Shard on the bench's store.
+type benchShard struct {
+	b      *bench
+	region int
+	shard  *core.Shard
+	waits  map[core.Ref]func(core.Reply)
+	refs   core.Ref
+	busy   bool
+	wakes  int
+}
+
+func newBenchShard(b *bench, number, view int) *benchShard {
+	cfg := core.DefaultConfig()
+	cfg.Retention = costRetention
+	return &benchShard{
+		b: b, region: b.region(int(routing.Hash(strconv.Itoa(number+core.Shards*view)) % uint64(b.load.nodes))),
+		shard: core.NewShard(number, cfg, func(core.Holder) bool { return true }),
+		waits: make(map[core.Ref]func(core.Reply)),
+	}
+}
+
+func (o *benchShard) ask(a core.Ask, done func(core.Reply)) {
+	o.refs++
+	o.waits[o.refs] = done
+	o.shard.Ask(o.b.now, o.refs, a, o.b.now+core.DefaultAttemptLimits().Wait)
+	o.pump()
+}
+
+// end records an outcome; it is sent again while the store is out.
+func (o *benchShard) end(e core.End) {
+	o.refs++
+	o.waits[o.refs] = func(r core.Reply) {
+		if r.Status != core.Recorded {
+			o.b.after(time.Second, func() { o.end(e) })
+		}
+	}
+	o.shard.End(o.b.now, o.refs, e, o.b.now+endWait)
+	o.pump()
+}
+
+func (o *benchShard) pump() {
+	if o.busy {
+		return
+	}
+	step := o.shard.Next(o.b.now)
+	for _, a := range o.shard.Replies() {
+		done := o.waits[a.Ref]
+		delete(o.waits, a.Ref)
+		o.b.after(0, func() { done(a.Reply) })
+	}
+	switch step.Kind {
+	case core.StepWait:
+		o.sleep(step.Until)
+	case core.StepRead:
+		o.busy = true
+		o.b.list(o.region, step.Prefix, func(page store.Page, err error) {
+			o.busy = false
+			o.shard.Loaded(o.b.now, page, err)
+			o.pump()
+		})
+	case core.StepCommit:
+		o.busy = true
+		o.b.commit(o.region, step.Txn, func(revision int64, ok bool, err error) {
+			o.busy = false
+			o.shard.Committed(o.b.now, revision, ok, err)
+			o.pump()
+		})
+	}
+}
+
+func (o *benchShard) sleep(until core.Instant) {
+	if until == core.Forever {
+		return
+	}
+	o.wakes++
+	wake := o.wakes
+	o.b.after(until-o.b.now, func() {
+		if wake == o.wakes {
+			o.pump()
+		}
+	})
+}
+
+func quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[int(q*float64(len(d)-1))]
+}
