Leave another owner of a shard its turn after a conflict

Cause: while two nodes both serve a shard (two views of the membership), the one farther from the store needs a read and a commit between two commits of the other, and keeps losing. After a commit that met a conflict an owner now waits one interval more, halved by each commit.

--- a/claims/core/shard.go
+++ b/claims/core/shard.go
@@ -122,10 +122,13 @@
 	// clockFrom is the local time at which the head's clock was right.
 	clockFrom Instant
 
-	onDuty  bool // this node is the first to be asked
-	queue   []request
-	batch   *batch
-	next    Instant // earliest next commit
+	onDuty bool // this node is the first to be asked
+	queue  []request
+	batch  *batch
+	next   Instant // earliest next commit
+	// yield is added to the interval after a commit, so that another owner
+	// that was met gets its turn. It is halved by each commit.
+	yield   time.Duration
 	retryAt Instant // the store is not called before
 	// failedAt is when the store failed first since it last answered, or
 	// Forever.
@@ -229,8 +232,11 @@
 	case !ok:
 		s.Counts.Conflicts++
 		s.stale = true
+		s.yield = s.cfg.Interval
 	default:
 		s.adopt(b, revision)
+		s.next += s.yield
+		s.yield /= 2
 		return
 	}
 	s.next = now // another owner wrote, or nobody: nothing is gained by waiting
