--- a/claims/claim.go
+++ b/claims/claim.go
@@ -94,7 +94,7 @@
 		}
 		s.duties.failed(owner.ID)
 		reason := callFailure(err)
-		d := a.Failed(s.now(), reason != reasonUnreachable)
+		d := a.Failed(s.now(), reason == reasonNoReply)
 		if d.Move != core.MoveAsk {
 			return d, reason
 		}
@@ -126,11 +126,17 @@
 	return s.now() + time.Until(at)
 }
 
+// callFailure is the metric label of a failed call. Only after reasonNoReply
+// may the owner have got the call.
 func callFailure(err error) string {
-	if errors.Is(err, peer.ErrUnreachable) {
+	switch {
+	case errors.Is(err, peer.ErrUnreachable):
 		return reasonUnreachable
+	case errors.Is(err, peer.ErrBusy):
+		return reasonOverloaded
+	default:
+		return reasonNoReply
 	}
-	return reasonNoReply
 }
 
 // refusalReason is the metric label of a reply that leads to a refusal.
--- a/claims/metrics.go
+++ b/claims/metrics.go
@@ -16,6 +16,7 @@
 	reasonLate        = "granted_late"
 	reasonNoReply     = "owner_no_reply"
 	reasonUnreachable = "owner_unreachable"
+	reasonOverloaded  = "owner_overloaded"
 	reasonCallerGone  = "caller_gone"
 )
 
