End killed processes of the histories at once, and step shards in one place

Cause: a node that was killed within one of its own events went on to the end of that event, and what it started then belonged to its next run: a shard without a process lived on. Found as a nil pointer when the stepping of shards, which stood in the histories and in the cost measurement, became one type. Kills now take effect after the event.

Requests sent by a process that was frozen between looking at its ticket and sending are counted, so that it shows that the histories have them.

--- a/lab/cmd/knapweedlab/measure.go
+++ b/lab/cmd/knapweedlab/measure.go
@@ -16,9 +16,9 @@
 
 // sections are the measurements, in the order in which they run; the one
 // whose summary closes the output is last.
-var sections = []measure.Section{fanout.Section{}, routing.Section{}}
 var sections = []measure.Section{
 	claims.Section{},
+	fanout.Section{},
 	routing.Section{},
 }
 
--- a/lab/measure/claims/cost.go
+++ b/lab/measure/claims/cost.go
@@ -206,7 +206,7 @@
 // grouped claims by the real Shard state machines.
 func grouped(seed uint64, l load) cost {
 	b := newBench(seed, l)
-	owners := make([][2]*benchShard, core.Shards)
+	owners := make([][2]benchShard, core.Shards)
 	for i := range owners {
 		for j := range owners[i] {
 			owners[i][j] = newBenchShard(b, i, j)
@@ -220,13 +220,13 @@
 		}
 		o := owners[a.Key.Shard()][view]
 		b.after(b.oneWay(region, o.region), func() {
-			o.ask(a, func(r core.Reply) {
+			o.ask(a, core.DefaultAttemptLimits().Wait, func(r core.Reply) {
 				b.after(b.oneWay(o.region, region), func() { b.replied(a, r, began) })
 				if r.Status != core.Decided {
 					return
 				}
 				b.after(b.between(runTimeMin, runTimeMax), func() {
-					o.end(core.End{Key: a.Key, Attempt: a.Attempt, Outcome: core.Ran})
+					o.record(b, core.End{Key: a.Key, Attempt: a.Attempt, Outcome: core.Ran})
 				})
 			})
 		})
@@ -252,85 +252,39 @@
 	}
 }
 
-// benchShard takes the steps of a core.Shard on the bench's store.
-type benchShard struct {
+// benchIO is what a shard runs in whose owner is in a region.
+type benchIO struct {
 	b      *bench
 	region int
-	shard  *core.Shard
-	waits  map[core.Ref]func(core.Reply)
-	refs   core.Ref
-	busy   bool
-	wakes  int
 }
 
-func newBenchShard(b *bench, number, view int) *benchShard {
-	cfg := core.DefaultConfig()
-	cfg.Retention = costRetention
-	return &benchShard{
-		b: b, region: b.region(int(routing.Hash(strconv.Itoa(number+core.Shards*view)) % uint64(b.load.nodes))),
-		shard: core.NewShard(number, cfg, func(core.Holder) bool { return true }),
-		waits: make(map[core.Ref]func(core.Reply)),
-	}
-}
+func (o benchIO) time() core.Instant             { return o.b.now }
+func (o benchIO) wake(d time.Duration, f func()) { o.b.after(d, f) }
 
-func (o *benchShard) ask(a core.Ask, done func(core.Reply)) {
-	o.refs++
-	o.waits[o.refs] = done
-	o.shard.Ask(o.b.now, o.refs, a, o.b.now+core.DefaultAttemptLimits().Wait)
-	o.pump()
-}
+func (o benchIO) list(prefix string, done func(store.Page, error)) { o.b.list(o.region, prefix, done) }
 
-// end records an outcome; it is sent again while the store is out.
-func (o *benchShard) end(e core.End) {
-	o.refs++
-	o.waits[o.refs] = func(r core.Reply) {
-		if r.Status != core.Recorded {
-			o.b.after(time.Second, func() { o.end(e) })
-		}
-	}
-	o.shard.End(o.b.now, o.refs, e, o.b.now+endWait)
-	o.pump()
+func (o benchIO) commit(t store.Txn, done func(int64, bool, error)) { o.b.commit(o.region, t, done) }
+
+// benchShard is a shard and the region of its owner.
+type benchShard struct {
+	*stepper
+	region int
 }
 
-func (o *benchShard) pump() {
-	if o.busy {
-		return
-	}
-	step := o.shard.Next(o.b.now)
-	for _, a := range o.shard.Replies() {
-		done := o.waits[a.Ref]
-		delete(o.waits, a.Ref)
-		o.b.after(0, func() { done(a.Reply) })
-	}
-	switch step.Kind {
-	case core.StepWait:
-		o.sleep(step.Until)
-	case core.StepRead:
-		o.busy = true
-		o.b.list(o.region, step.Prefix, func(page store.Page, err error) {
-			o.busy = false
-			o.shard.Loaded(o.b.now, page, err)
-			o.pump()
-		})
-	case core.StepCommit:
-		o.busy = true
-		o.b.commit(o.region, step.Txn, func(revision int64, ok bool, err error) {
-			o.busy = false
-			o.shard.Committed(o.b.now, revision, ok, err)
-			o.pump()
-		})
-	}
+func newBenchShard(b *bench, number, view int) benchShard {
+	cfg := core.DefaultConfig()
+	cfg.Retention = costRetention
+	owner := int(routing.Hash(strconv.Itoa(number+core.Shards*view)) % uint64(b.load.nodes))
+	region := b.region(owner)
+	s := core.NewShard(number, cfg, func(core.Holder) bool { return true })
+	return benchShard{newStepper(benchIO{b, region}, s), region}
 }
 
-func (o *benchShard) sleep(until core.Instant) {
-	if until == core.Forever {
-		return
-	}
-	o.wakes++
-	wake := o.wakes
-	o.b.after(until-o.b.now, func() {
-		if wake == o.wakes {
-			o.pump()
+// record records an outcome; it is sent again while the store is out.
+func (o benchShard) record(b *bench, e core.End) {
+	o.end(e, endWait, func(r core.Reply) {
+		if r.Status != core.Recorded {
+			b.after(time.Second, func() { o.record(b, e) })
 		}
 	})
 }
--- a/lab/measure/claims/entry.go
+++ b/lab/measure/claims/entry.go
@@ -23,6 +23,7 @@
 	node      *node
 	attempt   *core.Attempt
 	reply     func(told)
+	began     core.Instant
 	sends     int
 	ranBefore int // runs of the key when the caller sent the request
 }
@@ -35,7 +36,7 @@
 	w := n.w
 	w.attempts++
 	a := core.Ask{Key: key, Attempt: core.AttemptID(w.attempts), Holder: n.holder()}
-	c := &call{node: n, reply: reply, ranBefore: ranBefore}
+	c := &call{node: n, reply: reply, began: w.now, ranBefore: ranBefore}
 	c.attempt = core.NewAttempt(a, w.now, core.Forever, core.DefaultAttemptLimits())
 	w.hit(pointAsk, n)
 	c.ask()
@@ -147,6 +148,9 @@
 func (c *call) send() {
 	n, w := c.node, c.node.w
 	c.sends++
+	if w.now-c.began >= core.DefaultAttemptLimits().Life {
+		w.result.LateSends++
+	}
 	w.hit(pointSent, n)
 	arrive := w.between(netDelayMin, netDelayMax)
 	if w.chance(targetRefuses) {
--- a/lab/measure/claims/faults.go
+++ b/lab/measure/claims/faults.go
@@ -76,13 +76,13 @@
 	owner := n.owner(h.keys[0].Shard(), 0)
 	switch f {
 	case faultKillEntry:
-		h.kill(n)
+		h.after(0, func() { h.kill(n) }) // after what the process does now
 	case faultFreezeEntry10:
 		n.frozenUntil = h.now + shortFreeze
 	case faultFreezeEntry60:
 		n.frozenUntil = h.now + longFreeze
 	case faultKillOwner:
-		h.kill(owner)
+		h.after(0, func() { h.kill(owner) })
 	case faultPauseOwner10:
 		owner.frozenUntil = h.now + shortFreeze
 	case faultPauseOwner60:
--- a/lab/measure/claims/history.go
+++ b/lab/measure/claims/history.go
@@ -46,6 +46,7 @@
 	Doubled                 int // keys run more than once
 	FalseNotRun             int // attempts run though their caller was told not
 	Clear                   int
+	LateSends               int // requests sent by a process that was frozen after it looked at its ticket
 	RanEarlier              int // requests told not run, sent after an earlier one with the key had run
 	Told                    [toldOutcomes]int
 	StoreReads, StoreWrites int
@@ -190,6 +191,7 @@
 	r.Doubled += o.Doubled
 	r.FalseNotRun += o.FalseNotRun
 	r.Clear += o.Clear
+	r.LateSends += o.LateSends
 	r.RanEarlier += o.RanEarlier
 	for i := range r.Told {
 		r.Told[i] += o.Told[i]
--- a/lab/measure/claims/node.go
+++ b/lab/measure/claims/node.go
@@ -22,27 +22,50 @@
 	blindUntil core.Instant
 	blindTo    int
 
-	shards map[int]*shardOwner
+	shards map[int]*stepper
 	ends   *core.Ends
 	tells  int // failed calls with outcomes, to pick another owner
 }
 
-// shardOwner takes the steps of a core.Shard.
-type shardOwner struct {
-	node   *node
-	number int
-	shard  *core.Shard
-	waits  map[core.Ref]func(core.Reply)
-	refs   core.Ref
-	busy   bool // a call to the store has no result yet
-	wakes  int  // invalidates older timers
+// ownerIO is what a node's shard runs in.
+type ownerIO struct {
+	node  *node
+	shard *core.Shard
+}
+
+func (o ownerIO) time() core.Instant { return o.node.w.now }
+
+// wake adds a timer; those of a shard that no request waits for don't keep
+// the history going.
+func (o ownerIO) wake(d time.Duration, f func()) {
+	o.quietly(func() { o.node.w.on(o.node, d, f) })
+}
+
+func (o ownerIO) list(prefix string, done func(store.Page, error)) {
+	o.quietly(func() { o.node.w.platform.list(o.node, prefix, done) })
+}
+
+func (o ownerIO) commit(t store.Txn, done func(int64, bool, error)) {
+	w := o.node.w
+	w.hit(pointCommit, o.node)
+	w.platform.commit(o.node, t, func(revision int64, ok bool, err error) {
+		w.hit(pointCommitted, o.node)
+		done(revision, ok, err)
+	})
+}
+
+func (o ownerIO) quietly(f func()) {
+	_, waiting := o.shard.Len()
+	o.node.w.background = waiting == 0
+	f()
+	o.node.w.background = false
 }
 
 func (n *node) name() string { return "node-" + strconv.Itoa(n.id) }
 
 func (n *node) boot() {
 	n.down = false
-	n.shards = make(map[int]*shardOwner)
+	n.shards = make(map[int]*stepper)
 	n.ends = core.NewEnds(core.DefaultEndsConfig())
 }
 
@@ -79,94 +102,23 @@
 	return seen[ranks[tries%len(ranks)]]
 }
 
-func (n *node) shardOwner(number int) *shardOwner {
+func (n *node) shardOwner(number int) *stepper {
 	o, ok := n.shards[number]
 	if !ok {
 		cfg := core.DefaultConfig()
 		cfg.GroupSegments = smallGroup
 		cfg.Retention = n.w.retention
-		o = &shardOwner{node: n, number: number, shard: core.NewShard(number, cfg, n.alive), waits: make(map[core.Ref]func(core.Reply))}
+		s := core.NewShard(number, cfg, n.alive)
+		o = newStepper(ownerIO{n, s}, s)
 		n.shards[number] = o
 	}
+	o.shard.SetDuty(n.owner(number, 0) == n)
 	return o
 }
 
 // smallGroup closes groups of transactions often.
 const smallGroup = 3
 
-func (o *shardOwner) ask(a core.Ask, wait time.Duration, done func(core.Reply)) {
-	o.refs++
-	o.waits[o.refs] = done
-	now := o.node.w.now
-	o.shard.Ask(now, o.refs, a, now+wait)
-	o.pump()
-}
-
-func (o *shardOwner) end(e core.End, wait time.Duration, done func(core.Reply)) {
-	o.refs++
-	o.waits[o.refs] = done
-	now := o.node.w.now
-	o.shard.End(now, o.refs, e, now+wait)
-	o.pump()
-}
-
-// pump takes the shard's next steps until it waits for the store or time.
-func (o *shardOwner) pump() {
-	if o.busy {
-		return
-	}
-	w := o.node.w
-	w.background = false
-	o.shard.SetDuty(o.node.owner(o.number, 0) == o.node)
-	step := o.shard.Next(w.now)
-	o.deliver()
-	_, waiting := o.shard.Len()
-	w.background = waiting == 0
-	defer func() { w.background = false }()
-	switch step.Kind {
-	case core.StepWait:
-		o.sleep(step.Until)
-	case core.StepRead:
-		o.busy = true
-		w.platform.list(o.node, step.Prefix, func(page store.Page, err error) {
-			o.busy = false
-			o.shard.Loaded(w.now, page, err)
-			o.pump()
-		})
-	case core.StepCommit:
-		o.busy = true
-		w.hit(pointCommit, o.node)
-		w.platform.commit(o.node, step.Txn, func(revision int64, ok bool, err error) {
-			o.busy = false
-			w.hit(pointCommitted, o.node)
-			o.shard.Committed(w.now, revision, ok, err)
-			o.pump()
-		})
-	}
-}
-
-func (o *shardOwner) sleep(until core.Instant) {
-	if until == core.Forever {
-		return
-	}
-	w := o.node.w
-	o.wakes++
-	wake := o.wakes
-	w.on(o.node, until-w.now, func() {
-		if wake == o.wakes {
-			o.pump()
-		}
-	})
-}
-
-func (o *shardOwner) deliver() {
-	for _, a := range o.shard.Replies() {
-		done := o.waits[a.Ref]
-		delete(o.waits, a.Ref)
-		done(a.Reply)
-	}
-}
-
 // Times of a call between nodes.
 const (
 	netDelayMin = 200 * time.Microsecond
--- a/lab/measure/claims/section.go
+++ b/lab/measure/claims/section.go
@@ -102,6 +102,7 @@
 		{Name: "doubled", Value: h.r.Doubled},
 		{Name: "false_not_run", Value: h.r.FalseNotRun},
 		{Name: "ran_earlier", Value: h.r.RanEarlier},
+		{Name: "late_sends", Value: h.r.LateSends},
 		{Name: "told_run", Value: h.r.Told[toldRun]},
 		{Name: "told_not_run", Value: h.r.Told[toldNotRun]},
 		{Name: "told_unknown", Value: h.r.Told[toldUnknown]},
--- a/lab/measure/claims/world.go
+++ b/lab/measure/claims/world.go
@@ -90,9 +90,7 @@
 			c.live--
 		}
 		if e.node == nil || e.epoch == e.node.epoch {
-			c.background = e.background
 			e.f()
-			c.background = false
 		}
 	}
 }
