Split the gateway's drain from its stop

Cause: the kernel drains every service before any stops; the gateway failed readiness only when it was stopped, after the others' drains. Drain now fails readiness and asks for connections to be closed while every request is still served; Stop waits the grace, closes the listener and waits for streams and for calls whose caller is gone. Closing idle connections at the drain was ruled out: a request may be on its way in one, and its sender couldn't tell whether it was run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	leaving  LeavingObserver // nil if the node has none
 
 	server   *http.Server
+	addr     string
 	draining atomic.Bool
 }
 
@@ -121,13 +122,14 @@
 	if err != nil {
 		return errors.WithHint(errors.Wrap(err, "gateway: listen"), "set --listen to a free ip:port of this VM")
 	}
+	g.addr = ln.Addr().String()
 	g.server = g.newServer()
 	go func() {
 		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("gateway stopped", "err", err)
 		}
 	}()
-	g.log.Info("gateway listens", "addr", ln.Addr().String())
+	g.log.Info("gateway listens", "addr", g.addr)
 	return nil
 }
 
@@ -140,12 +142,21 @@
 	}
 }
 
-// Stop implements kernel.Stopper: it fails readiness, serves on for the
-// grace time of the balancer, then waits until every request in progress has
-// ended.
-func (g *Gateway) Stop(ctx context.Context) error {
+// Addr is the ip:port on which the started gateway listens.
+func (g *Gateway) Addr() string { return g.addr }
+
+// Drain implements kernel.Drainer: it fails readiness and asks callers to
+// close their connections. Every request is still served.
+func (g *Gateway) Drain(context.Context) error {
 	g.draining.Store(true)
 	g.log.Info("gateway drains")
+	return nil
+}
+
+// Stop implements kernel.Stopper: it serves on for the grace time of the
+// balancer, then closes the listener and waits until every request in
+// progress has ended.
+func (g *Gateway) Stop(ctx context.Context) error {
 	sleep(ctx, g.cfg.DrainGrace)
 	return g.server.Shutdown(ctx)
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -182,6 +182,7 @@
 	header  http.Header
 	body    string
 	err     error // of reading the body
+	closes  bool  // the connection ends with this answer
 	problem problem.Problem
 }
 
@@ -207,7 +208,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
-	a := answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err, closes: resp.Close}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), problem.ContentType) {
 		if err := json.Unmarshal(bytes.TrimSpace(raw), &a.problem); err != nil {
 			t.Fatal(err)
