Accept requests with an Accept header; check with the OpenAI client

Cause: go-restful refuses a request that names a type in Accept when the web service lists none, and the gateway answered 404. curl and the load generator send no Accept; github.com/openai/openai-go sends one with every call, so that no caller with that library was served. The engine and service stand-ins had the same fault behind the gateway, which passes Accept on.

Shown failing first: TestHarmlessInput's Accept cases and all of lab/engine's client tests failed with 404 before. After: go test -race ./gateway and (in lab) go test -race -count=3 ./engine pass. The client tests cover whole and streamed answers, cut, overloaded and hidden overload streams, error mapping, and that the client, which retries 5xx by itself, doesn't repeat what may have run (X-Should-Retry).

--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -79,6 +79,9 @@
 		{"bad Priority counts as the default", "POST", chatPath, chatBody, []string{HeaderPriority, "u=99, ???"}},
 		{"service without a path", "GET", "/services/s", "", nil},
 		{"service with a trailing slash", "GET", "/services/s/", "", nil},
+		{"Accept of one type", "POST", chatPath, chatBody, []string{"Accept", "application/json"}},
+		{"Accept of events", "GET", "/services/s/x", "", []string{"Accept", "text/event-stream;q=0.5"}},
+		{"any Content-Type", "POST", chatPath, chatBody, []string{"Content-Type", "text/plain"}},
 		{"lower-case bearer", "POST", chatPath, chatBody, []string{"Authorization", "bearer " + keyA}},
 	}
 	for _, tt := range tests {
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -13,6 +13,7 @@
 const (
 	chatPath      = "/v1/chat/completions"
 	servicePrefix = "/services/"
+	anyType       = "*/*"
 )
 
 type endpoint func(c *call, r *restful.Request) error
@@ -20,7 +21,9 @@
 // Handler returns the routes.
 func (g *Gateway) Handler() http.Handler {
 	c := restful.NewContainer()
-	ws := new(restful.WebService)
+	// Bodies and answers of any type pass; without this, go-restful refuses
+	// a request that has an Accept header.
+	ws := new(restful.WebService).Consumes(anyType).Produces(anyType)
 	ws.Route(ws.POST(chatPath).To(g.route(g.serveChat)))
 	ws.Route(ws.GET("/v1/models").To(g.route(g.serveModels)))
 	for _, method := range serviceMethods {
--- /dev/null
+++ b/lab/engine/client_test.go
@@ -0,0 +1,177 @@
+package engine_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/knapweedgw/knapweedgw/lab/bench"
+	"github.com/knapweedgw/knapweedgw/lab/engine"
+)
+
+// fleet is engines behind one node, asked through a well-known client.
+type fleet struct {
+	engines []*engine.Engine
+	client  openai.Client
+}
+
+func newFleet(t *testing.T, faults ...engine.Faults) *fleet {
+	t.Helper()
+	f := &fleet{}
+	var addrs []string
+	for i, fault := range faults {
+		e := engine.New(engine.Config{
+			ID: strconv.Itoa(i), Step: time.Millisecond, Batch: 8,
+			CacheTokens: 10_000, PrefillRate: 1_000_000, Hold: time.Minute,
+		})
+		e.SetFaults(fault)
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.Run(ctx)
+		addr, stop, err := bench.Serve(e.Handler())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cancel(); stop() })
+		f.engines = append(f.engines, e)
+		addrs = append(addrs, addr)
+	}
+	n, err := bench.NewNode(addrs, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Stop(context.Background()) })
+	f.client = openai.NewClient(option.WithBaseURL(n.URL()+"/v1"), option.WithAPIKey(bench.APIKey))
+	return f
+}
+
+func (f *fleet) runs() int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Runs()
+	}
+	return n
+}
+
+const prompt = "which pipe is lead?"
+
+func params() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     bench.Model,
+		MaxTokens: openai.Int(12),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	}
+}
+
+func want() string {
+	return strings.Join(engine.Answer([]engine.Message{{Role: "user", Content: prompt}}, 12), "")
+}
+
+func (f *fleet) stream(p openai.ChatCompletionNewParams) (string, error) {
+	s := f.client.Chat.Completions.NewStreaming(context.Background(), p)
+	defer func() { _ = s.Close() }()
+	var got strings.Builder
+	for s.Next() {
+		for _, choice := range s.Current().Choices {
+			got.WriteString(choice.Delta.Content)
+		}
+	}
+	return got.String(), s.Err()
+}
+
+func TestClientUnstreamed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, engine.Faults{})
+	got, err := f.client.Chat.Completions.New(context.Background(), params())
+	is.NoErr(err)
+	is.Equal(got.Choices[0].Message.Content, want())
+	is.Equal(got.Usage.CompletionTokens, int64(12))
+	models, err := f.client.Models.List(context.Background())
+	is.NoErr(err)
+	is.Equal(models.Data[0].ID, bench.Model)
+}
+
+// Whatever one of two engines does wrong, the client gets its whole answer.
+func TestClientStreamed(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []engine.Faults
+		runs   int
+	}{
+		{"healthy", []engine.Faults{{}}, 1},
+		{"each stream cut", []engine.Faults{{CutAfter: 5}}, 1},
+		{"overloaded", []engine.Faults{{Overload: 1}, {}}, 1},
+		{"overload hidden in a stream", []engine.Faults{{HiddenOverload: 1}, {}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, tt.faults...)
+			got, err := f.stream(params())
+			is.NoErr(err)
+			is.Equal(got, want())
+			is.Equal(f.runs(), tt.runs)
+		})
+	}
+}
+
+// Refusals reach the client as its error type, with status, code and message.
+func TestClientErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		params func(*openai.ChatCompletionNewParams)
+		opts   []option.RequestOption
+		status int
+		code   string
+	}{
+		{"unknown model", func(p *openai.ChatCompletionNewParams) { p.Model = "x" }, nil, 404, "unknown_model"},
+		{"no messages", func(p *openai.ChatCompletionNewParams) { p.Messages = nil }, nil, 400, "bad_request"},
+		{"unknown key", nil, []option.RequestOption{option.WithAPIKey("x")}, 401, "unauthenticated"},
+		{"every engine overloaded", nil, []option.RequestOption{option.WithMaxRetries(0)}, 503, "no_target"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, engine.Faults{Overload: 1})
+			p := params()
+			if tt.params != nil {
+				tt.params(&p)
+			}
+			_, err := f.client.Chat.Completions.New(context.Background(), p, tt.opts...)
+			var api *openai.Error
+			is.True(errors.As(err, &api))
+			is.Equal(api.StatusCode, tt.status)
+			is.Equal(api.Code, tt.code)
+			is.True(strings.Contains(api.Message, "remedy"))
+			is.Equal(f.runs(), 0)
+		})
+	}
+}
+
+// A client that retries by itself is kept from repeating what may have run.
+func TestClientDoesNotRepeatUnknown(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	addr, stop, err := bench.Serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		requests.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	is.NoErr(err)
+	defer stop()
+	n, err := bench.NewNode([]string{addr}, nil)
+	is.NoErr(err)
+	defer func() { _ = n.Stop(context.Background()) }()
+	client := openai.NewClient(option.WithBaseURL(n.URL()+"/v1"), option.WithAPIKey(bench.APIKey))
+	_, err = client.Chat.Completions.New(context.Background(), params())
+	var api *openai.Error
+	is.True(errors.As(err, &api))
+	is.Equal(requests.Load(), int32(1))
+}
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -65,7 +65,7 @@
 // /lab/* (faults and counts).
 func (e *Engine) Handler() http.Handler {
 	c := restful.NewContainer()
-	ws := new(restful.WebService)
+	ws := new(restful.WebService).Produces("*/*")
 	ws.Route(ws.POST("/v1/chat/completions").To(e.serveChat))
 	ws.Route(ws.DELETE("/v1/chat/completions/{id}").To(e.serveCancel))
 	ws.Route(ws.GET("/load").To(e.serveLoad))
@@ -281,3 +281,14 @@
 	}
 	return defaultUrgency
 }
+
+// Runs returns how many generations were started.
+func (e *Engine) Runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, runs := range e.runs {
+		n += runs
+	}
+	return n
+}
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -59,7 +59,7 @@
 // Handler returns the service's routes: any path, and /lab/*.
 func (s *Service) Handler() http.Handler {
 	c := restful.NewContainer()
-	ws := new(restful.WebService)
+	ws := new(restful.WebService).Produces("*/*")
 	ws.Route(ws.GET("/lab/runs").To(s.serveRuns))
 	ws.Route(ws.PUT("/lab/faults").To(s.putFaults))
 	for _, m := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
