Measure the gateway against stand-ins in one process

Cause: the issue's aims for the node's own time to the first token, for relayed events and for memory had no measurement, nor had the hold for overloads hidden in a stream.

"make bench" compares a source that streams at once, called directly and through a node, side by side at 100 requests/s each; takes the node's CPU time of an event as the difference between the two paths, on 200 streams with an event every 10 ms each; reads the live heap over 10,000 requests; and counts the requests that fail because an engine stand-in hides an overload behind opening events, with and without the hold.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo faults playground run-node build test check check-generated check-tidy lint generate measure capacity
+.PHONY: bench demo faults playground run-node build test check check-generated check-tidy lint generate measure capacity
 
 VERSION ?= dev
 
@@ -48,3 +48,6 @@
 
 capacity: build
 	@bin/knapweedlab capacity
+
+bench: build
+	@bin/knapweedlab bench
--- a/lab/cmd/knapweedlab/main.go
+++ b/lab/cmd/knapweedlab/main.go
@@ -28,6 +28,11 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(platformCommand(), engineCommand(), serviceCommand(), vmCommand(), loadCommand(), portsCommand(), waitCommand(), digestCommand(), experimentCommand(), measureCommand(), capacityCommand())
+	cmd.AddCommand(
+		platformCommand(), engineCommand(), serviceCommand(), vmCommand(),
+		loadCommand(), portsCommand(), waitCommand(), digestCommand(),
+		experimentCommand(),
+		measureCommand(), benchCommand(), capacityCommand(),
+	)
 	return cmd
 }
