Measure whole nodes, claims, membership and streams for capacity

Cause: the admission row of the capacity model stood on assumed message sizes, and claims, membership and streams had no slope.

Ruled out: adding up message sizes by hand (it missed resyncs and totals). The fleet probe runs 4 to 32 whole nodes in one process over real sockets and reads their own byte counters.

Before: admission assumed 430 B a request.

--- a/lab/capacity/model.go
+++ b/lab/capacity/model.go
@@ -20,24 +20,32 @@
 
 const (
 	nanosecond = 1e-9
-	// Sizes of the messages of an admission on the wire, with framing.
-	acquireBytes = 230
-	grantBytes   = 90
-	releaseBytes = 110
 	// callsPerAdmission is an acquire with its answer and a release, which is
-	// half a call.
-	callsPerAdmission = 1.5
-	enginesPerCell    = 12
-	// A conditional read that finds no change, headers included.
+	// half a call; messagesPerAdmission are the three messages of them.
+	callsPerAdmission    = 1.5
+	messagesPerAdmission = 3
+	acquireBytes         = 230 // a usual acquire, for the CPU of its call
+	enginesPerCell       = 12
+	// A conditional read of the VM list that finds no change, headers
+	// included.
 	conditionalRequestBytes = 130
 	conditionalAnswerBytes  = 110
 	pollsPerSec             = 2
 	vmListEntryBytes        = 400 // list and snapshot in memory
+	// unrepeatableShare is the share of requests that need a claim;
+	// claimRetention is the default of --claim-retention in seconds.
+	unrepeatableShare = 0.10
+	claimRetention    = 15 * 60
+	callsPerClaim     = 2 // the claim and its outcome
+	claimCallBytes    = 350
 )
 
 // Model works out each role's cost at the target from the measured slopes.
 func Model(r *Results) []Cost {
-	return []Cost{rankingCost(r), admissionCost(r), settingsCost(r), vmListCost(r)}
+	return []Cost{
+		rankingCost(r), admissionCost(r), membershipCost(r), claimsCost(r),
+		settingsCost(r), vmListCost(r),
+	}
 }
 
 func rankingCost(r *Results) Cost {
@@ -51,17 +59,44 @@
 // admissionCost counts a node both as entry (asks) and as owner (answers);
 // each message leaves one node and reaches another.
 func admissionCost(r *Results) Cost {
-	bytes := float64(acquireBytes + grantBytes + releaseBytes)
+	bytes := requestsPerNode * r.At(ControlRequest, nodesPerRegion)
 	calls := requestsPerNode * callsPerAdmission * r.At(PeerCPU, acquireBytes)
 	decisions := requestsPerNode * r.At(CellCPU, enginesPerCell)
 	return Cost{
 		Role:      "admission: entry and owner",
 		Mechanism: "one owner a cell, picked by rendezvous, counts requests in flight",
 		CPU:       (calls + decisions) * nanosecond,
-		Memory:    r.At(CellMemory, inFlightPerNode),
-		BytesIn:   requestsPerNode * bytes,
-		BytesOut:  requestsPerNode * bytes,
-		Messages:  requestsPerNode * 2 * 3,
+		Memory:    2 * r.At(CellMemory, inFlightPerNode), // entry's and owner's record
+		BytesIn:   bytes,
+		BytesOut:  bytes,
+		Messages:  requestsPerNode * 2 * messagesPerAdmission,
+	}
+}
+
+func membershipCost(r *Results) Cost {
+	return Cost{
+		Role:      "membership",
+		Mechanism: "probes of random nodes of the region, with piggybacked news",
+		CPU:       r.At(MembershipCPU, nodesPerRegion) * nanosecond,
+		BytesIn:   r.At(MembershipBytes, nodesPerRegion),
+		BytesOut:  r.At(MembershipBytes, nodesPerRegion),
+		Messages:  2 * r.At(MembershipMessages, nodesPerRegion),
+	}
+}
+
+// claimsCost spreads the shards evenly over the nodes.
+func claimsCost(r *Results) Cost {
+	claims := requestsPerNode * unrepeatableShare
+	kept := claims * claimRetention
+	calls := claims * callsPerClaim
+	return Cost{
+		Role:      "claims: entry and shard owner",
+		Mechanism: "shards of claims, written in groups by compare-and-swap",
+		CPU:       (calls*r.At(PeerCPU, claimCallBytes) + claims*r.At(ClaimCPU, kept)) * nanosecond,
+		Memory:    r.At(ClaimMemory, kept),
+		BytesIn:   calls * claimCallBytes,
+		BytesOut:  calls * claimCallBytes,
+		Messages:  calls * 2,
 	}
 }
 
--- a/lab/capacity/report.go
+++ b/lab/capacity/report.go
@@ -15,6 +15,14 @@
 	fits   map[Quantity]Fit
 }
 
+// Probes returns every probe.
+func Probes() []Probe {
+	return []Probe{
+		Ranking{}, Cell{}, Settings{}, Peer{}, VMList{},
+		Claims{}, Membership{}, Stream{}, Fleet{},
+	}
+}
+
 // Run measures every probe.
 func Run(ctx context.Context, probes []Probe) (*Results, error) {
 	r := &Results{fits: make(map[Quantity]Fit)}
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -38,6 +38,7 @@
 	inFlight         = RequestsPerSec * answerSeconds
 	inFlightPerNode  = inFlight / Nodes
 	requestsPerNode  = float64(RequestsPerSec) / Nodes
+	nodesPerRegion   = float64(Nodes) / Regions
 	enginesPerRegion = float64(Engines) / Regions
 	enginesPerPool   = enginesPerRegion / Models
 	changesPerSec    = float64(ChangesPerDay) / secondsPerDay
--- a/lab/capacity/usage.go
+++ b/lab/capacity/usage.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// settleTime lets goroutines that are about to block do so.
+const settleTime = 200 * time.Millisecond
+
 // cpuTime returns the CPU time the process has used.
 func cpuTime() time.Duration {
 	var u syscall.Rusage
@@ -31,3 +34,12 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// liveMemory returns the live heap and the goroutines' stacks in bytes.
+func liveMemory() uint64 {
+	time.Sleep(settleTime)
+	heap := liveHeap()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return heap + m.StackInuse
+}
--- a/lab/cmd/knapweedlab/capacity.go
+++ b/lab/cmd/knapweedlab/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -10,19 +11,23 @@
 
 func capacityCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "capacity",
+		Use:     "capacity [PROBE...]",
 		Short:   "Measure the slopes and print the capacity tables",
-		Example: "  knapweedlab capacity",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			probes := []capacity.Probe{
-				capacity.Ranking{}, capacity.Cell{}, capacity.Settings{}, capacity.Peer{}, capacity.VMList{},
+		Long:    "Measure the slopes and print the capacity tables. With probes named, print their slopes only.",
+		Example: "  knapweedlab capacity\n  knapweedlab capacity membership claims",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			probes := capacity.Probes()
+			if len(args) > 0 {
+				probes = slices.DeleteFunc(probes, func(p capacity.Probe) bool { return !slices.Contains(args, p.Name()) })
 			}
 			r, err := capacity.Run(cmd.Context(), probes)
 			if err != nil {
 				return err
 			}
 			r.WriteSlopes(cmd.OutOrStdout())
+			if len(args) > 0 {
+				return nil
+			}
 			fmt.Fprintln(cmd.OutOrStdout())
 			capacity.WriteModel(cmd.OutOrStdout(), capacity.Model(r))
 			return nil
