Fill the silent peer's buffers with what can't be compressed

Cause: TestPeerThatDoesNotRead fills a connection with repeated letters. Since messages are compressed these hardly fill it, and the test took 20 s.

Ruled out: a fault of the write limit (the test passed, late).

--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -139,11 +141,20 @@
 
 // TestPeerThatDoesNotRead fills the buffers of a peer. The writer must fail in
 // bounded time, and those behind it when their own deadlines pass.
+// incompressible returns a message that takes n bytes or more on the wire, so
+// that it fills the buffers on the way.
+func incompressible(n int) text {
+	raw := make([]byte, n)
+	rng := rand.NewChaCha8([32]byte{})
+	_, _ = rng.Read(raw)
+	return text{base64.StdEncoding.EncodeToString(raw)}
+}
+
 func TestPeerThatDoesNotRead(t *testing.T) {
 	is := is.New(t)
 	addr, _ := silentPeer(t, false)
 	client := start(t, newTestHub())
-	big := text{strings.Repeat("x", 1<<20)}
+	big := incompressible(1 << 20)
 	stuck := make(chan error, 1)
 	go func() {
 		var err error
