Send the load through ready nodes, and kill an engine and stop a node under it

Errors that say what happened counted with answers lost without a word.

Now: callers pick among the nodes whose /readyz answered at the last probe; the plan kills an engine and stops a node; the table tells apart failures told by an error, notices whose answer is gone, and answers lost silently, which always fail the run.

Ruled out: excluding a node for one request after a refused connection (it hides a readiness that fails late).

--- a/lab/load/answer.go
+++ b/lab/load/answer.go
@@ -89,7 +89,7 @@
 // streamFailure is an error event; after the first token it can't mean that
 // nothing was run.
 func streamFailure(c chunk, delivered int) error {
-	f := &failure{ran: c.Error.Ran, cause: errors.Newf("stream error: %s", c.Error.Message)}
+	f := &failure{told: true, ran: c.Error.Ran, cause: errors.Newf("stream error: %s", c.Error.Message)}
 	if f.ran == "" || delivered > 0 {
 		f.ran = problem.RanUnknown
 	}
--- a/lab/load/config.go
+++ b/lab/load/config.go
@@ -39,8 +39,8 @@
 	// Window is the time between samples of the engines' load.
 	Window time.Duration
 	// UnderFaults says that targets fail: a chat turn or a read that runs
-	// again counts as repeated, not as doubled, and a notice may end with its
-	// outcome unknown, if the caller was told so.
+	// again counts as repeated, not as doubled, and a request may fail if its
+	// caller is told so.
 	UnderFaults bool
 }
 
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -23,9 +23,10 @@
 
 // Runner sends the load.
 type Runner struct {
-	cfg    Config
-	client *http.Client
-	ledger *ledger
+	cfg      Config
+	client   *http.Client
+	ledger   *ledger
+	balancer *balancer
 
 	mu     sync.Mutex
 	result Result
@@ -36,7 +37,7 @@
 	return &Runner{
 		cfg:    cfg,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnsPerNode}},
-		ledger: newLedger(),
+		ledger: newLedger(), balancer: newBalancer(cfg.Nodes),
 		result: newResult(),
 	}
 }
@@ -50,6 +51,7 @@
 	defer stop()
 	sampled := make(chan skewMeter, 1)
 	go func() { sampled <- r.sampleSkew(sampling) }()
+	go r.balancer.run(sampling)
 	var g errgroup.Group
 	for n := range r.cfg.Chats {
 		g.Go(func() error {
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Sends chats and notices through the fleet while the platform's store fails,
-# loses answers and forgets its history, engines cut streams and refuse, a
-# service loses answers, and a node is paused. Callers retry as they may.
+# loses answers and forgets its history, engines cut streams, refuse and die, a
+# service loses answers, a node is paused and another is stopped. Callers retry
+# as they may. The engine that dies can't be asked what it ran.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
@@ -18,14 +19,16 @@
  {"after_ms":5000,"name":"store back, history lost","put":{"url":"$platform/lab/faults","body":{"compact_now":true}}},
  {"after_ms":5500,"name":"service loses answers","put":{"url":"${service_urls[0]}/lab/faults","body":{"lose_every":5}}},
  {"after_ms":6000,"name":"node paused","signal":{"pids":[${pid_of[node-1]}],"signal":"STOP"}},
+ {"after_ms":7000,"name":"engine dies","signal":{"pids":[${pid_of[engine-$engines]}],"signal":"KILL"}},
  {"after_ms":8000,"name":"node continues","signal":{"pids":[${pid_of[node-1]}],"signal":"CONT"}},
- {"after_ms":9000,"name":"VM list lags","put":{"url":"$platform/lab/faults","body":{"vm_list_lag_ms":3000,"vm_list_back":2}}}
+ {"after_ms":9000,"name":"VM list lags","put":{"url":"$platform/lab/faults","body":{"vm_list_lag_ms":3000,"vm_list_back":2}}},
+ {"after_ms":10000,"name":"node stops","signal":{"pids":[${pid_of[node-$nodes]}],"signal":"TERM"}}
 ]}
 JSON
 start experiment "$bin"/knapweedlab experiment "$logs/plan.json"
 experiment=$!
 status=0
-"$bin"/knapweedlab load --nodes "$(join "${node_urls[@]}")" --engines "$(join "${engine_urls[@]}")" \
+"$bin"/knapweedlab load --nodes "$(join "${node_urls[@]}")" --engines "$(join "${engine_urls[@]:0:engines-1}")" \
   --services "$(join "${service_urls[@]}")" --keys "$(join "${keys[@]}")" --service obras-api \
   --chats "${DEMO_CHATS:-120}" --turns 20 --emergency 0.1 --batch 0.2 --notices 0.3 --resend 0.2 \
   --under-faults --max-tries 6 &
