--- a/lab/cmd/knapweedlab/main.go
+++ b/lab/cmd/knapweedlab/main.go
@@ -31,7 +31,7 @@
 	cmd.AddCommand(
 		platformCommand(), engineCommand(), serviceCommand(), vmCommand(),
 		loadCommand(), portsCommand(), waitCommand(), digestCommand(),
-		experimentCommand(),
+		experimentCommand(), callsCommand(),
 		measureCommand(), benchCommand(), capacityCommand(),
 	)
 	return cmd
