Run every test anew in make test

Cause: in a fresh clone of a changed tree lab/demotest was "(cached)": Go's test cache tracks files of the test's own module only, and this test builds and runs both. A demo that the root module broke would have passed.

Ruled out: -count=1 for that package alone (the next such test would be missed).

Before: ok lab/demotest (cached). After: every line of make test has its time.

Conclusion: kept; a second make test takes as long as the first.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs every test of both modules with the race detector. The tests listed in
+# Runs every test of both modules with the race detector, none from the cache:
+# it doesn't see the files outside a test's module. The tests listed in
 # KNOWN-RED.txt are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,7 +13,7 @@
 fi
 status=0
 for module in . lab; do
-  (cd "$module" && go test -race "${skip[@]}" ./...) || status=1
+  (cd "$module" && go test -race -count=1 "${skip[@]}" ./...) || status=1
 done
 if [ -n "$names" ]; then
   echo "known to fail, passed over:"
