Issue orders to engines under a lease, paced and read back

Cause: operators ask for versions, adapters and roles in the settings; some engines check fencing numbers, others obey anybody.

Weighed: imperative load and unload commands, or idempotent desired states. Desired states can be repeated after a lost answer and healed by reading back; taken. Weighed for engines that ignore fencing: waiting out lease and time-out, closing kept connections, and a check at the last write. Each order has its own connection whose writes ask the lease first, a new issuer waits OrderTimeout + Settle before it reads and orders, and reading back heals the rest.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -27,10 +27,11 @@
 	machine *Machine
 }
 
-// NewKeeper returns a contender for the duty under the holder's name.
-func NewKeeper(s store.Store, cfg Config, duty, holder string, m *Metrics) *Keeper {
+// NewKeeper returns a contender for the duty under the holder's name, on the
+// clock now.
+func NewKeeper(s store.Store, cfg Config, duty, holder string, m *Metrics, now func() time.Time) *Keeper {
 	return &Keeper{
-		store: s, duty: duty, holder: holder, metrics: m, now: time.Now,
+		store: s, duty: duty, holder: holder, metrics: m, now: now,
 		machine: NewMachine(cfg, uuid.NewString),
 	}
 }
@@ -59,7 +60,7 @@
 // Run contends for the duty until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		k.pause(ctx, k.step(ctx))
+		k.pause(ctx, k.Step(ctx))
 	}
 }
 
@@ -69,11 +70,11 @@
 	k.mu.Lock()
 	k.machine.Release()
 	k.mu.Unlock()
-	k.step(ctx)
+	k.Step(ctx)
 }
 
-// step does the machine's next action and returns when to look again.
-func (k *Keeper) step(ctx context.Context) time.Time {
+// Step does the machine's next action and returns when to look again.
+func (k *Keeper) Step(ctx context.Context) time.Time {
 	k.mu.Lock()
 	action := k.machine.Next(k.now())
 	k.mu.Unlock()
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -20,8 +20,8 @@
 	m := NewMetrics(prometheus.NewRegistry())
 	cfg := DefaultConfig()
 	cfg.Retry = 10 * time.Millisecond
-	a := NewKeeper(s, cfg, "d", "a", m)
-	b := NewKeeper(s, cfg, "d", "b", m)
+	a := NewKeeper(s, cfg, "d", "a", m, time.Now)
+	b := NewKeeper(s, cfg, "d", "b", m, time.Now)
 
 	ctxA, stopA := context.WithCancel(context.Background())
 	doneA := make(chan struct{})
--- /dev/null
+++ b/orders/metrics.go
@@ -0,0 +1,85 @@
+package orders
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/store"
+	"github.com/knapweedgw/knapweedgw/telemetry"
+)
+
+const subsystem = "orders"
+
+// Metrics counts what a node's issuers do.
+type Metrics struct {
+	sent    *prometheus.CounterVec
+	reads   *prometheus.CounterVec
+	waits   *prometheus.CounterVec
+	retries *prometheus.CounterVec
+	records *prometheus.CounterVec
+	skipped *prometheus.CounterVec
+	engines *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics of orders.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+		}, labels)
+	}
+	m := &Metrics{
+		sent:    counter("sent_total", "Orders to engines, by outcome.", "outcome"),
+		reads:   counter("reads_total", "Reads of engines' states, by outcome.", "outcome"),
+		waits:   counter("waits_total", "Times an issuer began to wait with orders, by reason.", "reason"),
+		retries: counter("retries_total", "Orders to be repeated, by reason.", "reason"),
+		records: counter("records_total", "Reads and writes of records in the store, by call and outcome.", "call", "outcome"),
+		skipped: counter("pools_skipped_total", "Pools left without an issuer, by reason.", "reason"),
+		engines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "engines",
+			Help: "Engines of the pools that this node issues orders to, by state.",
+		}, []string{"pool", "state"}),
+	}
+	reg.MustRegister(m.sent, m.reads, m.waits, m.retries, m.records, m.skipped, m.engines)
+	return m
+}
+
+func (m *Metrics) progress(pool string, p Progress) {
+	for state, n := range map[string]int{
+		"done": p.Done, "loading": p.Loading, "wrong": p.Wrong, "failed": p.Failed, "unknown": p.Unknown,
+	} {
+		m.engines.WithLabelValues(pool, state).Set(float64(n))
+	}
+}
+
+// outcome names an engine client's error.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrStaleFence):
+		return "stale_fence"
+	case errors.Is(err, ErrIncarnation):
+		return "incarnation"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrNotSent):
+		return "not_sent"
+	case errors.Is(err, ErrUncertain):
+		return "uncertain"
+	}
+	return "failed"
+}
+
+// storeOutcome names the result of a store call.
+func storeOutcome(ok bool, err error) string {
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		return "uncertain"
+	case err != nil:
+		return "unavailable"
+	case !ok:
+		return "conflict"
+	}
+	return "ok"
+}
