Let operators set version, adapters and role of a model's engines

Cause: the issuer of orders reads the desired state from the settings. Ruled out: a nested block; the schema walks maps and lists only, and flat fields need no change to it. An empty version sends no orders, so present documents mean what they meant. Conclusion: models.<name>.version, adapters, role, roll_out, loads_per_minute.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,8 +48,33 @@
 	// Fencing says what the pool's engines do with orders. Empty means
 	// FencingIgnored.
 	Fencing Fencing `json:"fencing,omitempty" default:"ignored" oneof:"checked,ignored" doc:"whether the engines refuse orders with an old fencing number"`
+	// Version is what the pool's engines must have loaded. Empty means that
+	// no orders are sent to them.
+	Version string `json:"version,omitempty" pattern:"model" default:"no orders are sent" doc:"version of the model that the engines must load"`
+	// Adapters are loaded beside the model.
+	Adapters []string `json:"adapters,omitempty" pattern:"model" doc:"adapters that the engines must load, in order"`
+	// Role is what the engines run. Empty means RoleBoth.
+	Role Role `json:"role,omitempty" default:"both" oneof:"both,prefill,decode" doc:"part of a generation that the engines run"`
+	// RollOut starts a stopped roll-out of the same version again when raised.
+	RollOut int `json:"roll_out,omitempty" default:"0" min:"0" max:"1000000" doc:"raise it to try a stopped roll-out of the same version again"`
+	// LoadsPerMinute paces the loads of the pool's engines in one region from
+	// the weight store. 0 means DefaultLoadsPerMinute.
+	LoadsPerMinute float64 `json:"loads_per_minute,omitempty" default:"12" min:"0.1" max:"1000" unit:"loads a minute" doc:"most loads from the weight store by the pool's engines in one region, on average"`
 }
 
+// Role is the part of a generation that an engine runs.
+type Role string
+
+// The roles of engines.
+const (
+	RoleBoth    Role = "both"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// DefaultLoadsPerMinute is the default of Model.LoadsPerMinute.
+const DefaultLoadsPerMinute = 12
+
 // Fencing says whether engines check the fencing number of an order.
 type Fencing string
 
