Run the issuers of a region's pools on its nodes

Cause: orders had no service. The first two nodes of a region by rendezvous hashing contend for each pool's duty; the lease alone decides, so views that differ cost store calls only. The standby looks at the duty as often as the holder renews it (5 s instead of 2 s: 28 standbys read 5.6 instead of 14 times a second, worked out, not measured).

Ruled out: every node contending (370 readers of 28 keys), and cancelling orders in progress when stopping; they are finished (2 s at most), then the duty is handed over.

The engine stand-in serves the order interface, with its switches under /lab/orders. The contract of orderstest runs on the client in memory and on HTTP against the stand-in.

Conclusion: TestIssuersOfTwoNodes drives three engines by HTTP through two nodes' services and a hand-over.

--- a/lab/cmd/knapweedlab/standins.go
+++ b/lab/cmd/knapweedlab/standins.go
@@ -63,7 +63,7 @@
 	fs.IntVar(&cfg.PrefillRate, "prefill-rate", 50_000, "uncached prompt tokens a second")
 	fs.DurationVar(&cfg.Hold, "hold", time.Minute, "how long a generation can be resumed")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		cfg.ID = f.vm.ID
+		cfg.ID, cfg.Incarnation = f.vm.ID, f.vm.Incarnation
 		e := engine.New(cfg)
 		go e.Run(cmd.Context())
 		go func() { _ = labhttp.Register(cmd.Context(), f.platform, f.vm) }()
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -28,6 +28,7 @@
 	CacheTokens int           // size of the prefix cache
 	PrefillRate int           // uncached prompt tokens a second
 	Hold        time.Duration // how long a finished generation can be resumed
+	Incarnation int64         // as in the VM list
 }
 
 // Faults are the engine's fault switches; the zero value is a healthy one.
@@ -47,7 +48,8 @@
 
 // Engine runs generations.
 type Engine struct {
-	cfg Config
+	cfg    Config
+	orders *Orders
 
 	mu      sync.Mutex
 	cache   *prefixCache
@@ -89,10 +91,11 @@
 // New returns an engine; Run must be called for it to generate.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg:   cfg,
-		cache: newPrefixCache(cfg.CacheTokens),
-		held:  make(map[string]*sequence),
-		runs:  make(map[string]int),
+		cfg:    cfg,
+		orders: NewOrders(cfg.Incarnation),
+		cache:  newPrefixCache(cfg.CacheTokens),
+		held:   make(map[string]*sequence),
+		runs:   make(map[string]int),
 	}
 }
 
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -72,6 +72,7 @@
 	ws.Route(ws.GET("/lab/runs").To(e.serveRuns))
 	ws.Route(ws.GET("/lab/stats").To(e.serveStats))
 	ws.Route(ws.PUT("/lab/faults").To(e.putFaults))
+	e.orders.Routes(ws)
 	c.Add(ws)
 	return c
 }
--- /dev/null
+++ b/lab/engine/orders_service_test.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/lease"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/orders"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/store"
+	"github.com/knapweedgw/knapweedgw/store/memory"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+// fixed are the services that the issuers look up.
+type (
+	fixedSettings struct{ snap *settings.Snapshot }
+	fixedTargets  struct{ snap *targets.Snapshot }
+	fixedMembers  struct{ view *membership.View }
+)
+
+func (f fixedSettings) ID() kernel.ID                { return settings.ServiceID }
+func (f fixedSettings) Snapshot() *settings.Snapshot { return f.snap }
+func (f fixedTargets) ID() kernel.ID                 { return targets.ServiceID }
+func (f fixedTargets) Snapshot() *targets.Snapshot   { return f.snap }
+func (f fixedMembers) ID() kernel.ID                 { return membership.ServiceID }
+func (f fixedMembers) View() *membership.View        { return f.view }
+
+// startNode starts the issuers of a node and returns their kernel.
+func startNode(t *testing.T, id string, s store.Store, others ...kernel.Service) *kernel.Kernel {
+	reg := prometheus.NewRegistry()
+	limits := orders.DefaultLimits()
+	limits.MaxOutShare = 1
+	cfg := lease.DefaultConfig()
+	cfg.RenewEvery, cfg.Retry = 100*time.Millisecond, 100*time.Millisecond
+	svc := orders.NewService(orders.Deps{
+		Node: id, Region: "r", Limits: limits, Store: s, Client: orders.NewHTTPClient(),
+		Metrics: orders.NewMetrics(reg), Log: log.New(io.Discard), Now: time.Now,
+	}, cfg, lease.NewMetrics(reg))
+	k, err := kernel.New(append(others, svc)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// TestIssuersOfTwoNodes: one of two nodes brings the engines to the state of
+// the settings over HTTP; after it has stopped, the other brings them to the
+// next one with a greater fencing number.
+func TestIssuersOfTwoNodes(t *testing.T) {
+	is := is.New(t)
+	s := memory.New(time.Now)
+	snap := &targets.Snapshot{Pools: make(map[string][]targets.Target)}
+	var engines []*Orders
+	for i := range 3 {
+		o, addr := serveOrders(t)
+		engines = append(engines, o)
+		snap.Pools["m"] = append(snap.Pools["m"], targets.Target{
+			ID: fmt.Sprintf("e%d", i), Addr: addr, Pool: "m", Region: "r", Role: vmlist.RoleEngine, Incarnation: 7,
+		})
+	}
+	members := fixedMembers{&membership.View{Nodes: []membership.Node{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}}}}
+	a := startNode(t, "a", s, settingsOf(1, "1"), fixedTargets{snap}, members)
+	await(t, engines, "1")
+	b := startNode(t, "b", s, settingsOf(2, "2"), fixedTargets{snap}, members)
+	is.NoErr(a.Stop(context.Background()))
+	await(t, engines, "2")
+	for _, o := range engines {
+		j := o.engine.Journal()
+		is.True(j[len(j)-1].Order.Fence > j[0].Order.Fence)
+	}
+	kv, ok, err := s.Get(context.Background(), orders.Key("r", "m"))
+	is.NoErr(err)
+	is.True(ok)
+	rec, err := orders.ParseRecord(kv)
+	is.NoErr(err)
+	is.Equal(rec.Issuer, "b")
+	is.NoErr(b.Stop(context.Background()))
+	_, held, err := s.Get(context.Background(), lease.Key(orders.Duty("r", "m")))
+	is.NoErr(err)
+	is.True(!held)
+}
+
+func settingsOf(revision int64, version string) fixedSettings {
+	return fixedSettings{settings.NewSnapshot(revision, map[string]settings.Team{
+		"t": {Models: map[string]settings.Model{"m": {Version: version, Fencing: settings.FencingChecked}}},
+	})}
+}
+
+func await(t *testing.T, engines []*Orders, version string) {
+	for _, o := range engines {
+		for o.engine.State().Current.Version != version {
+			if t.Context().Err() != nil {
+				t.Fatal("not converged")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -27,10 +27,10 @@
 	// Margin is how much earlier the holder stops believing in its lease. It
 	// covers clocks whose rates differ by up to Margin/(TTL-Margin).
 	Margin time.Duration
-	// RenewEvery is the time between the starts of two renewals.
+	// RenewEvery is the time between the starts of two renewals, and between
+	// two looks at a duty that another holds.
 	RenewEvery time.Duration
-	// Retry is the wait before a failed call is repeated and between two
-	// looks at a duty that another holds.
+	// Retry is the wait before a failed call is repeated.
 	Retry time.Duration
 }
 
--- a/lease/observe.go
+++ b/lease/observe.go
@@ -41,7 +41,7 @@
 	}
 	m.holder = r.Record.Holder
 	if r.Found {
-		m.retry(r)
+		m.wake = r.Done.Add(m.cfg.RenewEvery)
 		return
 	}
 	m.phase = phaseGrant
--- a/node/node.go
+++ b/node/node.go
@@ -14,7 +14,9 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/lease"
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/orders"
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
@@ -74,6 +76,13 @@
 	}, l, reg)
 }
 
+func provideOrders(cfg *config.Node, st store.Store, l *log.Logger, reg prometheus.Registerer) *orders.Service {
+	return orders.NewService(orders.Deps{
+		Node: cfg.NodeID, Region: cfg.Region, Limits: orders.DefaultLimits(),
+		Store: st, Client: orders.NewHTTPClient(), Metrics: orders.NewMetrics(reg), Log: l, Now: time.Now,
+	}, lease.DefaultConfig(), lease.NewMetrics(reg))
+}
+
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
 	hub *peer.Hub,
@@ -83,7 +92,8 @@
 	acc *acceptor.Acceptor,
 	adm *admission.Service,
 	clm *claims.Service,
+	ord *orders.Service,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(hub, mem, reg, set, acc, adm, clm, gw)
+	return kernel.New(hub, mem, reg, set, acc, adm, clm, ord, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -30,6 +30,7 @@
 	acceptor.New,
 	provideAdmission,
 	provideClaims,
+	provideOrders,
 	gateway.New,
 	provideKernel,
 )
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -36,8 +36,9 @@
 	acceptorAcceptor := acceptor.New(store, logger, registry)
 	service := provideAdmission(cfg, logger, registry)
 	claimsService := provideClaims(cfg, store, hub, members, logger, registry)
+	ordersService := provideOrders(cfg, store, logger, registry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, service, claimsService, gatewayGateway)
+	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, service, claimsService, ordersService, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -53,5 +54,6 @@
 	provideTargets,
 	provideHub,
 	provideMembers, follower.New, acceptor.New, provideAdmission,
-	provideClaims, gateway.New, provideKernel,
+	provideClaims,
+	provideOrders, gateway.New, provideKernel,
 )
--- a/orders/metrics.go
+++ b/orders/metrics.go
@@ -52,6 +52,10 @@
 	}
 }
 
+func (m *Metrics) forget(pool string) {
+	m.engines.DeletePartialMatch(prometheus.Labels{"pool": pool})
+}
+
 // outcome names an engine client's error.
 func outcome(err error) string {
 	switch {
--- a/orders/order.go
+++ b/orders/order.go
@@ -16,16 +16,18 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/settings"
 )
 
 // Role is the part of a generation that an engine runs.
-type Role string
+type Role = settings.Role
 
-// The roles of an engine. The zero value means RoleBoth.
+// The roles of an engine.
 const (
-	RoleBoth    Role = "both"
-	RolePrefill Role = "prefill"
-	RoleDecode  Role = "decode"
+	RoleBoth    = settings.RoleBoth
+	RolePrefill = settings.RolePrefill
+	RoleDecode  = settings.RoleDecode
 )
 
 // Desired is what an engine is to have loaded.
@@ -109,12 +111,12 @@
 }
 
 // Fencing says whether the engines of a pool check fencing numbers.
-type Fencing string
+type Fencing = settings.Fencing
 
 // The kinds of engines. The zero value means FencingIgnored.
 const (
-	FencingChecked Fencing = "checked"
-	FencingIgnored Fencing = "ignored"
+	FencingChecked = settings.FencingChecked
+	FencingIgnored = settings.FencingIgnored
 )
 
 // Spec is the desired state of a pool, as the settings give it.
@@ -125,6 +127,9 @@
 	Fencing  Fencing `json:"fencing"`
 	// Attempt starts a stopped roll-out of the same state again when raised.
 	Attempt int `json:"attempt,omitempty"`
+	// LoadsPerMinute replaces that of the limits unless it is 0. It isn't
+	// part of the desired state.
+	LoadsPerMinute float64 `json:"-"`
 }
 
 // Hash names the desired state, whatever the revision it was read at.
--- a/orders/pool.go
+++ b/orders/pool.go
@@ -85,7 +85,7 @@
 	p.term, p.active, p.began, p.fenced = t, true, now, false
 	p.halted = ""
 	p.ledger = ledger{}
-	p.loads = newBucket(p.limits.LoadsPerMinute/time.Minute.Seconds(), float64(p.limits.MaxLoading), now)
+	p.loads = newBucket(p.loadRate(), float64(p.limits.MaxLoading), now)
 	p.reads = newBucket(p.limits.ReadsPerSecond, max(1, p.limits.ReadsPerSecond), now)
 	for id, e := range p.engines {
 		p.engines[id] = &engine{target: e.target}
@@ -99,6 +99,7 @@
 		return
 	}
 	p.spec = s
+	p.loads.rate = p.loadRate()
 	if h := s.Hash(); h != p.hash {
 		p.hash = h
 		p.halted = ""
@@ -108,6 +109,15 @@
 	}
 }
 
+// loadRate returns the loads a second that the weight store is to give.
+func (p *Pool) loadRate() float64 {
+	perMinute := p.limits.LoadsPerMinute
+	if p.spec.LoadsPerMinute > 0 {
+		perMinute = p.spec.LoadsPerMinute
+	}
+	return perMinute / time.Minute.Seconds()
+}
+
 // forgetOrder forgets the failures, and has the state read again if an order
 // is outstanding.
 func (e *engine) forgetOrder() {
--- /dev/null
+++ b/orders/service.go
@@ -0,0 +1,195 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/lease"
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+)
+
+// ServiceID is the kernel name of the Service.
+const ServiceID kernel.ID = "orders.issuer"
+
+// surveyInterval is the time between two looks at the pools.
+const surveyInterval = time.Second
+
+// The reasons for which a pool has no issuer from this node.
+const (
+	skipConflict  = "settings_conflict"
+	skipNoEngines = "no_engines"
+)
+
+// SettingsSource gives the settings in force, nil before the first are read.
+type SettingsSource interface{ Snapshot() *settings.Snapshot }
+
+// TargetSource gives the engines.
+type TargetSource interface{ Snapshot() *targets.Snapshot }
+
+// Service runs the issuers of the pools of this node's region for which the
+// node contends.
+type Service struct {
+	deps    Deps
+	lease   lease.Config
+	metrics *lease.Metrics
+
+	settings SettingsSource
+	targets  TargetSource
+	members  membership.Source
+
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex
+	stopped  bool
+	runners  map[string]*runner
+	stopping sync.WaitGroup
+	skipped  map[string]string
+	snap     *settings.Snapshot
+	specs    map[string]Spec
+}
+
+// NewService returns the service of a node.
+func NewService(d Deps, cfg lease.Config, m *lease.Metrics) *Service {
+	return &Service{
+		deps: d, lease: cfg, metrics: m, done: make(chan struct{}),
+		runners: make(map[string]*runner), skipped: make(map[string]string),
+	}
+}
+
+// ID implements kernel.Service.
+func (s *Service) ID() kernel.ID { return ServiceID }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(k *kernel.Kernel) (err error) {
+	if s.settings, err = kernel.Lookup[SettingsSource](k, settings.ServiceID); err != nil {
+		return err
+	}
+	if s.targets, err = kernel.Lookup[TargetSource](k, targets.ServiceID); err != nil {
+		return err
+	}
+	s.members, err = kernel.Lookup[membership.Source](k, membership.ServiceID)
+	return err
+}
+
+// Validate implements kernel.Validator.
+func (s *Service) Validate() error { return s.lease.Validate() }
+
+// Start implements kernel.Starter.
+func (s *Service) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	go s.run(ctx)
+	return nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.done)
+	tick := time.NewTicker(surveyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.survey()
+		}
+	}
+}
+
+// Drain implements kernel.Drainer: it hands every duty over.
+func (s *Service) Drain(ctx context.Context) error { return s.Stop(ctx) }
+
+// Stop implements kernel.Stopper. Orders in progress are finished first.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.cancel == nil {
+		return nil
+	}
+	s.cancel()
+	<-s.done
+	s.mu.Lock()
+	s.stopped = true
+	for pool := range s.runners {
+		s.end(ctx, pool)
+	}
+	s.mu.Unlock()
+	s.stopping.Wait()
+	return nil
+}
+
+// survey starts and stops runners as settings, engines and members ask.
+func (s *Service) survey() {
+	snap := s.settings.Snapshot()
+	if snap == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	if snap != s.snap {
+		s.follow(snap)
+	}
+	view := s.members.View()
+	for pool, spec := range s.specs {
+		s.place(view, pool, spec)
+	}
+	for pool := range s.runners {
+		if _, ok := s.specs[pool]; !ok {
+			s.end(context.Background(), pool)
+		}
+	}
+}
+
+func (s *Service) follow(snap *settings.Snapshot) {
+	byPool, conflicts := specs(snap)
+	s.snap, s.specs = snap, byPool
+	for pool := range byPool {
+		s.skip(pool, skipConflict, slices.Contains(conflicts, pool))
+	}
+}
+
+// place starts, updates or stops the runner of a pool.
+func (s *Service) place(view *membership.View, pool string, spec Spec) {
+	r, running := s.runners[pool]
+	empty := len(engines(s.targets.Snapshot().Pool(pool), s.deps.Region)) == 0
+	s.skip(pool, skipNoEngines, empty)
+	wanted := !empty && contends(view, s.deps.Region, Duty(s.deps.Region, pool), s.deps.Node)
+	switch {
+	case wanted && !running:
+		r = newRunner(s.deps, s.lease, s.metrics, s.targets, pool)
+		r.spec.Store(&spec)
+		s.runners[pool] = r
+		r.start()
+	case wanted:
+		r.spec.Store(&spec)
+	case running:
+		s.end(context.Background(), pool)
+	}
+}
+
+// end stops a runner in the background.
+func (s *Service) end(ctx context.Context, pool string) {
+	r := s.runners[pool]
+	delete(s.runners, pool)
+	s.stopping.Go(func() { r.stop(ctx) })
+}
+
+// skip counts and logs a reason once when it begins to apply to a pool.
+func (s *Service) skip(pool, reason string, applies bool) {
+	key := reason + "/" + pool
+	_, was := s.skipped[key]
+	switch {
+	case applies && !was:
+		s.skipped[key] = reason
+		s.deps.Metrics.skipped.WithLabelValues(reason).Inc()
+		s.deps.Log.Warn("pool without orders or with conflicting ones", "pool", pool, "reason", reason)
+	case !applies:
+		delete(s.skipped, key)
+	}
+}
--- /dev/null
+++ b/orders/specs.go
@@ -0,0 +1,88 @@
+package orders
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/vmlist"
+)
+
+// contenders is how many nodes contend for a pool's duty: the issuer and a
+// standby.
+const contenders = 2
+
+// specs returns the desired state of each pool that has one. Of models that
+// share a pool and differ, the one whose team and name come first in the
+// alphabet decides; conflicts names the pools concerned.
+func specs(s *settings.Snapshot) (byPool map[string]Spec, conflicts []string) {
+	byPool = make(map[string]Spec)
+	for _, team := range slices.Sorted(maps.Keys(s.Teams)) {
+		models := s.Teams[team].Models
+		for _, name := range slices.Sorted(maps.Keys(models)) {
+			m := models[name]
+			if m.Version == "" {
+				continue
+			}
+			pool := m.Pool
+			if pool == "" {
+				pool = name
+			}
+			next := specOf(s.Revision, name, m)
+			cur, taken := byPool[pool]
+			switch {
+			case !taken:
+				byPool[pool] = next
+			case cur.Hash() != next.Hash():
+				conflicts = append(conflicts, pool)
+			}
+		}
+	}
+	return byPool, conflicts
+}
+
+func specOf(revision int64, name string, m settings.Model) Spec {
+	s := Spec{
+		Revision: revision,
+		Desired:  Desired{Model: name, Version: m.Version, Adapters: m.Adapters, Role: m.Role},
+		Fencing:  m.Fencing, Attempt: m.RollOut, LoadsPerMinute: m.LoadsPerMinute,
+	}
+	if s.Desired.Role == "" {
+		s.Desired.Role = RoleBoth
+	}
+	if s.Fencing == "" {
+		s.Fencing = FencingIgnored
+	}
+	return s
+}
+
+// contends says whether a node is among those that contend for a duty: the
+// highest by rendezvous hashing among the region's nodes. Views that differ
+// cost store calls; the lease alone decides.
+func contends(v *membership.View, region, duty, node string) bool {
+	nodes := v.Duty(region)
+	hashes := make([]uint64, len(nodes))
+	for i, n := range nodes {
+		hashes[i] = routing.Hash(n.ID)
+	}
+	for _, i := range routing.Top(nil, routing.Hash(duty), hashes, contenders) {
+		if nodes[i].ID == node {
+			return true
+		}
+	}
+	return false
+}
+
+// engines returns the engines of a region that may be ordered.
+func engines(pool []targets.Target, region string) []Target {
+	var out []Target
+	for _, t := range pool {
+		if t.Region == region && t.Role == vmlist.RoleEngine && !t.Leaving {
+			out = append(out, Target{ID: t.ID, Addr: t.Addr, Incarnation: t.Incarnation})
+		}
+	}
+	return out
+}
