Show the issuers and their progress by "knapweedgw orders status"

Cause: operators couldn't see who issues a pool's orders, how far they are and why they stopped without reading a node's metrics. Ruled out: asking the nodes; the store's records are there when nodes change. Before: no such command. Measured: go test -race ./cmd/...: ok.

--- a/cmd/knapweedgw/main.go
+++ b/cmd/knapweedgw/main.go
@@ -30,6 +30,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), settingsCommand(), statusCommand())
+	cmd.AddCommand(serveCommand(), settingsCommand(), statusCommand(), ordersCommand())
 	return cmd
 }
--- a/orders/record.go
+++ b/orders/record.go
@@ -12,6 +12,9 @@
 // Prefix is the root of the issuers' records.
 const Prefix = "/knapweedgw/orders/"
 
+// DutyPrefix starts the lease duty of each pool's issuer.
+const DutyPrefix = "orders/"
+
 // maxErrors is how many engines' errors a record holds.
 const maxErrors = 5
 
@@ -19,7 +22,7 @@
 func Key(region, pool string) string { return Prefix + region + "/" + pool }
 
 // Duty returns the lease duty of a pool's issuer.
-func Duty(region, pool string) string { return "orders/" + region + "/" + pool }
+func Duty(region, pool string) string { return DutyPrefix + region + "/" + pool }
 
 // EngineError is the last failure of one engine.
 type EngineError struct {
