Measure what the issuers of orders cost at three sizes

Cause: calls, processor time and memory of 28 issuers weren't known. Loads take 30 s; each pool has an issuer and a standby; 5 reads of engines a second at most.

The keepers' hand-over now runs on both store adapters (memory, etcd).

--- /dev/null
+++ b/lab/measure/orders/section.go
@@ -0,0 +1,76 @@
+// Package orders measures on virtual time what the issuers of orders cost:
+// calls to the store and to engines, processor time and memory, the length of
+// a roll-out and of a take-over.
+package orders
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/knapweedgw/knapweedgw/lab/measure"
+)
+
+const name = "orders"
+
+// size is one measured fleet: pools of equal size, each with an issuer and a
+// standby.
+type size struct{ pools, engines int }
+
+// sizes end in the pools of seven regions with four models each.
+var sizes = []size{{1, 18}, {7, 53}, {28, 196}}
+
+// Section is the measurement.
+type Section struct{}
+
+// Name implements measure.Section.
+func (Section) Name() string { return name }
+
+// Run implements measure.Section.
+func (Section) Run(ctx context.Context, r *measure.Reporter, _ uint64) (string, error) {
+	var last row
+	for _, sz := range sizes {
+		f := newFleet(sz)
+		last = f.measure(ctx)
+		if err := r.Add(name, last); err != nil {
+			return "", err
+		}
+	}
+	wire, err := measureWire(ctx)
+	if err != nil {
+		return "", err
+	}
+	if err := r.Add(name, wire); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("orders: pools=%d engines=%d store_reads=%.3g/s store_writes=%.3g/s lease_calls=%.3g/s roll_out=%.0fs",
+		last.pools, last.engines, last.storeReads, last.storeWrites, last.leaseCalls, last.rollOut), nil
+}
+
+// row is the cost of a fleet. Rates are of all issuers and standbys together.
+type row struct {
+	pools, engines                      int
+	storeReads, storeWrites, leaseCalls float64 // a second, settled
+	engineReads                         float64 // a second, settled
+	writesRolling                       float64 // a second, while rolling out
+	cpuMicros                           float64 // of one issuer and its standby, a second, settled
+	heapKB                              float64 // of one issuer and its standby
+	rollOut                             float64 // seconds
+	takeover                            float64 // seconds from a killed issuer to the first order
+}
+
+// Fields implements measure.Row.
+func (r row) Fields() []measure.Field {
+	return []measure.Field{
+		{Name: "pools", Value: r.pools},
+		{Name: "engines_a_pool", Value: r.engines},
+		{Name: "store_reads_s", Value: r.storeReads},
+		{Name: "store_writes_s", Value: r.storeWrites},
+		{Name: "lease_calls_s", Value: r.leaseCalls},
+		{Name: "engine_reads_s", Value: r.engineReads},
+		{Name: "writes_rolling_s", Value: r.writesRolling},
+		{Name: "cpu_us_a_pool_s", Value: r.cpuMicros},
+		{Name: "heap_kb_a_pool", Value: r.heapKB},
+		{Name: "roll_out_s", Value: r.rollOut},
+		{Name: "takeover_s", Value: r.takeover},
+	}
+}
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -2,21 +2,44 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	restful "github.com/emicklei/go-restful/v3"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/store"
+	"github.com/knapweedgw/knapweedgw/store/etcd"
 	"github.com/knapweedgw/knapweedgw/store/memory"
 )
 
-// TestKeeperHandsOver runs two keepers against a store in memory: the second
-// holds after the first has released, with a greater fencing number, and
-// writes fenced by the first's term fail.
+// stores are the adapters that a Keeper runs on.
+func stores(t *testing.T) map[string]store.Store {
+	inMemory := memory.New(time.Now)
+	ws := new(restful.WebService)
+	etcd.NewServer(memory.New(time.Now)).Routes(ws)
+	c := restful.NewContainer()
+	c.Add(ws)
+	server := httptest.NewServer(c)
+	t.Cleanup(server.Close)
+	return map[string]store.Store{
+		"memory": inMemory,
+		"etcd":   etcd.New([]string{server.URL}, time.Minute),
+	}
+}
+
 func TestKeeperHandsOver(t *testing.T) {
+	for name, s := range stores(t) {
+		t.Run(name, func(t *testing.T) { handOver(t, s) })
+	}
+}
+
+// handOver runs two keepers: the second holds after the first has released,
+// with a greater fencing number, and writes fenced by the first's term fail.
+func handOver(t *testing.T, s store.Store) {
 	is := is.New(t)
-	s := memory.New(time.Now)
 	m := NewMetrics(prometheus.NewRegistry())
 	cfg := DefaultConfig()
 	cfg.RenewEvery, cfg.Retry = 10*time.Millisecond, 10*time.Millisecond
@@ -42,7 +65,15 @@
 	kv, ok, err := s.Get(context.Background(), Key("d"))
 	is.NoErr(err)
 	is.True(ok)
-	is.Equal(kv.ModRevision, b.Fenced(second.Fence).ModRevision)
+	is.Equal(kv.ModRevision, second.Fence)
+	for term, want := range map[Term]bool{first: false, second: true} {
+		_, ok, err := s.Commit(context.Background(), store.Txn{
+			Compares: []store.Compare{a.Fenced(term.Fence)},
+			Ops:      []store.Op{{Key: "k", Value: []byte("v")}},
+		})
+		is.NoErr(err)
+		is.Equal(ok, want)
+	}
 	rec, err := ParseRecord(kv)
 	is.NoErr(err)
 	is.Equal(rec.Holder, "b")
