Place the standby acceptor in another region or failure domain

Cause: the first two of the rendezvous order could share a failure domain, so that its loss would stop acceptance until the VM list showed it.

Ruled out: a third holder (a third watch of the operators' tree).

Before: any two nodes.

--- a/settings/duty/duty_test.go
+++ b/settings/duty/duty_test.go
@@ -43,20 +43,42 @@
 	})
 }
 
-func TestLeavingPromotesTheStandby(t *testing.T) {
+func TestLeavingRelayPromotesTheStandby(t *testing.T) {
 	is := is.New(t)
 	v := view(2, 5)
-	before := Acceptors(v)
+	before := Relays(v, "d1")
 	for i := range v.Nodes {
 		if v.Nodes[i].ID == before[0].ID {
 			v.Nodes[i].State = membership.Leaving
 		}
 	}
-	after := Acceptors(v)
+	after := Relays(v, "d1")
 	is.Equal(after[0].ID, before[1].ID)
 	is.Equal(Position(after, before[0].ID), -1)
 }
 
+func TestAcceptorsAreApart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		v := view(rapid.IntRange(1, 4).Draw(rt, "domains"), rapid.IntRange(1, 4).Draw(rt, "nodes"))
+		regions := make(map[string]bool)
+		domains := make(map[string]bool)
+		for i := range v.Nodes {
+			v.Nodes[i].Region = rapid.SampledFrom([]string{"r1", "r2"}).Draw(rt, "region")
+			regions[v.Nodes[i].Region] = true
+			domains[v.Nodes[i].FailureDomain] = true
+		}
+		a := Acceptors(v)
+		is.Equal(len(a), min(Holders, len(v.Nodes)))
+		if len(a) < Holders {
+			return
+		}
+		is.True(a[0].ID != a[1].ID)
+		is.Equal(a[0].Region != a[1].Region, len(regions) > 1)
+		is.True(a[0].FailureDomain != a[1].FailureDomain || len(domains) == 1 || len(regions) > 1)
+	})
+}
+
 func TestPeersAreNeverSelfOrDead(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	rapid.Check(t, func(rt *rapid.T) {
