Spread the relays' work and fill gaps from peers

Cause: at 370 nodes the busiest relay moved 21 kB/s: the relay that announced first was pulled from by its whole failure domain, each lost watch batch cost a list of all records (0.96 MB), and starting nodes all chose the first seed. The acceptor read every accepted document again for each change.

Ruled out: a tree of announcements (a lost inner node delays all below it). Done: each relay tells half of its failure domain at once and the other half 50 ms later; a gap is filled from the other relay, then from the store; decoded documents are kept.

--- a/lab/measure/fanout/exchange.go
+++ b/lab/measure/fanout/exchange.go
@@ -28,17 +28,17 @@
 type exchange struct {
 	s         *simulation
 	w         watcher
-	watches   func(*node) bool              // whether a node has the duty
-	announces func(*node) []membership.Node // whom a node tells of a new head
+	watches   func(*node) bool                             // whether a node has the duty
+	announces func(*node) (first, later []membership.Node) // whom a node tells of a new head
 }
 
 // newRelays returns the way of the follower.
 func newRelays(s *simulation) way {
 	e := newExchange(s)
 	e.watches = s.fleet.isRelay
-	e.announces = func(n *node) []membership.Node {
+	e.announces = func(n *node) (first, later []membership.Node) {
 		if !s.fleet.isRelay(n) {
-			return nil
+			return nil, nil
 		}
 		return duty.Announcees(s.fleet.view(n))
 	}
@@ -50,22 +50,21 @@
 func newGossip(s *simulation) way {
 	e := newExchange(s)
 	e.watches = s.fleet.isAcceptor
-	e.announces = func(n *node) []membership.Node {
-		var out []membership.Node
+	e.announces = func(n *node) (first, later []membership.Node) {
 		nodes := s.fleet.view(n).Nodes
 		for range gossipFanout {
 			if m := nodes[s.rnd.IntN(len(nodes))]; m.ID != n.member.ID && m.State != membership.Dead {
-				out = append(out, m)
+				first = append(first, m)
 			}
 		}
-		return out
+		return first, nil
 	}
 	return e
 }
 
 func newExchange(s *simulation) *exchange {
 	e := &exchange{s: s}
-	e.w = watcher{s: s, onChange: e.advanced}
+	e.w = watcher{s: s, onChange: e.advanced, pullNear: e.pullNear}
 	return e
 }
 
@@ -88,6 +87,16 @@
 	})
 }
 
+// pullNear pulls from the other relay or a peer, then goes on.
+func (e *exchange) pullNear(n *node, then func()) {
+	m, ok := duty.AntiEntropyPeer(e.s.fleet.view(n), 0, e.s.rnd)
+	if !ok {
+		then()
+		return
+	}
+	e.pull(n, hint{from: m, tries: follower.HintTries}, then)
+}
+
 // bootstrap asks the seeds for their heads and pulls from the highest.
 func (e *exchange) bootstrap(n *node) {
 	var best membership.Node
@@ -103,19 +112,24 @@
 			}
 		}, nil)
 	}
-	ready := func() {
-		n.ready = true
-		e.s.read(n, func() {}, func() {})
-		e.serve(n)
-	}
 	e.s.clock.after(seedTimeout, func() {
-		switch {
-		case !n.alive:
-		case highest > n.state.Head():
-			e.pull(n, hint{from: best}, ready)
-		default:
-			ready()
+		if !n.alive {
+			return
 		}
+		done := func() {
+			if n.state.Head() < highest {
+				e.bootstrap(n)
+				return
+			}
+			n.ready = true
+			e.s.read(n, func() {}, func() {})
+			e.serve(n)
+		}
+		if highest <= n.state.Head() {
+			done()
+			return
+		}
+		e.pull(n, hint{from: best, tries: follower.HintTries}, done)
 	})
 }
 
@@ -140,9 +154,17 @@
 			e.s.serve(n)
 		}
 	})
-	for _, m := range e.announces(n) {
+	first, later := e.announces(n)
+	for _, m := range first {
 		e.announceTo(n, m, h, 1)
 	}
+	for _, m := range later {
+		e.s.clock.after(follower.LaterDelay, func() {
+			if n.alive {
+				e.announceTo(n, m, h, 1)
+			}
+		})
+	}
 }
 
 // announceTo tries until the node answers or a newer head makes it needless.
--- a/lab/measure/fanout/watch.go
+++ b/lab/measure/fanout/watch.go
@@ -13,6 +13,8 @@
 type watcher struct {
 	s        *simulation
 	onChange func(*node) // the node's head rose
+	// pullNear pulls from a peer, then goes on; nil where peers aren't asked.
+	pullNear func(n *node, then func())
 }
 
 // begin catches up and watches until the node's duty ends.
@@ -42,6 +44,13 @@
 	again := func() { w.s.clock.after(retryDelay, func() { w.s.alive(n, func() { w.catchUp(n) }) }) }
 	w.s.read(n, func() {
 		w.s.count(n, w.s.headBytes(w.s.truth.Head()))
+		w.fill(n, again)
+	}, again)
+}
+
+// fill brings a node to the head of the store.
+func (w *watcher) fill(n *node, again func()) {
+	list := func() {
 		if w.s.truth.Head() <= n.state.Head() {
 			w.onChange(n)
 			return
@@ -55,7 +64,12 @@
 			n.state.Apply(all)
 			w.onChange(n)
 		}, again)
-	}, again)
+	}
+	if w.pullNear == nil || n.state.Head() == 0 || w.s.truth.Head() <= n.state.Head() {
+		list()
+		return
+	}
+	w.pullNear(n, list)
 }
 
 // committed sends the last acceptance to a watching node.
--- a/settings/acceptor/plan.go
+++ b/settings/acceptor/plan.go
@@ -59,9 +59,8 @@
 func (t *Tree) inForce() map[string]settings.Team {
 	teams := make(map[string]settings.Team, len(t.records))
 	for team, r := range t.records {
-		var doc settings.Team
-		if !r.Deleted && json.Unmarshal(r.Document, &doc) == nil {
-			teams[team] = doc
+		if !r.Deleted {
+			teams[team] = r.doc
 		}
 	}
 	return teams
@@ -172,7 +171,7 @@
 func (t *Tree) accepted(records []accepted.Record, head accepted.Head, mod int64) {
 	t.head, t.headMod = head, mod
 	for _, r := range records {
-		t.records[r.Team] = heldRecord{r, mod}
+		t.records[r.Team] = hold(r, mod)
 		t.refused([]accepted.Status{{Team: r.Team, Change: r.Change, Revision: r.Revision}}, mod)
 	}
 }
--- a/settings/acceptor/tree.go
+++ b/settings/acceptor/tree.go
@@ -9,12 +9,24 @@
 	"github.com/knapweedgw/knapweedgw/store"
 )
 
-// heldRecord is a record with the store's revision of its key.
+// heldRecord is a record with its document and the store's revision of its
+// key.
 type heldRecord struct {
 	accepted.Record
+	doc settings.Team
 	mod int64
 }
 
+// hold reads the record's document. One that only a newer version can read is
+// held empty: it blocks no other team, though clashes with it go unseen.
+func hold(r accepted.Record, mod int64) heldRecord {
+	h := heldRecord{Record: r, mod: mod}
+	if !r.Deleted && json.Unmarshal(r.Document, &h.doc) != nil {
+		h.doc = settings.Team{}
+	}
+	return h
+}
+
 // heldStatus is a status with the store's revision of its key.
 type heldStatus struct {
 	accepted.Status
@@ -99,7 +111,7 @@
 		return err
 	}
 	r, err := accepted.DecodeRecord(kv)
-	t.records[r.Team] = heldRecord{r, kv.ModRevision}
+	t.records[r.Team] = hold(r, kv.ModRevision)
 	return err
 }
 
--- a/settings/duty/duty_test.go
+++ b/settings/duty/duty_test.go
@@ -97,10 +97,30 @@
 		}
 		peer, ok := AntiEntropyPeer(v, rapid.IntRange(0, 1).Draw(rt, "round"), rnd)
 		is.Equal(ok, living > 0)
-		is.Equal(len(Announcees(v)) > 0, living > 0) // some other node comes to hold a revision
-		is.Equal(len(Seeds(v, rnd)), living)         // one region here
-		for _, n := range append(append(Announcees(v), Seeds(v, rnd)...), peer) {
+		first, later := Announcees(v)
+		announcees := append(first, later...)
+		is.Equal(len(announcees) > 0, living > 0) // some other node comes to hold a revision
+		is.Equal(len(Seeds(v, rnd)), living)      // one region here
+		for _, n := range append(append(announcees, Seeds(v, rnd)...), peer) {
 			is.True(n.ID != v.Self && n.State != membership.Dead)
 		}
 	})
 }
+
+func TestRelaysShareTheirFailureDomain(t *testing.T) {
+	is := is.New(t)
+	v := view(2, 18)
+	told := make(map[string]int)
+	for _, r := range Relays(v, "d1") {
+		first, later := Announcees(&membership.View{Self: r.ID, Nodes: v.Nodes})
+		is.Equal(len(first)+len(later), 17)
+		for _, n := range first {
+			told[n.ID]++
+		}
+	}
+	for _, n := range v.Nodes {
+		if n.FailureDomain == "d1" && Position(Relays(v, "d1"), n.ID) < 0 {
+			is.Equal(told[n.ID], 1) // by one relay at once
+		}
+	}
+}
--- a/settings/duty/peers.go
+++ b/settings/duty/peers.go
@@ -2,45 +2,90 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/routing"
 )
 
 // Announcees returns the nodes that a relay tells of a new revision: the
 // others of its failure domain or, if it is alone there, one node elsewhere,
-// so that some other node comes to hold the revision.
-func Announcees(v *membership.View) []membership.Node {
+// so that some other node comes to hold the revision. The relays share the
+// failure domain: each tells its part at once and the rest, in case the other
+// relay is gone, a little later.
+func Announcees(v *membership.View) (first, later []membership.Node) {
 	near, far := others(v)
-	if len(near) > 0 || len(far) == 0 {
-		return near
+	if len(near) == 0 {
+		return elsewhere(v, far), nil
 	}
+	self, _ := v.Node(v.Self)
+	relays := Relays(v, self.FailureDomain)
+	for _, n := range near {
+		if Position(relays, v.Self) == int(routing.Hash(n.ID)%uint64(len(relays))) {
+			first = append(first, n)
+		} else {
+			later = append(later, n)
+		}
+	}
+	return first, later
+}
+
+func elsewhere(v *membership.View, far []membership.Node) []membership.Node {
 	for _, n := range Acceptors(v) {
 		if n.ID != v.Self {
 			return []membership.Node{n}
 		}
 	}
-	return far[:1]
+	return far[:min(1, len(far))]
 }
 
 // AntiEntropyPeer returns the node to compare heads with in a round: by turns
 // a relay of the failure domain and a random node elsewhere.
 func AntiEntropyPeer(v *membership.View, round int, rnd *rand.Rand) (membership.Node, bool) {
-	near, far := others(v)
 	self, _ := v.Node(v.Self)
-	var relays []membership.Node
-	for _, n := range Relays(v, self.FailureDomain) {
-		if n.ID != v.Self {
-			relays = append(relays, n)
+	relay := func() (membership.Node, bool) {
+		relays := slices.DeleteFunc(Relays(v, self.FailureDomain), func(n membership.Node) bool { return n.ID == v.Self })
+		return pick(relays, rnd, func(membership.Node) bool { return true })
+	}
+	other := func(near bool) func() (membership.Node, bool) {
+		return func() (membership.Node, bool) {
+			return pick(v.Nodes, rnd, func(n membership.Node) bool {
+				return n.ID != v.Self && n.State != membership.Dead && near == (n.FailureDomain == self.FailureDomain)
+			})
 		}
 	}
-	first, second := relays, far
+	order := []func() (membership.Node, bool){relay, other(false), other(true)}
 	if round%2 == 1 {
-		first, second = far, relays
+		order[0], order[1] = order[1], order[0]
 	}
-	for _, from := range [][]membership.Node{first, second, near} {
-		if len(from) > 0 {
-			return from[rnd.IntN(len(from))], true
+	for _, choose := range order {
+		if n, ok := choose(); ok {
+			return n, true
+		}
+	}
+	return membership.Node{}, false
+}
+
+// pick returns a random node among those that match, without allocating.
+func pick(nodes []membership.Node, rnd *rand.Rand, match func(membership.Node) bool) (membership.Node, bool) {
+	matching := 0
+	for _, n := range nodes {
+		if match(n) {
+			matching++
+		}
+	}
+	if matching == 0 {
+		return membership.Node{}, false
+	}
+	skip := rnd.IntN(matching)
+	for _, n := range nodes {
+		if !match(n) {
+			continue
+		}
+		if skip == 0 {
+			return n, true
 		}
+		skip--
 	}
 	return membership.Node{}, false
 }
--- a/settings/follower/exchange.go
+++ b/settings/follower/exchange.go
@@ -25,6 +25,9 @@
 	// HintTimeout bounds one call that follows a new revision: the peer is
 	// near and the delta small.
 	HintTimeout = 300 * time.Millisecond
+	// LaterDelay is how long a relay leaves the other's part of the failure
+	// domain to it.
+	LaterDelay = 50 * time.Millisecond
 	// HintTries is the number of tries of such a call.
 	HintTries = 3
 	// antiEntropyInterval is the mean time between a node's comparisons of
@@ -110,10 +113,13 @@
 	if duty.Position(duty.Relays(v, self.FailureDomain), v.Self) < 0 {
 		return
 	}
+	m := headMessage{Head: head, From: self.PeerAddr}
+	tell := func(n membership.Node) { f.announceTo(ctx, n.PeerAddr, m) }
+	first, later := duty.Announcees(v)
+	f.spawn(func() { f.each(first, tell) })
 	f.spawn(func() {
-		f.each(duty.Announcees(v), func(n membership.Node) {
-			f.announceTo(ctx, n.PeerAddr, headMessage{Head: head, From: self.PeerAddr})
-		})
+		f.wait(ctx, LaterDelay)
+		f.each(later, tell)
 	})
 }
 
--- a/settings/follower/fake_test.go
+++ b/settings/follower/fake_test.go
@@ -104,6 +104,7 @@
 	n := New(f.store, log.New(io.Discard), prometheus.NewRegistry())
 	n.now = func() time.Time { return f.clock }
 	n.spawn = func(do func()) { do() }
+	n.wait = func(context.Context, time.Duration) {}
 	n.members = fixedView{&membership.View{Self: nodeID(i), Nodes: f.view.Nodes}}
 	n.peers = link{f.net, nodeID(i)}
 	n.handle()
--- a/settings/follower/follower.go
+++ b/settings/follower/follower.go
@@ -42,6 +42,7 @@
 
 	hints chan hint
 	spawn func(func()) // starts a goroutine
+	wait  func(context.Context, time.Duration)
 	snap  atomic.Pointer[settings.Snapshot]
 
 	mu    sync.Mutex
@@ -56,7 +57,7 @@
 	const hintBuffer = 16
 	return &Follower{
 		store: s, log: l, metrics: newMetrics(reg), now: time.Now,
-		spawn: func(do func()) { go do() },
+		spawn: func(do func()) { go do() }, wait: sleep,
 		hints: make(chan hint, hintBuffer), docs: make(map[string]settings.Team),
 	}
 }
--- a/settings/follower/relay.go
+++ b/settings/follower/relay.go
@@ -113,8 +113,9 @@
 	return err
 }
 
-// catchUp reads the head and, only if it is above what this node holds, all
-// records. It returns the store's revision to watch from.
+// catchUp reads the head. If it is above what this node holds, the difference
+// comes from a peer, which costs the store nothing, or else all records from
+// the store. It returns the store's revision to watch from.
 func (f *Follower) catchUp(ctx context.Context) (from int64, err error) {
 	kv, ok, err := f.store.Get(ctx, accepted.HeadKey)
 	if err != nil {
@@ -125,7 +126,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if head.Revision <= f.Head() {
+		if head.Revision <= f.Head() || f.pullNear(ctx, head.Revision) {
 			return kv.ModRevision + 1, nil
 		}
 	}
@@ -140,3 +141,15 @@
 	f.absorb(ctx, d, sourceStore)
 	return page.Revision + 1, nil
 }
+
+// pullNear pulls from the other relay, or another peer without one. It returns
+// whether this node holds the revision then.
+func (f *Follower) pullNear(ctx context.Context, revision int64) bool {
+	const relayFirst = 0
+	n, ok := duty.AntiEntropyPeer(f.members.View(), relayFirst, newRand())
+	if !ok || f.Head() == 0 {
+		return false
+	}
+	err := f.pull(ctx, n.PeerAddr, HintTimeout)
+	return err == nil && f.Head() >= revision
+}
--- a/settings/follower/run_test.go
+++ b/settings/follower/run_test.go
@@ -31,7 +31,7 @@
 	launch := func(i int) {
 		n := f.replace(i)
 		n.now = time.Now
-		n.spawn = func(do func()) { go do() }
+		n.spawn, n.wait = func(do func()) { go do() }, sleep
 		is.NoErr(n.Start(ctx))
 	}
 	everywhere := func(revision int64) func() bool {
--- a/settings/operator/operator_test.go
+++ b/settings/operator/operator_test.go
@@ -66,6 +66,7 @@
 		{"lost twice", []string{"dropped", "lost"}, nil},
 		{"lost, then down", []string{"lost", "down"}, nil},
 		{"down", []string{"down"}, store.ErrUnavailable},
+		{"dropped, then down", []string{"dropped", "down", "down", "down", "down"}, store.ErrUncertain},
 		{"never heard", []string{"dropped", "dropped", "dropped", "dropped", "dropped"}, store.ErrUncertain},
 	}
 	for _, c := range cases {
--- a/settings/operator/write.go
+++ b/settings/operator/write.go
@@ -86,6 +86,7 @@
 			return 0, false, nil // another write came first
 		}
 	}
+	err = errors.Wrapf(store.ErrUncertain, "not settled in %d tries, the last: %v", maxCommits, err)
 	return 0, false, errors.WithHint(err, "the change may have been written: run 'knapweedgw settings status TEAM' once the store answers, before you repeat it")
 }
 
