Count a revision as held only by nodes that a restart would ask

Cause: a node asks its region at a start, but took a confirmation from any region. With regions added to TestNothingServedReverts: 'serves revision 1 after 2' after 3 runs; with the check by region only, and a node alone in its region, 'revision 0 after 1' after 873 runs, for who confirms must also ask back.

Ruled out: asking all 370 nodes at a start (110 kB a start, and seconds of timeouts while a region is cut off).

After: two nodes ask each other if they share a region or one is alone in its region, and only such nodes confirm; 20,000 generated runs green (go test ./settings/follower -rapid.checks=20000, 35.9 s).

The measurement follows the same rule.

--- a/lab/measure/fanout/exchange.go
+++ b/lab/measure/fanout/exchange.go
@@ -170,12 +170,12 @@
 // announceTo tries until the node answers or a newer head makes it needless.
 func (e *exchange) announceTo(n *node, m membership.Node, h int64, try int) {
 	e.s.call(n, m, e.s.headBytes(h), func(o *node) (int, func()) {
-		e.confirm(o, h)
+		e.confirm(o, n, h)
 		theirs := o.state.Head()
 		if h > theirs {
 			e.hint(o, hint{from: n.member, head: h})
 		}
-		return e.s.headBytes(theirs), func() { e.confirm(n, theirs) }
+		return e.s.headBytes(theirs), func() { e.confirm(n, o, theirs) }
 	}, func() {
 		if try < follower.HintTries && n.state.Head() == h {
 			e.announceTo(n, m, h, try+1)
@@ -213,13 +213,13 @@
 func (e *exchange) pull(n *node, h hint, done func()) {
 	since := n.state.Head()
 	e.s.call(n, h.from, e.s.headBytes(since), func(o *node) (int, func()) {
-		e.confirm(o, since)
+		e.confirm(o, n, since)
 		if since > o.state.Head() {
 			e.hint(o, hint{from: n.member, head: since})
 		}
 		d := o.state.Since(since)
 		return e.s.deltaBytes(d), func() {
-			e.confirm(n, d.Through)
+			e.confirm(n, o, d.Through)
 			n.state.Apply(d)
 			if n.state.Head() > since {
 				e.advanced(n)
@@ -238,8 +238,12 @@
 	})
 }
 
-// confirm notes that another node holds a revision, as the follower does.
-func (e *exchange) confirm(n *node, revision int64) {
+// confirm notes that another node of the region holds a revision, as the
+// follower does; no node is alone in its region here.
+func (e *exchange) confirm(n, other *node, revision int64) {
+	if n.member.Region != other.member.Region {
+		return
+	}
 	n.confirmed = max(n.confirmed, min(revision, n.state.Head()))
 	e.serve(n)
 }
--- a/settings/duty/duty_test.go
+++ b/settings/duty/duty_test.go
@@ -15,7 +15,7 @@
 	v := &membership.View{}
 	for d := range domains {
 		for n := range perDomain {
-			v.Nodes = append(v.Nodes, membership.Node{ID: fmt.Sprintf("d%02d-n%02d", d, n), FailureDomain: fmt.Sprint("d", d)})
+			v.Nodes = append(v.Nodes, membership.Node{ID: fmt.Sprintf("d%02d-n%02d", d, n), PeerAddr: fmt.Sprintf("%d.%d", d, n), FailureDomain: fmt.Sprint("d", d)})
 		}
 	}
 	return v
@@ -103,6 +103,7 @@
 		is.Equal(len(Seeds(v, rnd)), living)      // one region here
 		for _, n := range append(append(announcees, Seeds(v, rnd)...), peer) {
 			is.True(n.ID != v.Self && n.State != membership.Dead)
+			is.Equal(IsSeed(v, n.PeerAddr), living > 0)
 		}
 	})
 }
--- a/settings/duty/peers.go
+++ b/settings/duty/peers.go
@@ -9,14 +9,15 @@
 )
 
 // Announcees returns the nodes that a relay tells of a new revision: the
-// others of its failure domain or, if it is alone there, one node elsewhere,
-// so that some other node comes to hold the revision. The relays share the
-// failure domain: each tells its part at once and the rest, in case the other
-// relay is gone, a little later.
+// others of its failure domain or, if it is alone there, one of those that it
+// would ask at a start, so that another node comes to hold the revision. The
+// relays share the failure domain: each tells its part at once and the rest,
+// in case the other relay is gone, a little later.
 func Announcees(v *membership.View) (first, later []membership.Node) {
-	near, far := others(v)
+	near, _ := others(v)
 	if len(near) == 0 {
-		return elsewhere(v, far), nil
+		seeds := seeds(v)
+		return seeds[:min(1, len(seeds))], nil
 	}
 	self, _ := v.Node(v.Self)
 	relays := Relays(v, self.FailureDomain)
@@ -30,15 +31,6 @@
 	return first, later
 }
 
-func elsewhere(v *membership.View, far []membership.Node) []membership.Node {
-	for _, n := range Acceptors(v) {
-		if n.ID != v.Self {
-			return []membership.Node{n}
-		}
-	}
-	return far[:min(1, len(far))]
-}
-
 // AntiEntropyPeer returns the node to compare heads with in a round: by turns
 // a relay of the failure domain and a random node elsewhere.
 func AntiEntropyPeer(v *membership.View, round int, rnd *rand.Rand) (membership.Node, bool) {
@@ -90,22 +82,35 @@
 	return membership.Node{}, false
 }
 
-// Seeds returns the nodes that a starting node asks: all of its region, for any
-// of them may be the only one that holds the newest revision; without any, all
-// the fleet. The order is random, so that starting nodes spread.
+// Seeds returns the nodes that a starting node asks, for any of them may be the
+// only one that holds the newest revision: those of its region, and those that
+// would ask this node. Two nodes ask each other if they share a region or one
+// is alone in its region. The order is random, so that starting nodes spread.
 func Seeds(v *membership.View, rnd *rand.Rand) []membership.Node {
+	out := seeds(v)
+	rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// IsSeed says whether this node would ask the node with a peer address at a
+// start, and so find again what that node holds.
+func IsSeed(v *membership.View, addr string) bool {
+	return slices.ContainsFunc(seeds(v), func(n membership.Node) bool { return n.PeerAddr == addr })
+}
+
+func seeds(v *membership.View) []membership.Node {
 	self, _ := v.Node(v.Self)
+	population := map[string]int{self.Region: 1}
 	near, far := others(v)
+	for _, n := range append(near, far...) {
+		population[n.Region]++
+	}
 	out := near
 	for _, n := range far {
-		if n.Region == self.Region {
+		if n.Region == self.Region || population[n.Region] == 1 || population[self.Region] == 1 {
 			out = append(out, n)
 		}
 	}
-	if len(out) == 0 {
-		out = far
-	}
-	rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
--- a/settings/follower/bench_test.go
+++ b/settings/follower/bench_test.go
@@ -17,7 +17,7 @@
 	for _, teams := range []int{10, 69, 480} {
 		b.Run(fmt.Sprint(teams), func(b *testing.B) {
 			before := heap()
-			n := newFleet(1, 1).nodes[0]
+			n := newFleet(1, 1, 1).nodes[0]
 			n.ready = true
 			all := accepted.Delta{Through: 1}
 			for i := range teams {
--- a/settings/follower/exchange.go
+++ b/settings/follower/exchange.go
@@ -85,7 +85,7 @@
 
 // learn takes over what another node says of its head.
 func (f *Follower) learn(m headMessage) {
-	f.confirm(m.Head)
+	f.confirm(m.From, m.Head)
 	if m.From != "" && m.Head > f.Head() {
 		f.hint(hint{addr: m.From, head: m.Head})
 	}
@@ -129,7 +129,7 @@
 		reply, err := f.askHead(ctx, addr, methodAnnounce, m, HintTimeout)
 		f.metrics.announcements.WithLabelValues(resultOf(err)).Inc()
 		if err == nil {
-			f.confirm(reply.Head)
+			f.confirm(addr, reply.Head)
 			return
 		}
 		if f.Head() > m.Head {
@@ -198,7 +198,7 @@
 		if err != nil {
 			return err
 		}
-		f.confirm(d.Through)
+		f.confirm(addr, d.Through)
 		f.absorb(ctx, d, sourcePeer)
 		if f.Head() <= since {
 			return nil
--- a/settings/follower/fake_test.go
+++ b/settings/follower/fake_test.go
@@ -72,17 +72,18 @@
 	clock time.Time
 }
 
-// newFleet returns nodes "n0", "n1", … spread over the failure domains.
-func newFleet(nodes, domains int) *fleet {
+// newFleet returns nodes "n0", "n1", … spread over failure domains, and those
+// over regions.
+func newFleet(nodes, domains, regions int) *fleet {
 	f := &fleet{
 		net:   &network{handlers: make(map[string]map[string]peer.Handler)},
 		store: &faultyStore{Store: memory.New(time.Now)},
 		clock: time.Unix(0, 0),
 	}
 	for i := range nodes {
-		id := nodeID(i)
+		id, domain := nodeID(i), i%domains
 		f.view.Nodes = append(f.view.Nodes, membership.Node{
-			ID: id, PeerAddr: id, Region: "r", FailureDomain: string(rune('a' + i%domains)),
+			ID: id, PeerAddr: id, Region: string(rune('A' + domain%regions)), FailureDomain: string(rune('a' + domain)),
 		})
 	}
 	f.nodes = make([]*Follower, nodes)
--- a/settings/follower/follower.go
+++ b/settings/follower/follower.go
@@ -21,6 +21,7 @@
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
+	"github.com/knapweedgw/knapweedgw/settings/duty"
 	"github.com/knapweedgw/knapweedgw/store"
 )
 
@@ -154,10 +155,14 @@
 	}
 }
 
-// confirm notes that another node's head is at a revision now.
-func (f *Follower) confirm(revision int64) {
+// confirm notes that the node at a peer address has a head now. It counts only
+// if this node would ask that one at a start.
+func (f *Follower) confirm(addr string, head int64) {
+	if !duty.IsSeed(f.members.View(), addr) {
+		return
+	}
 	f.mu.Lock()
-	f.gate.confirm(min(revision, f.state.Head()))
+	f.gate.confirm(min(head, f.state.Head()))
 	f.mu.Unlock()
 	f.publish()
 }
--- a/settings/follower/follower_test.go
+++ b/settings/follower/follower_test.go
@@ -72,7 +72,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(4, 2)
+			f := newFleet(4, 2, 1)
 			for range 3 {
 				f.accept(document, "a")
 			}
@@ -101,7 +101,7 @@
 
 func TestUnreadableRecordKeepsTheFormer(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(1, 1)
+	f := newFleet(1, 1, 1)
 	f.start(0)
 	for i, doc := range []string{document, `{"models":3}`, `{"models":{"m":{}},"of_a_newer_version":1}`} {
 		f.nodes[0].absorb(context.Background(), accepted.Delta{Since: int64(i), Through: int64(i) + 1, Records: []accepted.Record{
@@ -115,7 +115,7 @@
 
 func TestLargeStateIsPulledInParts(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(2, 1)
+	f := newFleet(2, 1, 1)
 	big := `{"models":{"` + strings.Repeat("m", accepted.MaxDeltaBytes/2) + `":{}}}`
 	for _, team := range []string{"a", "b", "c", "d"} {
 		f.accept(big, team)
@@ -133,7 +133,7 @@
 	const nodes = 4
 	rapid.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
-		f := newFleet(nodes, rapid.IntRange(1, 4).Draw(rt, "domains"))
+		f := newFleet(nodes, rapid.IntRange(1, 4).Draw(rt, "domains"), rapid.IntRange(1, 2).Draw(rt, "regions"))
 		for i := range nodes {
 			f.start(i)
 		}
@@ -191,9 +191,11 @@
 		f.store.setOutage(false)
 		f.store.stale = len(f.store.pages) - 1
 		for i := range nodes {
+			f.start(i) // as a node that found nobody does again
 			_, _ = f.nodes[i].catchUp(ctx)
 			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes), callTimeout)
 		}
+		f.clock = f.clock.Add(holdTimeout)
 		for i := range nodes {
 			_ = f.nodes[i].pull(ctx, nodeID((i+1)%nodes), callTimeout)
 			f.nodes[i].publish()
--- a/settings/follower/run_test.go
+++ b/settings/follower/run_test.go
@@ -27,7 +27,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f := newFleet(8, 2)
+	f := newFleet(8, 2, 1)
 	launch := func(i int) {
 		n := f.replace(i)
 		n.now = time.Now
