Count asks that fail together as one failure of the owner

Cause: a stall of some 30 ms made every ask under way time out; three of them opened the breaker, and for 250 ms the estimate decided everything. Ruled out: a longer fixed wait (each request waits it out when an owner is really gone). TestBreaker fails without the change: the stall opens the breaker.

--- a/admission/ask.go
+++ b/admission/ask.go
@@ -137,7 +137,7 @@
 		l.answered(took)
 		s.metrics.roundTrip.Observe(took.Seconds())
 	case ctx.Err() == nil:
-		l.failed(s.now())
+		l.failed(start, s.now())
 	}
 	return reply, err
 }
--- a/admission/link.go
+++ b/admission/link.go
@@ -15,6 +15,7 @@
 type link struct {
 	mean, deviation time.Duration
 	failures        int
+	failedAt        time.Time
 	openUntil       time.Time
 }
 
@@ -49,6 +50,27 @@
 
 func (l *link) answered(took time.Duration) {
 	l.failures = 0
+	l.sample(took)
+}
+
+// failed records an ask without an answer. Asks that were under way together
+// fail together and count as one, so that a short stall doesn't open the
+// breaker; but it makes the next asks wait longer.
+func (l *link) failed(began, now time.Time) {
+	if l.mean > 0 {
+		l.sample(now.Sub(began))
+	}
+	if began.Before(l.failedAt) {
+		return
+	}
+	l.failedAt = now
+	l.failures++
+	if l.failures >= breakerTrips {
+		l.openUntil = now.Add(l.pause())
+	}
+}
+
+func (l *link) sample(took time.Duration) {
 	if l.mean == 0 {
 		l.mean, l.deviation = took, took/2
 		return
@@ -57,10 +79,3 @@
 	l.mean += diff / 8
 	l.deviation += (max(diff, -diff) - l.deviation) / 4
 }
-
-func (l *link) failed(now time.Time) {
-	l.failures++
-	if l.failures >= breakerTrips {
-		l.openUntil = now.Add(l.pause())
-	}
-}
