Name returning chats to the admitter

Cause: a cell keeps room for returning chats, but knew one as returning only by its own memory, which is lost with its owner. A chat with more messages than its opening ones has had an answer. TestReturningChat fails without the change.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -59,6 +59,7 @@
 		admission: admission.Request{
 			ID: c.id, Chat: chatKey(c, chat), Workspace: c.workspace,
 			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: model,
+			Returning: len(chat.Messages) > openingMessages,
 		},
 		method:     http.MethodPost,
 		path:       chatPath,
@@ -87,11 +88,14 @@
 	return chat, nil
 }
 
+// openingMessages is the most messages of a chat that hasn't had an answer: the
+// system's and the first caller's.
+const openingMessages = 2
+
 // chatKey identifies the chat for routing: the caller's chat ID, else its
 // prompt_cache_key, else the chat's opening messages, which stay the same
 // when it returns. Workspaces never share a key.
 func chatKey(c *call, chat chatRequest) uint64 {
-	const openingMessages = 2
 	name := c.req.Header.Get(HeaderChatID)
 	if name == "" {
 		name = chat.PromptCacheKey
--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// A chat that has had an answer is named as returning to the admitter.
+func TestReturningChat(t *testing.T) {
+	n := newNode(t, handlers(okTarget()))
+	n.chat(t, `{"model":"m","messages":[{"role":"system"},{"role":"user"}]}`)
+	n.chat(t, `{"model":"m","messages":[{"role":"user"},{"role":"assistant"},{"role":"user"}]}`)
+	if r := n.admitter.requests; len(r) != 2 || r[0].Returning || !r[1].Returning {
+		t.Errorf("admission requests: %+v", r)
+	}
+}
+
 // raw sends text over a connection of its own and returns all that comes back
 // until the node closes it.
 func (n *node) raw(t *testing.T, text string) string {
