Spread cells evenly, announce totals at changes, hand on chat memories

Cause: plain rendezvous gave some nodes several cells; totals went out each second; and a new owner knew no chat that had no request in flight. Now the region's cells go to its nodes by routing.Assign, totals by cell.Announcer, and the answer to a new owner's pull says where the node's chats of the last five minutes ran (4,096 a node at most).

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -149,9 +149,16 @@
 func (e *entry) grant(p place, outcome string) Grant {
 	s := e.service
 	s.metrics.requests.WithLabelValues(outcome).Inc()
+	s.remember(e.request.Chat, p.target.ID)
 	return Grant{Target: p.target, Release: sync.OnceFunc(func() { s.release(p) })}
 }
 
+func (s *Service) remember(chat uint64, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recent.Put(s.now(), chat, target)
+}
+
 // release ends a place at the cell's present owner.
 func (s *Service) release(p place) {
 	p.done()
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -104,6 +104,8 @@
 	Pending Seqs `json:"w,omitempty"`
 	// Details are the places that the owner may not know.
 	Details []Detail `json:"d,omitempty"`
+	// Recent says where chats ran of late; only in answer to a Pull.
+	Recent []cell.Recent `json:"r,omitempty"`
 }
 
 // ResyncReply names the places of Resync.Held that the owner doesn't know.
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -67,6 +67,12 @@
 // the cell is careful. It ends when all were heard or with EndTakeover.
 func (o *Owner) Takeover(holders []cell.Holder) { o.cell.Takeover(holders) }
 
+// Recovering says that too few holders were heard to count.
+func (o *Owner) Recovering() bool { return o.cell.Recovering() }
+
+// Remember adds where a node's chats last ran to the cell's memory.
+func (o *Owner) Remember(now time.Time, recent []cell.Recent) { o.cell.Memory().Merge(now, recent) }
+
 // Heard ends the wait for a holder that answered under another incarnation.
 func (o *Owner) Heard(h cell.Holder) {
 	if _, known := o.holders[h]; !known && slices.Contains(o.cell.Waiting(), h) {
--- a/admission/owned.go
+++ b/admission/owned.go
@@ -18,11 +18,12 @@
 
 // ownedCell is one cell; mu guards all of it.
 type ownedCell struct {
-	mu       sync.Mutex
-	owner    *holds.Owner
-	deadline time.Time // of the takeover; zero if none goes on
-	nextPull time.Time
-	sent     sentTotals
+	mu        sync.Mutex
+	owner     *holds.Owner
+	deadline  time.Time // of the takeover; zero if none goes on
+	nextPull  time.Time
+	unasked   []cell.Holder // not pulled from yet, heard or not
+	announcer cell.Announcer
 }
 
 func newOwned() *owned { return &owned{cells: make(map[holds.Key]*ownedCell)} }
@@ -96,6 +97,7 @@
 		}
 	}
 	c.owner.Takeover(holders)
+	c.unasked = holders
 	return c
 }
 
@@ -124,14 +126,21 @@
 }
 
 // advance ends a takeover whose time is over and returns the holders to ask
-// for their places now.
+// for their places now. Each is asked once even if it was heard before, since
+// only the answer to a pull says where chats ran.
 func (c *ownedCell) advance(now time.Time) []cell.Holder {
+	if len(c.unasked) > 0 {
+		first := c.unasked
+		c.unasked = nil
+		c.deadline, c.nextPull = now.Add(takeoverTime), now.Add(pullInterval)
+		return first
+	}
 	waiting := c.owner.Waiting()
 	if len(waiting) == 0 {
 		c.deadline = time.Time{}
 		return nil
 	}
-	if c.deadline.IsZero() {
+	if c.deadline.IsZero() { // the cell found that it was paused
 		c.deadline, c.nextPull = now.Add(takeoverTime), now
 	}
 	if !now.Before(c.deadline) {
@@ -155,13 +164,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner.Resync(s.now(), m)
+	now := s.now()
+	c.owner.Resync(now, m)
+	c.owner.Remember(now, m.Recent)
 	c.owner.Heard(h)
 }
 
 func (s *Service) fetch(ctx context.Context, p *plan, k holds.Key, h cell.Holder) (holds.Resync, error) {
 	if h.Node == s.cfg.Node {
-		return s.table.Build(k, cell.Holder{}), nil
+		return s.account(p, k), nil
 	}
 	n, ok := p.inputs.view.Node(h.Node)
 	if !ok {
--- a/admission/plan.go
+++ b/admission/plan.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -30,6 +32,7 @@
 
 	mu     sync.Mutex
 	groups map[groupKey]*group
+	owners map[string]map[holds.Key]membership.Node // by region
 }
 
 // poolConfig is what all settings documents together say of a pool. If they
@@ -63,6 +66,7 @@
 	p := &plan{
 		inputs: in, region: region, pools: poolConfigs(in.settings),
 		groups: make(map[groupKey]*group), duty: make(map[string]duty),
+		owners: make(map[string]map[holds.Key]membership.Node),
 	}
 	for _, n := range in.view.Nodes {
 		if _, ok := p.duty[n.Region]; !ok {
@@ -153,15 +157,35 @@
 	return d
 }
 
-// owner returns the node that owns a cell: the first of the region's duty
-// nodes in the rendezvous order of the cell.
+// owner returns the node that owns a cell. The cells of a region go to its duty
+// nodes by rendezvous with a bound on the cells of a node.
 func (p *plan) owner(k holds.Key) (membership.Node, bool) {
-	d := p.duty[k.Region]
-	if len(d.nodes) == 0 {
-		return membership.Node{}, false
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owners, ok := p.owners[k.Region]
+	if !ok {
+		owners = p.assign(k.Region)
+		p.owners[k.Region] = owners
+	}
+	n, ok := owners[k]
+	return n, ok
+}
+
+func (p *plan) assign(region string) map[holds.Key]membership.Node {
+	var keys []holds.Key
+	var names []uint64
+	for _, pool := range slices.Sorted(maps.Keys(p.pools)) {
+		for _, k := range p.keys(pool, region) {
+			keys = append(keys, k)
+			names = append(names, routing.Hash(k.Pool+"/"+strconv.Itoa(k.Cell)))
+		}
+	}
+	owners := make(map[holds.Key]membership.Node, len(keys))
+	d := p.duty[region]
+	for i, n := range routing.Assign(names, d.hashes) {
+		owners[keys[i]] = d.nodes[n]
 	}
-	name := routing.Hash(k.Pool + "/" + strconv.Itoa(k.Cell))
-	return d.nodes[routing.Top(make([]int, 0, 1), name, d.hashes, 1)[0]], true
+	return owners
 }
 
 // keys returns the cells of a pool in one region.
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -127,5 +127,18 @@
 
 func (s *Service) servePull(m holds.Pull) holds.Resync {
 	m.Region = s.cfg.Region
-	return s.table.Build(m.Key, cell.Holder{})
+	return s.account(s.plan(), m.Key)
+}
+
+// account is all that a new owner should know from this node: its places in a
+// cell, and where its chats of late ran.
+func (s *Service) account(p *plan, k holds.Key) holds.Resync {
+	m := s.table.Build(k, cell.Holder{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.Recent = s.recent.Recent(s.now(), recentMaxAge, func(target string) bool {
+		_, live := p.liveTarget(k, target)
+		return live && cell.Of(target, k.Of) == k.Cell
+	})
+	return m
 }
--- a/admission/service.go
+++ b/admission/service.go
@@ -22,7 +22,7 @@
 // Intervals of the service's work.
 const (
 	tickInterval     = 50 * time.Millisecond
-	totalsInterval   = time.Second
+	totalsInterval   = cell.DefaultGap
 	releaseDelay     = 25 * time.Millisecond // releases are gathered that long
 	reportDelay      = 200 * time.Millisecond
 	resyncRetry      = time.Second
@@ -32,6 +32,8 @@
 	silentIntervals  = 3 // resync intervals after which a silent node's places are dropped
 	leftRemembered   = 30 * time.Second
 	drainFlushBudget = 500 * time.Millisecond
+	recentChats      = 4096 // chats whose last target a node remembers
+	recentMaxAge     = 5 * time.Minute
 )
 
 // Caller calls other nodes and serves their calls; see package peer.
@@ -83,6 +85,7 @@
 	left       map[string]leaver
 	planned    *plan
 	nextTotals time.Time
+	recent     *cell.Memory // where this node's chats last ran
 }
 
 // leaver is a node that said that it hands its cells over.
@@ -98,6 +101,7 @@
 		log: l, metrics: newMetrics(reg), now: time.Now, spawn: func(f func()) { go f() },
 		releases: newReleases(), owned: newOwned(), totals: newTotals(),
 		links: make(map[string]*link), left: make(map[string]leaver),
+		recent: cell.NewMemory(recentChats),
 	}
 	s.table = holds.NewTable(s.self, holds.Timing{Interval: cfg.Resync, Retry: resyncRetry, Report: reportDelay})
 	observeState(reg, s)
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -192,6 +192,41 @@
 	}
 }
 
+// TestNewOwnerKnowsTheChats: a killed owner's successor sends a chat back to
+// where it ran, though that isn't its home.
+func TestNewOwnerKnowsTheChats(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 4, 1)
+	owner := f.owner(t, 0)
+	asker := slices.IndexFunc(f.nodes, func(n *fakeNode) bool { return n != owner })
+	ran := make(map[uint64]string)
+	var grants []Grant
+	for chat := range uint64(20) {
+		g, err := f.acquire(asker, chat)
+		is.NoErr(err)
+		ran[chat] = g.Target.ID
+		grants = append(grants, g)
+	}
+	for _, g := range grants {
+		g.Release()
+	}
+	f.pass(releaseDelay)
+	owner.fault = faultUnreachable
+	f.setViews(f.view(owner.cfg.Node))
+	f.pass(0)
+	back := 0
+	for chat, target := range ran {
+		g, err := f.acquire(asker, chat)
+		is.NoErr(err)
+		if g.Target.ID == target {
+			back++
+		}
+		g.Release()
+		f.pass(releaseDelay)
+	}
+	is.Equal(back, len(ran))
+}
+
 // TestResyncBuiltBeforeTheGrant: an account that was built while an ask was
 // under way, and comes after the grant, doesn't lose the place.
 func TestResyncBuiltBeforeTheGrant(t *testing.T) {
--- a/admission/totals.go
+++ b/admission/totals.go
@@ -10,11 +10,8 @@
 	"github.com/knapweedgw/knapweedgw/membership"
 )
 
-const (
-	totalsRefresh = 5 * time.Second  // unchanged totals are told that often
-	totalsMaxAge  = 15 * time.Second // older totals no longer count
-	totalsStep    = 50               // a change of one in totalsStep is told
-)
+// totalsMaxAge is the age from which the totals of a cell no longer count.
+const totalsMaxAge = 3 * cell.DefaultQuiet
 
 // totals is the load of all cells as their owners last told it.
 type totals struct {
@@ -30,12 +27,6 @@
 	load cell.Totals
 }
 
-// sentTotals is what the owner of a cell last told the others.
-type sentTotals struct {
-	at   time.Time
-	load cell.Totals
-}
-
 func newTotals() *totals { return &totals{cells: make(map[holds.Key]heardTotals)} }
 
 // note records an owner's word unless a newer one of the same owner is known.
@@ -99,6 +90,9 @@
 func (s *Service) noteOwnTotals(now time.Time) {
 	seq := s.totals.nextSeq()
 	s.owned.each(func(k holds.Key, c *ownedCell) {
+		if c.owner.Recovering() {
+			return
+		}
 		s.totals.note(k, heardTotals{from: s.self, seq: seq, at: now, load: c.owner.Totals()})
 	})
 }
@@ -109,10 +103,9 @@
 	byNode := make(map[string]*holds.Totals)
 	s.owned.each(func(k holds.Key, c *ownedCell) {
 		load := c.owner.Totals()
-		if !c.sent.due(load, now) {
+		if c.owner.Recovering() || !c.announcer.Due(now, load) {
 			return
 		}
-		c.sent = sentTotals{at: now, load: load}
 		for _, n := range s.otherOwners(p, k) {
 			if byNode[n.ID] == nil {
 				byNode[n.ID] = &holds.Totals{From: s.self}
@@ -133,17 +126,6 @@
 	}
 }
 
-// due says whether totals are to be told: if they changed by a step, or after
-// a while.
-func (t sentTotals) due(load cell.Totals, now time.Time) bool {
-	if load.Capacity != t.load.Capacity || now.Sub(t.at) >= totalsRefresh {
-		return true
-	}
-	change := load.InFlight - t.load.InFlight
-	step := max(t.load.InFlight/totalsStep, 1)
-	return max(change, -change) >= step
-}
-
 // otherOwners returns the other nodes that own cells of the pool.
 func (s *Service) otherOwners(p *plan, k holds.Key) []membership.Node {
 	seen := map[string]bool{s.cfg.Node: true}
