Test attempts and outcome queues alone; take up duties late

Cause: a node that has just started sees only itself and would read all 20 shards, 2.1 MB each at the target, to be ready for duties that are not its own. It now reads a shard in its first 10 s only if it is asked.

Attempt and Ends were tested through the histories and the service; they have tables and a property of their own: whatever happens to an attempt, it is valid only between its grant and its end, never after a refusal.

--- /dev/null
+++ b/claims/core/attempt_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// step is one thing that happens to an attempt.
+type step struct {
+	at    Instant
+	apply func(a *Attempt, now Instant) Decision
+}
+
+func replied(r Reply) func(*Attempt, Instant) Decision {
+	return func(a *Attempt, now Instant) Decision { return a.Replied(now, r) }
+}
+
+func failed(seen bool) func(*Attempt, Instant) Decision {
+	return func(a *Attempt, now Instant) Decision { return a.Failed(now, seen) }
+}
+
+func gaveUp(a *Attempt, _ Instant) Decision { return a.GiveUp() }
+
+func TestAttempt(t *testing.T) {
+	grant := Reply{State: Granted}
+	busy := Reply{State: InProgress}
+	out := Reply{Status: Unavailable, Clear: true}
+	const soon, late = time.Second, 3 * time.Second
+	for _, tc := range []struct {
+		name  string
+		steps []step
+		want  Decision // of the last step
+	}{
+		{"granted", []step{{soon, replied(grant)}}, Decision{Move: MoveVerdict, State: Granted}},
+		{"granted too late", []step{{late, replied(grant)}}, Decision{Move: MoveRefuse, Clear: true, Abandon: true}},
+		{"granted after it gave up", []step{{soon, gaveUp}, {soon, replied(grant)}}, Decision{Move: MoveNothing}},
+		{"refused, nothing written", []step{{soon, replied(out)}}, Decision{Move: MoveRefuse, Clear: true}},
+		{"refused, perhaps written", []step{{soon, replied(Reply{Status: Unavailable, Tainted: true})}}, Decision{Move: MoveRefuse, Abandon: true}},
+		{"expired at the owner", []step{{soon, replied(Reply{Status: Expired})}}, Decision{Move: MoveRefuse}},
+		{"in progress", []step{{soon, replied(busy)}}, Decision{Move: MoveVerdict, State: InProgress}},
+		{"in progress, the first owner was silent", []step{{soon, failed(true)}, {soon, replied(busy)}}, Decision{Move: MoveVerdict, State: InProgress, Abandon: true}},
+		{"an owner is unreachable", []step{{soon, failed(false)}}, Decision{Move: MoveAsk}},
+		{"granted by the second owner", []step{{soon, failed(true)}, {soon, replied(grant)}}, Decision{Move: MoveVerdict, State: Granted}},
+		{"three owners are unreachable", []step{{soon, failed(false)}, {soon, failed(false)}, {soon, failed(false)}}, Decision{Move: MoveRefuse}},
+		{"an owner is silent to the end", []step{{late, failed(true)}}, Decision{Move: MoveRefuse, Abandon: true}},
+		{"the caller goes away", []step{{soon, gaveUp}}, Decision{Move: MoveRefuse, Abandon: true}},
+		{"two owners grant it", []step{{soon, replied(grant)}, {soon, replied(grant)}}, Decision{Move: MoveNothing}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a := NewAttempt(Ask{}, 0, Forever, DefaultAttemptLimits())
+			var got Decision
+			for _, s := range tc.steps {
+				got = s.apply(a, s.at)
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+// TestAttemptRefusedNeverSends checks that whatever happens to an attempt, it
+// is valid only between a grant and its end, and never once refused.
+func TestAttemptRefusedNeverSends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := DefaultAttemptLimits()
+		a := NewAttempt(Ask{}, 0, Forever, limits)
+		var now Instant
+		refused, ended := false, false
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			var d Decision
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				d = a.Replied(now, Reply{
+					Status: Status(rapid.IntRange(0, 4).Draw(t, "status")),
+					State:  State(rapid.IntRange(0, 4).Draw(t, "state")),
+				})
+			case 1:
+				d = a.Failed(now, rapid.Bool().Draw(t, "seen"))
+			case 2:
+				d = a.GiveUp()
+			default:
+				_, ok := a.Finish(Lost)
+				ended = ended || ok
+				d.Move = MoveNothing
+			}
+			refused = refused || d.Move == MoveRefuse
+			if a.Valid(now) && (refused || ended || now >= limits.Life) {
+				t.Fatalf("valid at %v: refused %v, ended %v", now, refused, ended)
+			}
+		}
+	})
+}
+
+func TestEnds(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultEndsConfig()
+	cfg.Capacity, cfg.MaxBatch = 3, 2
+	q := NewEnds(cfg)
+	end := func(a AttemptID) End { return End{Key: KeyID{7: 1}, Attempt: a} }
+	for a := range AttemptID(3) {
+		is.True(q.Push(end(a)))
+	}
+	is.True(!q.Push(end(3))) // no room: dropped
+	is.Equal(q.Len(), 3)
+
+	shard, batch, ok := q.Next(0)
+	is.True(ok)
+	is.Equal(shard, end(0).Key.Shard())
+	is.Equal(batch, []End{end(0), end(1)})
+	_, _, ok = q.Next(0)
+	is.True(!ok) // one call at a time for a shard
+
+	q.Sent(0, shard, false, 0)
+	_, _, ok = q.Next(cfg.MinBackoff - 1)
+	is.True(!ok)
+	is.Equal(q.WakeAt(), cfg.MinBackoff)
+	_, batch, ok = q.Next(cfg.MinBackoff)
+	is.True(ok)
+	is.Equal(batch, []End{end(0), end(1)}) // again, nothing is lost
+
+	q.Sent(cfg.MinBackoff, shard, false, 0)
+	is.Equal(q.WakeAt(), 3*cfg.MinBackoff) // the pause doubles
+	_, _, ok = q.Next(q.WakeAt())
+	is.True(ok)
+	q.Sent(q.WakeAt(), shard, true, 0)
+	is.Equal(q.Len(), 1)
+	_, batch, _ = q.Next(Forever)
+	is.Equal(batch, []End{end(2)})
+}
--- a/claims/service.go
+++ b/claims/service.go
@@ -95,8 +95,15 @@
 // now is the monotonic time since the service was made.
 func (s *Service) now() core.Instant { return time.Since(s.start) }
 
+// dutyDelay is the time after the start in which a node reads no shard unless
+// it is asked: it may not know the other nodes yet.
+const dutyDelay = 10 * time.Second
+
 // onDuty says whether this node is the first to be asked for a shard.
 func (s *Service) onDuty(shard int) bool {
+	if s.now() < dutyDelay {
+		return false
+	}
 	n, ok := s.duties.first(shard)
 	return ok && n.ID == s.self.Node
 }
