--- a/claims/owner.go
+++ b/claims/owner.go
@@ -45,6 +45,8 @@
 	shard  *core.Shard
 	seen   core.Counts
 	usedAt core.Instant
+	// failing is set from a failed call to the store to the next that succeeds.
+	failing bool
 }
 
 func (o *owner) ask(ctx context.Context, a core.Ask, wait time.Duration) (core.Reply, error) {
@@ -149,9 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	page, err := o.store.List(ctx, prefix)
-	if err != nil {
-		o.log.Warn("claims: read failed", "shard", o.number, "err", err)
-	}
+	o.noteStore(err)
 	o.shard.Loaded(o.now(), page, err)
 }
 
@@ -159,8 +159,18 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	revision, ok, err := o.store.Commit(ctx, t)
-	if err != nil {
-		o.log.Warn("claims: commit failed", "shard", o.number, "err", err)
-	}
+	o.noteStore(err)
 	o.shard.Committed(o.now(), revision, ok, err)
 }
+
+// noteStore logs the first failed call to the store, and the first that
+// succeeds again.
+func (o *owner) noteStore(err error) {
+	switch {
+	case err != nil && !o.failing:
+		o.log.Warn("claims: the store fails; keyed requests are refused", "shard", o.number, "err", err)
+	case err == nil && o.failing:
+		o.log.Info("claims: the store answers again", "shard", o.number)
+	}
+	o.failing = err != nil
+}
