--- a/claims/service_test.go
+++ b/claims/service_test.go
@@ -229,6 +229,15 @@
 	is.Equal(claim(t, f.nodes["a"], testKey, testBody).State, Granted)
 }
 
+func TestTicketAgesByTheWallClock(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quick(), "a")
+	tk := claim(t, f.nodes["a"], testKey, testBody).Ticket.(*ticket)
+	is.True(tk.Valid())
+	tk.startedWall = tk.startedWall.Add(-time.Hour) // a suspended VM's monotonic clock stood still
+	is.True(!tk.Valid())
+}
+
 func TestHolderThatIsGoneIsUnknown(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, quick(), "a", "b", "c")
