Refuse claims in time while a call to the store hangs

Cause: an owner that waited for the store (1.5 s at most) refused nothing meanwhile, so that entries gave up without a reply (1.2 s), took it for silent and asked another owner, which read the whole log of a slow store.

Store calls are now awaited beside the requests' times, and an owner must reply within nine tenths of the call's time. A request whose record is in the commit on its way is refused as tainted, so that its attempt is ended.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -23,6 +23,8 @@
 	// callShare is the share of the time left that one owner gets, so that
 	// another can be asked if it is frozen.
 	callShare = 0.6
+	// ownerShare is the share of a call's time in which the owner must reply.
+	ownerShare = 0.9
 )
 
 // Claim implements Claimer.
@@ -109,6 +111,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	wait = time.Duration(float64(wait) * ownerShare)
 	if owner.ID == s.self.Node {
 		return s.owners[a.Ask.Key.Shard()].ask(ctx, a.Ask, wait)
 	}
--- a/claims/core/shard.go
+++ b/claims/core/shard.go
@@ -175,7 +175,7 @@
 // Next returns the next step. A read or a commit must be answered by Loaded
 // or Committed before Next is called again.
 func (s *Shard) Next(now Instant) Step {
-	s.expire(now)
+	s.Expire(now)
 	s.answerKnown(now)
 	switch {
 	case len(s.queue) == 0:
@@ -188,7 +188,7 @@
 	case s.stale || s.mustSync(now):
 		return s.read(now, s.keys.open)
 	case now < s.next:
-		return Step{Kind: StepWait, Until: s.wakeAt()}
+		return Step{Kind: StepWait, Until: min(s.next, s.NextExpiry())}
 	}
 	return s.commit(now)
 }
@@ -212,15 +212,6 @@
 	return Step{Kind: StepRead, Prefix: prefix}
 }
 
-// wakeAt is the time of the next commit, or of the first request to expire.
-func (s *Shard) wakeAt() Instant {
-	at := s.next
-	for _, r := range s.queue {
-		at = min(at, r.expires)
-	}
-	return at
-}
-
 // Committed reports the result of the last commit.
 func (s *Shard) Committed(now Instant, revision int64, ok bool, err error) {
 	b := s.batch
@@ -301,18 +292,31 @@
 	s.queue = s.queue[:0]
 }
 
-func (s *Shard) expire(now Instant) {
+// Expire refuses the requests whose time is over. Unlike Next it may be called
+// while a read or a commit has no result yet; a request whose record is in that
+// commit may then be in the log.
+func (s *Shard) Expire(now Instant) {
 	kept := s.queue[:0]
 	for _, r := range s.queue {
 		if now < r.expires {
 			kept = append(kept, r)
 			continue
 		}
+		r.tainted = r.tainted || s.batch != nil && s.batch.has(r.ref)
 		s.reply(r, Reply{Status: Expired, Clear: s.clear(now, r)})
 	}
 	s.queue = kept
 }
 
+// NextExpiry is the time at which Expire has something to do.
+func (s *Shard) NextExpiry() Instant {
+	at := Forever
+	for _, r := range s.queue {
+		at = min(at, r.expires)
+	}
+	return at
+}
+
 func (s *Shard) reply(r request, p Reply) {
 	granted := p.Status == Decided && p.State == Granted
 	p.Tainted = r.tainted && !granted
--- a/claims/fakes_test.go
+++ b/claims/fakes_test.go
@@ -157,6 +157,8 @@
 	// loseAnswers fails so many commits after their effect.
 	loseAnswers int
 	commits     int
+	// hold, if not nil, delays commits until it is closed.
+	hold chan struct{}
 }
 
 func (s *faultyStore) set(f func(*faultyStore)) {
@@ -175,6 +177,12 @@
 }
 
 func (s *faultyStore) Commit(ctx context.Context, t store.Txn) (int64, bool, error) {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -148,19 +148,50 @@
 }
 
 func (o *owner) read(ctx context.Context, prefix string) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	page, err := o.store.List(ctx, prefix)
-	o.noteStore(err)
-	o.shard.Loaded(o.now(), page, err)
+	o.await(func() func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		page, err := o.store.List(ctx, prefix)
+		return func() {
+			o.noteStore(err)
+			o.shard.Loaded(o.now(), page, err)
+		}
+	})
 }
 
 func (o *owner) commit(ctx context.Context, t store.Txn) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	revision, ok, err := o.store.Commit(ctx, t)
-	o.noteStore(err)
-	o.shard.Committed(o.now(), revision, ok, err)
+	o.await(func() func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		revision, ok, err := o.store.Commit(ctx, t)
+		return func() {
+			o.noteStore(err)
+			o.shard.Committed(o.now(), revision, ok, err)
+		}
+	})
+}
+
+// await makes a call to the store and passes its result on. Requests whose
+// time is over meanwhile are refused in time.
+func (o *owner) await(call func() (pass func())) {
+	result := make(chan func(), 1)
+	go func() { result <- call() }()
+	for {
+		timer := time.NewTimer(o.shard.NextExpiry() - o.now())
+		select {
+		case pass := <-result:
+			timer.Stop()
+			pass()
+			return
+		case <-o.wake:
+			o.usedAt = o.now()
+			o.drain()
+		case <-timer.C:
+			o.shard.Expire(o.now())
+			o.deliver()
+		}
+		timer.Stop()
+	}
 }
 
 // noteStore logs the first failed call to the store, and the first that
--- a/claims/service_test.go
+++ b/claims/service_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/knapweedgw/knapweedgw/claims/core"
@@ -217,6 +219,29 @@
 	is.Equal(claim(t, f.nodes[owner], testKey, testBody).State, Granted)
 }
 
+func TestSlowStoreIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	set := quick()
+	set.Attempt.Wait = 300 * time.Millisecond
+	f := newFleet(t, set, "a", "b", "c")
+	entry, hold := f.other(testKey), make(chan struct{})
+	f.store.set(func(s *faultyStore) { s.hold = hold })
+	replied := false
+	for range 50 { // a slow machine may need another try
+		_, err := entry.Claim(t.Context(), testKey, testBody)
+		var p *problem.Problem
+		is.True(errors.As(err, &p))
+		if replied = strings.HasPrefix(p.Detail, reasonExpired); replied {
+			break
+		}
+	}
+	is.True(replied) // an owner replied before its commit had a result
+	close(hold)
+	f.store.set(func(s *faultyStore) { s.hold = nil })
+	is.NoErr(entry.Stop(t.Context())) // the claim, recorded late, is ended
+	is.Equal(claim(t, entry, testKey, testBody).State, Granted)
+}
+
 func TestTicketAges(t *testing.T) {
 	is := is.New(t)
 	set := quick()
--- a/lab/measure/claims/entry.go
+++ b/lab/measure/claims/entry.go
@@ -28,8 +28,12 @@
 	ranBefore int // runs of the key when the caller sent the request
 }
 
-// callShare is the share of the time left that the first owner gets.
-const callShare = 0.6
+// callShare is the share of the time left that the first owner gets, and
+// ownerShare the share of that in which it must reply.
+const (
+	callShare  = 0.6
+	ownerShare = 0.9
+)
 
 // serve handles a caller's request at a node.
 func (n *node) serve(key core.KeyID, ranBefore int, reply func(told)) {
@@ -52,7 +56,7 @@
 	shard := c.attempt.Ask.Key.Shard()
 	m := n.owner(shard, tries)
 	sent := n.send(m, func() {
-		m.shardOwner(shard).ask(c.attempt.Ask, wait, func(r core.Reply) {
+		m.shardOwner(shard).ask(c.attempt.Ask, time.Duration(float64(wait)*ownerShare), func(r core.Reply) {
 			m.send(n, func() { c.replied(r) })
 		})
 	})
--- a/lab/measure/claims/stepper.go
+++ b/lab/measure/claims/stepper.go
@@ -34,6 +34,10 @@
 	s.waits[s.refs] = done
 	now := s.in.time()
 	s.shard.Ask(now, s.refs, a, now+wait)
+	s.in.wake(wait, func() {
+		s.shard.Expire(s.in.time())
+		s.deliver()
+	})
 	s.pump()
 }
 
