--- a/lab/measure/claims/cost.go
+++ b/lab/measure/claims/cost.go
@@ -273,7 +273,7 @@
 
 func newBenchShard(b *bench, number, view int) benchShard {
 	cfg := core.DefaultConfig()
-	cfg.Retention = costRetention
+	cfg.Retention, cfg.GrantAge = costRetention, 0 // the rows scale with the retention
 	owner := int(routing.Hash(strconv.Itoa(number+core.Shards*view)) % uint64(b.load.nodes))
 	region := b.region(owner)
 	s := core.NewShard(number, cfg, func(core.Holder) bool { return true })
