--- a/lab/fleettest/fleet_test.go
+++ b/lab/fleettest/fleet_test.go
@@ -85,15 +85,17 @@
 }
 
 // startNode starts a node on a VM of its own.
-func (f *fleet) startNode(t *testing.T, id string) *gateway {
+func (f *fleet) startNode(t *testing.T, id string, args ...string) *gateway {
 	t.Helper()
 	listen, peer := freeAddr(t), freeAddr(t)
 	vm := start(t, "knapweedlab", "vm", "--platform", f.platformURL, "--id", id, "--listen", listen, "--peer", peer)
 	if vm.exitCode(t) != 0 {
 		t.Fatal(vm.out.String())
 	}
-	p := start(t, "knapweedgw", "serve", "--node-id", id, "--region", region, "--failure-domain", "santander-a",
-		"--listen", listen, "--peer-listen", peer, "--store", f.platformURL, "--vm-list", f.platformURL+"/v1/vms")
+	p := start(t, "knapweedgw", append([]string{
+		"serve", "--node-id", id, "--region", region, "--failure-domain", "santander-a",
+		"--listen", listen, "--peer-listen", peer, "--store", f.platformURL, "--vm-list", f.platformURL + "/v1/vms",
+	}, args...)...)
 	return &gateway{process: p, id: id, url: "http://" + listen}
 }
 
