Pass on the words of a failure domain within 3 s

Cause: 275 engines that leave at once (a failure domain of the target size) took 4.36 s to be known to all 53 nodes of a region, 3 s being allowed: a message had room for 32 words.

Failed try, reverted: counting a word heard again as sent. 300 to 570 B a word, but with 275 words some node had not heard all after a minute.

Shown failing first: TestWordsOnAFailureDomain fails with 32 words a message. Conclusion: 128; a region's 786 engines at once still take over 3 s by gossip.

--- a/membership/machine.go
+++ b/membership/machine.go
@@ -54,7 +54,7 @@
 		Fanout:            3,
 		RetransmitFactor:  2,
 		MaxMembers:        8,
-		MaxWords:          32,
+		MaxWords:          128,
 		RepeatWords:       1,
 		ReconnectInterval: 2 * time.Second,
 		DeadRetention:     2 * time.Hour,
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -230,6 +230,26 @@
 	}
 }
 
+// TestWordsOnAFailureDomain lets the engines of a failure domain of the target
+// size leave at once.
+func TestWordsOnAFailureDomain(t *testing.T) {
+	is := is.New(t)
+	const nodes, engines = 53, 275
+	f := newFleet(nodes, 1)
+	f.Run(time.Minute)
+	for i := range engines {
+		f.Learn(i%nodes, targets.Word{Target: fmt.Sprint("engine-", i), Incarnation: 7, Leaving: true})
+	}
+	is.True(f.RunUntil(3*time.Second, func() bool {
+		for _, n := range f.Nodes {
+			if len(n.Heard) < engines {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
 // TestPausedNodeAccusesNobody freezes a node right after it sent a message, so
 // that the answer to a probe comes while it doesn't listen.
 func TestPausedNodeAccusesNobody(t *testing.T) {
