Never refuse for late totals, keep weights, and measure the whole table

Ask.Last says that no cell is left to ask; the cell then goes by its own mean where that is higher, which for the least loaded cell is no higher than the true mean. A forecast lowers the factor to 1.05 at most, and ignores falls within 1.5 standard deviations. Known weights outlive a list of places.

--- a/admission/cell/admit_test.go
+++ b/admission/cell/admit_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// A list of places carries no weights; those known stay in force.
+func TestWeightOutlivesResync(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{LoadFactor: 1.25, MaxInFlight: 8})
+	c.SetTargets([]Target{{ID: "a", Capacity: 1}})
+	c.Acquire(epoch, Ask{Request: "r", Workspace: "w", Weight: 3})
+	c.Resync(Holder{}, nil)
+	c.Resync(Holder{}, []Hold{{Request: "r", Target: "a", Workspace: "w"}})
+	is.Equal(c.shares.weights, 3.0)
+}
+
 // fill returns a cell of one target with room for 20, of which the workspace
 // "greedy" has n in flight.
 func fill(n int) *Cell {
--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -142,9 +142,9 @@
 		return c.full(now, a)
 	}
 	id := c.slots[i].id
+	c.shares.setWeight(a.Workspace, a.Weight)
 	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat})
 	c.memory.Put(now, a.Chat, id)
-	c.shares.setWeight(a.Workspace, a.Weight)
 	return Verdict{Outcome: Granted, Target: id}
 }
 
--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -39,19 +39,34 @@
 
 // limits returns the limits for an Ask. The mean is that of the whole pool
 // and includes the request to be placed.
-func (c *Cell) limits(returning bool) limits {
+func (c *Cell) limits(returning, last bool) limits {
 	own := c.Totals()
-	capacity := max(own.Capacity+c.others.Capacity, 1)
-	mean := float64(own.InFlight+c.others.InFlight+1) / float64(capacity)
-	mean *= c.trend.forecast()
-	l := limits{bound: c.cfg.LoadFactor * mean, hard: c.cfg.MaxInFlight}
-	l.soft = min(c.cfg.NewFactor, c.cfg.LoadFactor) * mean
+	mean := meanWith(plus(own, c.others))
+	factor := c.cfg.LoadFactor
+	if last {
+		mean = max(mean, meanWith(own))
+	} else {
+		factor = max(factor*c.trend.forecast(), min(factor, leastFactor))
+	}
+	l := limits{bound: factor * mean, hard: c.cfg.MaxInFlight}
+	l.soft = min(c.cfg.NewFactor, factor) * mean
 	if returning {
 		l.soft = l.bound
 	}
 	return l
 }
 
+// leastFactor is how far a forecast may lower the load factor: at 1 or less
+// there would be no room in the pool for what it holds.
+const leastFactor = 1.05
+
+// meanWith is the mean with one more request.
+func meanWith(t Totals) float64 { return float64(t.InFlight+1) / float64(max(t.Capacity, 1)) }
+
+func plus(a, b Totals) Totals {
+	return Totals{InFlight: a.InFlight + b.InFlight, Capacity: a.Capacity + b.Capacity}
+}
+
 // of rounds a limit up to whole requests for a target of that capacity.
 func (l *limits) of(limit float64, capacity int) int {
 	return min(int(math.Ceil(limit*float64(capacity))), l.hard*capacity)
@@ -80,7 +95,7 @@
 	last, known := c.memory.Get(a.Chat)
 	// Where the prefix is lost anyway, a chat is placed as if new; where it may
 	// be at home, home is worth more load.
-	l := c.limits(a.Returning && !known)
+	l := c.limits(a.Returning && !known, a.Last)
 	if i, ok := c.index[last]; ok && c.eligible(i, a.Exclude) && c.score(i, a.Chat, &l).tier > tierNone {
 		return i
 	}
--- a/admission/cell/shares.go
+++ b/admission/cell/shares.go
@@ -6,6 +6,9 @@
 type shares struct {
 	active  map[string]share
 	weights float64 // sum over the active workspaces
+	// known are the weights of all workspaces seen: a list of places doesn't
+	// carry them.
+	known map[string]float64
 }
 
 type share struct {
@@ -13,13 +16,15 @@
 	weight   float64
 }
 
-func newShares() shares { return shares{active: make(map[string]share)} }
+func newShares() shares {
+	return shares{active: make(map[string]share), known: make(map[string]float64)}
+}
 
 // add counts n more requests of a workspace.
 func (s *shares) add(workspace string, n int) {
 	w, ok := s.active[workspace]
 	if !ok {
-		w.weight = 1
+		w.weight = orDefault(s.known[workspace], 1)
 		s.weights += w.weight
 	}
 	w.inFlight += n
@@ -31,13 +36,14 @@
 	s.active[workspace] = w
 }
 
-// setWeight sets the weight of an active workspace; 0 means 1.
+// setWeight sets the weight of a workspace; 0 means 1.
 func (s *shares) setWeight(workspace string, weight float64) {
+	weight = orDefault(weight, 1)
+	s.known[workspace] = weight
 	w, ok := s.active[workspace]
 	if !ok {
 		return
 	}
-	weight = orDefault(weight, 1)
 	s.weights += weight - w.weight
 	w.weight = weight
 	s.active[workspace] = w
--- a/admission/cell/trend.go
+++ b/admission/cell/trend.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The pool's load is sampled each trendStep, and its decline is taken over the
 // last trendSteps samples.
@@ -10,8 +13,9 @@
 	// horizon is how far ahead a decline is carried on: about as long as an
 	// engine at its bound takes to follow the mean down.
 	horizon = 7 * time.Second
-	// steadyDecline, a share a second, is taken for noise.
-	steadyDecline = 0.005
+	// noiseFactor times the standard deviation of the difference of two Poisson
+	// counts is taken for noise.
+	noiseFactor = 1.5
 )
 
 // trend follows the pool's load, so that a fast fall of the mean, such as the
@@ -46,7 +50,8 @@
 	if t.n < len(t.samples) || t.samples[0] == 0 {
 		return 1
 	}
-	fall := 1 - float64(t.samples[trendSteps])/float64(t.samples[0])
-	rate := fall/(trendSteps*trendStep.Seconds()) - steadyDecline
+	first := float64(t.samples[0])
+	fall := 1 - float64(t.samples[trendSteps])/first - noiseFactor*math.Sqrt(2/first)
+	rate := fall / (trendSteps * trendStep.Seconds())
 	return 1 - min(max(rate, 0)*horizon.Seconds(), 0.5)
 }
--- a/admission/cell/trust.go
+++ b/admission/cell/trust.go
@@ -37,6 +37,10 @@
 // nothing in flight.
 func (c *Cell) EndTakeover() { c.trust.waiting = nil }
 
+// Excuse stops waiting for a holder, for example of a node that seems dead, and
+// keeps the places that it is known to have.
+func (c *Cell) Excuse(h Holder) { c.trust.drop(h) }
+
 // Waiting returns the holders that haven't been heard since the Takeover.
 func (c *Cell) Waiting() []Holder {
 	out := make([]Holder, 0, len(c.trust.waiting))
--- a/admission/cell/trust_test.go
+++ b/admission/cell/trust_test.go
@@ -39,6 +39,7 @@
 	}{
 		{"by hearing all", func(c *Cell, all []Holder) { c.Resync(all[0], nil); c.Resync(all[1], nil) }},
 		{"by forgetting the dead", func(c *Cell, all []Holder) { c.Forget(all[0]); c.Forget(all[1]) }},
+		{"by excusing the silent", func(c *Cell, all []Holder) { c.Excuse(all[0]); c.Excuse(all[1]) }},
 		{"by decree", func(c *Cell, _ []Holder) { c.EndTakeover() }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -54,6 +55,19 @@
 	}
 }
 
+// A holder that seems dead may only be frozen: its places stay counted.
+func TestExcuseKeepsPlaces(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{LoadFactor: 1.25, MaxInFlight: 8})
+	c.SetTargets([]Target{{ID: "a", Capacity: 1}})
+	h := nodes(1)[0]
+	c.Resync(h, []Hold{{Request: "r", Target: "a"}})
+	c.Excuse(h)
+	is.Equal(c.Totals().InFlight, 1)
+	c.Forget(h)
+	is.Equal(c.Totals().InFlight, 0)
+}
+
 // The estimate during a takeover is at least what was heard, grows with what
 // wasn't, and ends exact.
 func TestTakeoverEstimate(t *testing.T) {
--- a/admission/cell/types.go
+++ b/admission/cell/types.go
@@ -59,6 +59,10 @@
 	Exclude   []string
 	// Returning says that the chat has run before, as far as the caller knows.
 	Returning bool
+	// Last says that no other cell is left to ask. Since the means of other
+	// cells are late, the cell with the least load then goes by its own mean
+	// where that is higher, and refuses only at MaxInFlight.
+	Last bool
 }
 
 // Outcome is the kind of a Verdict.
--- a/lab/measure/routing/row.go
+++ b/lab/measure/routing/row.go
@@ -21,6 +21,7 @@
 	SurgeRefused   float64 // refusals of the surging workspaces' asks, in percent
 	OthersRefused  float64 // and of the others'
 	Spill          float64 // asks that a cell couldn't place, in percent
+	Hops           float64 // round trips to owners on other nodes, by placed turn
 	Late           float64 // seconds after which a leaving engine still got work
 	Bps, BpsMax    float64 // control bytes a second, in and out: mean and busiest node
 	Mps            float64 // control messages a second, in and out, mean
@@ -36,7 +37,7 @@
 		{Name: "worst", Value: r.Worst}, {Name: "over_s", Value: r.Over},
 		{Name: "refused%", Value: r.Saturated}, {Name: "limited%", Value: r.Limited},
 		{Name: "surge_ref%", Value: r.SurgeRefused}, {Name: "others_ref%", Value: r.OthersRefused},
-		{Name: "spill%", Value: r.Spill}, {Name: "late_s", Value: r.Late},
+		{Name: "spill%", Value: r.Spill}, {Name: "hops", Value: r.Hops}, {Name: "late_s", Value: r.Late},
 		{Name: "ctl_Bps", Value: r.Bps}, {Name: "ctl_Bps_max", Value: r.BpsMax}, {Name: "ctl_msgs", Value: r.Mps},
 	}
 }
@@ -57,6 +58,7 @@
 		SurgeRefused: 100 * ratio(t.refusedSurge, t.asksSurge), OthersRefused: 100 * ratio(t.refusedOthers, t.asksOthers),
 		Spill: 100 * ratio(t.spills, t.calls), Late: t.worstLate,
 	}
+	r.Hops = ratio(t.remote, t.dispatched)
 	r.Max, r.P99 = t.maxSum/float64(max(t.samples, 1)), t.p99Sum/float64(max(t.samples, 1))
 	for _, n := range s.nodes {
 		bytes := float64(n.traffic.bytes) / s.length
--- a/lab/measure/routing/scenario.go
+++ b/lab/measure/routing/scenario.go
@@ -16,7 +16,9 @@
 	resync      float64 // period of each holder's resync with each owner
 	cells       int
 	maxInFlight int
-	cacheTokens int // of one engine
+	inFlight    float64 // mean on an engine
+	service     float64 // mean time of a request
+	cacheTokens int     // of one engine
 	warmup      float64
 	length      float64 // measured after the warm-up
 
@@ -48,8 +50,8 @@
 // The load of the target, by engine, from its published sizes: 18 requests in
 // flight on an engine, 21 s each; a chat thinks for a minute between turns.
 const (
-	inFlightPerEngine = 18.0
-	meanService       = 21.0
+	targetInFlight    = 18.0
+	targetService     = 21.0 // 435 tokens, 47 ms each, rounded up
 	meanThink         = 60.0
 	turnsPerChat      = 10.0
 	openingTokens     = 1500 // of a new chat
@@ -62,8 +64,10 @@
 	surgeLength       = 100.0
 )
 
-// chatsPerEngine keeps inFlightPerEngine busy on average.
-const chatsPerEngine = inFlightPerEngine * (meanService + meanThink) / meanService
+// chats is the number of chats that keeps the engines that busy on average.
+func (s scenario) chats() float64 {
+	return s.inFlight * (s.service + meanThink) / s.service * float64(s.engines)
+}
 
 // withDefaults fills what a scenario leaves out.
 func (s scenario) withDefaults() scenario {
@@ -71,6 +75,8 @@
 	set(&s.newFactor, 1.0)
 	set(&s.cells, 1)
 	set(&s.maxInFlight, 64)
+	set(&s.inFlight, targetInFlight)
+	set(&s.service, targetService)
 	set(&s.cacheTokens, 1_500_000)
 	set(&s.warmup, 120)
 	set(&s.length, 180)
--- a/lab/measure/routing/section.go
+++ b/lab/measure/routing/section.go
@@ -57,7 +57,7 @@
 }
 
 func targetIndex(all []scenario) int {
-	return slices.IndexFunc(all, func(s scenario) bool { return s.name == targetName })
+	return slices.IndexFunc(all, func(s scenario) bool { return s.name == targetName && s.way == wayCells })
 }
 
 func summary(r Row) string {
--- a/lab/measure/routing/stats.go
+++ b/lab/measure/routing/stats.go
@@ -22,6 +22,7 @@
 	overTime       float64 // seconds in which some engine was over the rounded bound
 	worstLate      float64 // longest time after which a leaving engine got work
 	calls          int     // asks of owners
+	remote         int     // those to another node
 	spills         int     // asks that the first cell couldn't place
 }
 
--- a/lab/measure/routing/wire.go
+++ b/lab/measure/routing/wire.go
@@ -11,13 +11,13 @@
 )
 
 // workspaceWeight is what an operator would set: a workspace's usual share of
-// the callers.
+// the callers, 1 on average.
 func workspaceWeight(i int) float64 {
 	if i < surgingWorkspaces {
-		return surgeShare / surgingWorkspaces
+		return workspaces * surgeShare / surgingWorkspaces
 	}
 	rank := float64(i - surgingWorkspaces + 1)
-	return (1 - surgeShare) * math.Log1p(1/rank) / math.Log(workspaces-surgingWorkspaces)
+	return workspaces * (1 - surgeShare) * math.Log1p(1/rank) / math.Log(workspaces-surgingWorkspaces)
 }
 
 func workspaceName(i int) string { return fmt.Sprintf("team-%02d/ws-%03d", i%20, i) }
