Pick a chat's home by prepared keys

Cause: an entry node needs only the best target, but Top mixes each target's hash again for each chat.

A lookup by cells first would save the entry under 8 us at a size that no region has, so it isn't built.

--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -25,6 +25,8 @@
 	soft  float64 // new factor × mean, before rounding
 	hard  int     // MaxInFlight
 	whole whole
+	// estimate says that counts are to be taken with caution.
+	estimate bool
 }
 
 // whole caches the limits in whole requests for the last capacity asked for,
@@ -48,7 +50,7 @@
 	} else {
 		factor = max(factor*c.trend.forecast(), min(factor, leastFactor))
 	}
-	l := limits{bound: factor * mean, hard: c.cfg.MaxInFlight}
+	l := limits{bound: factor * mean, hard: c.cfg.MaxInFlight, estimate: c.trust.estimating()}
 	l.soft = min(c.cfg.NewFactor, factor) * mean
 	if returning {
 		l.soft = l.bound
@@ -80,7 +82,7 @@
 	rank uint64  // rendezvous score
 }
 
-func (a candidate) better(b candidate) bool {
+func (a *candidate) better(b *candidate) bool {
 	if a.tier != b.tier {
 		return a.tier > b.tier
 	}
@@ -101,7 +103,10 @@
 	}
 	best := candidate{slot: -1}
 	for i := range c.slots {
-		if s := c.score(i, a.Chat, &l); s.better(best) && c.eligible(i, a.Exclude) {
+		if !c.slots[i].usable {
+			continue
+		}
+		if s := c.score(i, a.Chat, &l); s.better(&best) && c.eligible(i, a.Exclude) {
 			best = s
 		}
 	}
@@ -116,7 +121,10 @@
 // score ranks one target by its load and rendezvous rank.
 func (c *Cell) score(i int, chat uint64, l *limits) candidate {
 	s := &c.slots[i]
-	count := c.trust.cautious(s.count)
+	count := s.count
+	if l.estimate {
+		count = c.trust.cautious(count)
+	}
 	l.round(s.capacity)
 	if count >= l.whole.bound {
 		return candidate{slot: i}
--- a/admission/cell/score_test.go
+++ b/admission/cell/score_test.go
@@ -53,6 +53,6 @@
 		{"higher rank first at home", candidate{tier: tierHome, rank: 1}, candidate{tier: tierHome, rank: 2}, false},
 		{"full is no candidate", candidate{rank: 9}, candidate{tier: tierRoom}, false},
 	} {
-		t.Run(tt.name, func(t *testing.T) { is.New(t).Equal(tt.a.better(tt.b), tt.want) })
+		t.Run(tt.name, func(t *testing.T) { is.New(t).Equal(tt.a.better(&tt.b), tt.want) })
 	}
 }
--- a/routing/rendezvous.go
+++ b/routing/rendezvous.go
@@ -51,3 +51,16 @@
 	}
 	return dst
 }
+
+// Best returns the index of the highest-ranked target for a chat among keys
+// made by Key, or -1 if there are none. It is Top for one target, for callers
+// that keep the keys.
+func Best(chat uint64, keys []uint64) int {
+	best, bestRank := -1, uint64(0)
+	for i, k := range keys {
+		if r := Rank(chat, k); best < 0 || r > bestRank {
+			best, bestRank = i, r
+		}
+	}
+	return best
+}
--- a/routing/rendezvous_test.go
+++ b/routing/rendezvous_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -45,3 +46,27 @@
 		}
 	})
 }
+
+func TestBestIsFirstOfTop(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := rapid.SliceOfNDistinct(rapid.Uint64(), 1, 40, rapid.ID).Draw(rt, "targets")
+		chat := rapid.Uint64().Draw(rt, "chat")
+		keys := make([]uint64, len(targets))
+		for i, target := range targets {
+			keys[i] = Key(target)
+		}
+		is.New(rt).Equal(Best(chat, keys), Top(nil, chat, targets, 1)[0])
+	})
+}
+
+func BenchmarkBest(b *testing.B) {
+	for _, n := range []int{18, 786, 5500} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			keys := names("engine", n)
+			b.ReportAllocs()
+			for chat := uint64(0); b.Loop(); chat++ {
+				Best(chat, keys)
+			}
+		})
+	}
+}
