Measure retry amplification; set the retry share to 0.2

Cause: the share of 0.1 was a guess. The section "retries" runs the real retry.Decide, Budget and Backoff on virtual time: nodes at 12.4 requests/s each, 120 s, a share of targets that run and then fail all they get, no other protection.

It is an operator's knob.

--- a/config/config.go
+++ b/config/config.go
@@ -49,7 +49,7 @@
 	defaultMaxBodyBytes   = 4 << 20
 	defaultBodyTimeout    = 15 * time.Second
 	defaultMaxAttempts    = 3
-	defaultRetryShare     = 0.1
+	defaultRetryShare     = 0.2
 	defaultResumeHold     = 10 * time.Second
 	defaultStreamHold     = 250 * time.Millisecond
 	defaultAdmissionWait  = 25 * time.Millisecond
@@ -127,7 +127,7 @@
 	check(c.MaxBodyBytes > 0, "--max-body-bytes is not positive: use 4194304 or more")
 	check(c.BodyTimeout > 0, "--body-timeout is not positive: use 15s")
 	check(c.MaxAttempts > 0, "--max-attempts is not positive: use 1 or more")
-	check(c.RetryShare >= 0 && c.RetryShare <= 1, "--retry-share is not between 0 and 1: use 0.1")
+	check(c.RetryShare >= 0 && c.RetryShare <= 1, "--retry-share is not between 0 and 1: use 0.2")
 	check(c.ResumeHold >= 0, "--resume-hold is negative: use 0 for none")
 	check(c.StreamHold >= 0, "--stream-hold is negative: use 0 for none")
 	check(c.AdmissionWait > 0, "--admission-timeout is not positive: use 25ms")
--- a/lab/cmd/knapweedlab/measure.go
+++ b/lab/cmd/knapweedlab/measure.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedgw/knapweedgw/lab/measure/fanout"
 	"github.com/knapweedgw/knapweedgw/lab/measure/membership"
 	"github.com/knapweedgw/knapweedgw/lab/measure/orders"
+	"github.com/knapweedgw/knapweedgw/lab/measure/retries"
 	"github.com/knapweedgw/knapweedgw/lab/measure/routing"
 )
 
@@ -20,6 +21,7 @@
 // whose summary closes the output is last.
 var sections = []measure.Section{
 	claims.Section{},
+	retries.Section{},
 	fanout.Section{},
 	orders.Section{},
 	membership.Section{},
