Wait for a cut stream's engine as long as it holds the stream

Cause: a cut stream was resumed once; if the engine was still out of reach the stream ended with an error event. Repeating such a stream elsewhere was ruled out: part of another answer would follow the part delivered.

Shown failing first: TestStreams "out of reach for a while".

--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -25,6 +25,8 @@
 	cancelTimeout = 2 * time.Second
 )
 
+var errNotHeld = errors.New("the engine doesn't hold the stream")
+
 // generation identifies the run of a chat completion at an engine. Its ID is
 // the caller's request ID with a digest of the workspace and a random nonce,
 // so that request IDs of two workspaces, or of two attempts, never meet at an
@@ -133,7 +135,10 @@
 		return resp, nil
 	}
 	_ = resp.Body.Close()
-	return nil, errors.Newf("status %d", resp.StatusCode)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	return nil, errors.Wrapf(errNotHeld, "status %d", resp.StatusCode)
 }
 
 // resumeHold is how long engines are asked to hold a stream whose reader went
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,8 +20,12 @@
 	maxHeldBytes  = 8 << 10
 )
 
-// maxResumes is how often one stream is resumed at its engine.
-const maxResumes = 5
+// Bounds of the resumption of a cut stream: how long its engine may be out of
+// reach, and how often the stream may be cut again without a new event.
+const (
+	resumePatience = 5 * time.Second
+	maxBarren      = 5
+)
 
 var errGap = errors.New("the engine skipped an event")
 
@@ -68,7 +72,9 @@
 	copyHeader(s.c.w, s.target, resp)
 	timer := s.startHold()
 	defer timer.Stop()
-	for resumes := 0; ; resumes++ {
+	barren := 0
+	for {
+		last := s.last
 		end, err := s.copy(resp.Body)
 		_ = resp.Body.Close()
 		switch end {
@@ -79,27 +85,37 @@
 		case endFailed:
 			return s.fail(retry.Sent, problem.TargetFailed, err)
 		}
-		if resp, err = s.resume(ctx, resumes, err); err != nil {
+		if barren++; s.last > last {
+			barren = 0
+		}
+		if resp, err = s.resume(ctx, barren, err); err != nil {
 			s.g.cancelIfGone(ctx, s.c, s.f, s.target, s.gen, retry.Sent)
 			return s.fail(retry.Sent, problem.TargetFailed, err)
 		}
 	}
 }
 
-// resume continues a cut stream at its engine.
-func (s *stream) resume(ctx context.Context, resumes int, cause error) (*http.Response, error) {
-	if s.last == 0 || resumes >= maxResumes || ctx.Err() != nil || errors.Is(cause, errGap) {
+// resume continues a cut stream at its engine. It tries again while the
+// engine can't be reached, as long as the engine was asked to hold the stream.
+func (s *stream) resume(ctx context.Context, barren int, cause error) (*http.Response, error) {
+	if s.last == 0 || barren >= maxBarren || errors.Is(cause, errGap) {
 		return nil, cause
 	}
 	s.c.log.Info("resume stream", "target", s.target.ID, "last", s.last, "cause", cause)
-	s.g.pause(ctx, resumes+1)
-	resp, err := s.g.resume(ctx, s.c, s.f, s.target, s.gen, s.last)
-	if err != nil {
+	end := time.Now().Add(min(s.g.resumeHold(s.c), resumePatience))
+	for number := 1; ctx.Err() == nil; number++ {
+		s.g.pause(ctx, number)
+		resp, err := s.g.resume(ctx, s.c, s.f, s.target, s.gen, s.last)
+		if err == nil {
+			s.g.metrics.resumes.WithLabelValues(resumedByNode).Inc()
+			return resp, nil
+		}
 		s.g.metrics.resumes.WithLabelValues(resumeFailed).Inc()
-		return nil, errors.CombineErrors(cause, err)
+		if errors.Is(err, errNotHeld) || time.Now().After(end) {
+			return nil, errors.CombineErrors(cause, err)
+		}
 	}
-	s.g.metrics.resumes.WithLabelValues(resumedByNode).Inc()
-	return resp, nil
+	return nil, cause
 }
 
 // copy relays one connection's events.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -39,6 +39,7 @@
 	partial  bool // the cut falls within an event
 	skip     bool // resumes one event too late
 	again    bool // resumes one event too early
+	away     bool // cannot be reached
 	gone     bool // 410 to a resumption
 	hang     bool // waits after the cut instead of cutting
 }
@@ -53,6 +54,9 @@
 	if r.Method == http.MethodDelete {
 		return
 	}
+	if f.away {
+		panic(http.ErrAbortHandler)
+	}
 	last, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID))
 	if last > 0 && (f.gone || !held) {
 		w.WriteHeader(http.StatusGone)
@@ -154,6 +158,7 @@
 		{"cut within an event and resumed", []fault{{cutAfter: 2, partial: true}}, "12345", true},
 		{"cut before the end marker", []fault{{cutAfter: 4}, {cutAfter: 4}}, "12345", true},
 		{"cut again and again", []fault{{cutAfter: 1}, {cutAfter: 2}, {cutAfter: 3}, {cutAfter: 4}}, "12345", true},
+		{"out of reach for a while", []fault{{cutAfter: 2}, {away: true}, {away: true}, {away: true}, {away: true}}, "12345", true},
 		{"cut too often", []fault{{cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}}, "1", false},
 		{"no longer held", []fault{{cutAfter: 2}, {gone: true}}, "12", false},
 		{"resumed too early", []fault{{cutAfter: 3}, {again: true}}, "12345", true},
--- a/lab/cmd/knapweedlab/bench.go
+++ b/lab/cmd/knapweedlab/bench.go
@@ -8,12 +8,13 @@
 
 func benchCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "bench",
-		Short:   "Measure the gateway's own time, relayed events and memory on this machine",
-		Example: "  knapweedlab bench",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return bench.Run(cmd.Context(), cmd.OutOrStdout())
+		Use:       "bench [PART...]",
+		Short:     "Measure the gateway's own time, relayed events and memory on this machine",
+		Example:   "  knapweedlab bench first-token relay",
+		Args:      cobra.OnlyValidArgs,
+		ValidArgs: bench.Names(),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return bench.Run(cmd.Context(), cmd.OutOrStdout(), args)
 		},
 	}
 }
