--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -138,7 +138,7 @@
 func (claimService) ID() kernel.ID { return claims.ServiceID }
 
 // newNode starts a gateway before targets t1, t2, … with the given handlers.
-func newNode(t *testing.T, handlers []http.Handler, opts ...option) *node {
+func newNode(t testing.TB, handlers []http.Handler, opts ...option) *node {
 	t.Helper()
 	cfg := &config.Node{
 		MaxBodyBytes: 1 << 20, BodyTimeout: 5 * time.Second, MaxAttempts: 3,
