--- a/gateway/call.go
+++ b/gateway/call.go
@@ -55,7 +55,7 @@
 	w         *answerWriter
 	workspace settings.WorkspaceRef
 	settings  *settings.Snapshot
-	log       *log.Logger
+	base      *log.Logger
 	timeout   time.Duration // the caller's, 0 for none
 	// sent is true once a target may have run the request.
 	sent atomic.Bool
@@ -75,8 +75,8 @@
 	}
 	return &call{
 		id: id, kind: kindUnknown, req: r.Request,
-		w:   &answerWriter{ResponseWriter: w.ResponseWriter},
-		log: g.log.With("request", id),
+		w:    &answerWriter{ResponseWriter: w.ResponseWriter},
+		base: g.log,
 	}
 }
 
@@ -90,10 +90,15 @@
 		return problem.New(problem.Unauthenticated, problem.RanNo, "")
 	}
 	c.workspace = ws
-	c.log = c.log.With("team", ws.Team, "workspace", ws.Name)
 	return nil
 }
 
+// log returns the call's logger. It is built on demand, as most calls log
+// nothing.
+func (c *call) log() *log.Logger {
+	return c.base.With("request", c.id, "team", c.workspace.Team, "workspace", c.workspace.Name)
+}
+
 // ran says whether a target may have run the request so far.
 func (c *call) ran() problem.Ran {
 	if c.sent.Load() {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -61,7 +61,7 @@
 			return g.refuse(ctx, c, refusal(fail, verdict))
 		}
 		g.metrics.retries.WithLabelValues(string(fail.reason)).Inc()
-		c.log.Info("retry", "target", grant.Target.ID, "cause", fail, "attempt", number)
+		c.log().Info("retry", "target", grant.Target.ID, "cause", fail, "attempt", number)
 		f.admission.Exclude = append(f.admission.Exclude, grant.Target.ID)
 		g.pause(ctx, number)
 	}
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -182,7 +182,7 @@
 	}
 	resp, _, err := g.clients.do(req, true, nil)
 	if err != nil {
-		c.log.Warn("generation not canceled", "target", t.ID, "err", err)
+		c.log().Warn("generation not canceled", "target", t.ID, "err", err)
 		return
 	}
 	_ = resp.Body.Close()
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -75,7 +75,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	g.metrics.panics.Inc()
-	c.log.Error("panic", "value", v)
+	c.log().Error("panic", "value", v)
 	g.finish(c, problem.New(problem.Internal, c.ran(), ""))
 	if c.w.streaming {
 		return
@@ -99,7 +99,7 @@
 	p.RequestID = c.id
 	g.metrics.requests.WithLabelValues(c.kind, outcomeRefused).Inc()
 	g.metrics.refusals.WithLabelValues(string(p.Reason)).Inc()
-	c.log.Warn("refused", "reason", p.Reason, "ran", p.Ran, "detail", p.Detail)
+	c.log().Warn("refused", "reason", p.Reason, "ran", p.Ran, "detail", p.Detail)
 	switch {
 	case !c.w.wroteHeader:
 		c.w.wroteProblem = true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,7 +101,7 @@
 	if s.last == 0 || barren >= maxBarren || errors.Is(cause, errGap) {
 		return nil, cause
 	}
-	s.c.log.Info("resume stream", "target", s.target.ID, "last", s.last, "cause", cause)
+	s.c.log().Info("resume stream", "target", s.target.ID, "last", s.last, "cause", cause)
 	end := time.Now().Add(min(s.g.resumeHold(s.c), resumePatience))
 	for number := 1; ctx.Err() == nil; number++ {
 		s.g.pause(ctx, number)
