--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -180,23 +180,26 @@
 // is a problem document with "ran": "no". What may be repeated is repeated
 // elsewhere; any other answer is the target's own and goes to the caller.
 func refusedByTarget(f forwardRequest, resp *http.Response) *attemptError {
-	cause := errors.Newf("status %d", resp.StatusCode)
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		if f.chat || saysNotRun(resp) {
-			return &attemptError{retry.Refused, problem.TargetRefused, cause}
+			return statusError(retry.Refused, problem.TargetRefused, resp)
 		}
 		if f.repeatable {
-			return &attemptError{retry.Sent, problem.TargetRefused, cause}
+			return statusError(retry.Sent, problem.TargetRefused, resp)
 		}
 	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
 		if f.repeatable {
-			return &attemptError{retry.Sent, problem.TargetFailed, cause}
+			return statusError(retry.Sent, problem.TargetFailed, resp)
 		}
 	}
 	return nil
 }
 
+func statusError(p retry.Progress, reason problem.Reason, resp *http.Response) *attemptError {
+	return &attemptError{p, reason, errors.Newf("status %d", resp.StatusCode)}
+}
+
 // saysNotRun reads the answer's problem document; the body can be read again
 // afterwards.
 func saysNotRun(resp *http.Response) bool {
