--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -33,6 +33,7 @@
 	{"first-token", firstToken},
 	{"relay", relay},
 	{"memory", memory},
+	{"in-flight", inFlight},
 	{"hidden-overload", hiddenOverload},
 	{"flapping", flapping},
 }
--- a/lab/bench/client.go
+++ b/lab/bench/client.go
@@ -89,6 +89,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.start(w, r)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// start sends the tokens without the end of the stream.
+func (s source) start(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
@@ -103,5 +109,4 @@
 		_, _ = w.Write(buf)
 		_ = rc.Flush()
 	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 }
