Check event IDs only after a resumption; try unheard streams elsewhere

Cause: two faults found by reading. The check for gaps ran on every connection, so that an engine whose IDs don't grow by one, or start at 0, lost events though nothing was cut. And a stream of which nothing had been delivered was resumed for up to 5 s at an engine out of reach, where another engine could answer at once.

Shown failing first: TestEventIDsOfOtherEngines, and TestCutWhileHeld with an ID on the opening event (a second request at the cut engine).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,7 +48,7 @@
 	target targets.Target
 	gen    generation
 	rc     *http.ResponseController
-	last   int // the engine's ID of the last event taken; 0 before the first
+	last   int // the engine's ID of the last event taken, or noID
 
 	mu       sync.Mutex // held, released: the hold's timer works beside run
 	held     []byte
@@ -57,7 +57,7 @@
 }
 
 func (g *Gateway) newStream(c *call, f forwardRequest, t targets.Target, gen generation) *stream {
-	return &stream{g: g, c: c, f: f, target: t, gen: gen, rc: http.NewResponseController(c.w)}
+	return &stream{g: g, c: c, f: f, target: t, gen: gen, last: noID, rc: http.NewResponseController(c.w)}
 }
 
 func (g *Gateway) relayStream(
@@ -75,7 +75,7 @@
 	barren := 0
 	for {
 		last := s.last
-		end, err := s.copy(resp.Body)
+		end, err := s.copy(resp.Body, last)
 		_ = resp.Body.Close()
 		switch end {
 		case endWhole:
@@ -97,8 +97,11 @@
 
 // resume continues a cut stream at its engine. It tries again while the
 // engine can't be reached, as long as the engine was asked to hold the stream.
+// A request that may be repeated, and of which nothing was delivered, is
+// better tried elsewhere.
 func (s *stream) resume(ctx context.Context, barren int, cause error) (*http.Response, error) {
-	if s.last == 0 || barren >= maxBarren || errors.Is(cause, errGap) {
+	elsewhere := s.f.repeatable && !s.isReleased()
+	if elsewhere || s.last == noID || barren >= maxBarren || errors.Is(cause, errGap) {
 		return nil, cause
 	}
 	s.c.log().Info("resume stream", "target", s.target.ID, "last", s.last, "cause", cause)
@@ -118,8 +121,10 @@
 	return nil, cause
 }
 
-// copy relays one connection's events.
-func (s *stream) copy(body io.Reader) (streamEnd, error) {
+// copy relays one connection's events. after is the ID from which the
+// connection was resumed, or noID: then repeated events are dropped, and the
+// first new one must be the next.
+func (s *stream) copy(body io.Reader, after int) (streamEnd, error) {
 	events := newEventReader(body, s.gen.eventPrefix())
 	for {
 		ev, err := events.next()
@@ -129,11 +134,14 @@
 		if ev.kind == eventError {
 			return s.failedBy(ev)
 		}
-		if ev.id != noID && ev.id <= s.last {
-			continue // sent before the connection was resumed
-		}
-		if ev.id != noID && s.last > 0 && ev.id > s.last+1 {
-			return endCut, errGap
+		if after != noID && ev.id != noID {
+			if ev.id <= after {
+				continue
+			}
+			if ev.id != after+1 {
+				return endCut, errGap
+			}
+			after = noID
 		}
 		s.last = max(s.last, ev.id)
 		s.emit(ev, events.buffered())
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -136,7 +136,8 @@
 	return got, whole
 }
 
-const opening = ": keepalive\n\ndata: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n"
+const openingChunkText = "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n"
+const opening = ": keepalive\n\n" + openingChunkText
 const overloaded = `data: {"error":{"type":"service_unavailable_error","code":"server_is_overloaded"}}` + "\n\n"
 
 func overloadTarget(before string) *target {
@@ -185,18 +186,38 @@
 	}
 }
 
-// A stream cut while nothing but opening events came is tried elsewhere.
+// A stream cut while nothing but opening events came is tried elsewhere at
+// once, also if it could be resumed.
 func TestCutWhileHeld(t *testing.T) {
+	for _, id := range []string{"", "id: 1\n"} {
+		is := is.New(t)
+		cut := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", eventStream)
+			_, _ = io.WriteString(w, ": keepalive\n\n"+id+openingChunkText)
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}}
+		n := newNode(t, []http.Handler{cut, newSSEEngine(3)})
+		got, whole := tokens(n.chat(t, streamReq).body)
+		is.Equal(got, "123")
+		is.True(whole)
+		is.Equal(cut.count(), 1)
+	}
+}
+
+// Only after a resumption must the IDs be consecutive.
+func TestEventIDsOfOtherEngines(t *testing.T) {
 	is := is.New(t)
-	cut := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+	e := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", eventStream)
-		_, _ = io.WriteString(w, opening)
-		flush(w)
-		panic(http.ErrAbortHandler)
+		for i := range 4 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"content\":\"<%d>\"}\n\n", 10*i, i)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
 	}}
-	n := newNode(t, []http.Handler{cut, newSSEEngine(3)})
+	n := newNode(t, handlers(e))
 	got, whole := tokens(n.chat(t, streamReq).body)
-	is.Equal(got, "123")
+	is.Equal(got, "0123")
 	is.True(whole)
 }
 
