--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -121,8 +121,8 @@
 }
 
 func (g *Gateway) pause(ctx context.Context, number int) {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	sleep(ctx, g.backoff.Pause(number, rng))
+	seeded := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	sleep(ctx, g.backoff.Pause(number, seeded))
 }
 
 // attempt sends the request to one target and relays the answer. While it
--- a/lab/bench/overload.go
+++ b/lab/bench/overload.go
@@ -59,11 +59,18 @@
 	}
 	defer func() { _ = n.Stop(context.Background()) }()
 	failed, firsts := overloadLoad(ctx, newCaller(n.URL()))
-	_, _ = fmt.Fprintf(w, "hidden overload in 1 of %d, hold %v: %d of %d failed, first token p50 %v p99 %v\n",
-		every, hold, failed, overloadRequests, quantile(firsts, 0.50), quantile(firsts, 0.99))
+	_, _ = fmt.Fprintf(w, "hidden overload in %s, hold %v: %d of %d failed, first token p50 %v p99 %v\n",
+		share(every), hold, failed, overloadRequests, quantile(firsts, 0.50), quantile(firsts, 0.99))
 	return nil
 }
 
+func share(every int) string {
+	if every == 0 {
+		return "no stream"
+	}
+	return fmt.Sprintf("1 of %d streams", every)
+}
+
 func overloadLoad(ctx context.Context, c *caller) (failed int, firsts []time.Duration) {
 	var mu sync.Mutex
 	var g errgroup.Group
