Report a surge by workspace, and the first token from the first try

Cause: the latencies of a surging workspace and of the others were in one row, and the time to the first token left out the tries that were refused: under a surge its p95 read 0.3 to 0.5 s while callers waited for seconds.

Ruled out: spreading the chats' first turns (a surge is all at once).

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,10 @@
 faults: build
 	@scripts/faults.sh
 
+# The demo with more chats than the engines hold, most of one workspace.
+surge: build
+	@scripts/surge.sh
+
 # Flags come from the environment: KNAPWEEDGW_NODE_ID and so on (see README.md).
 run-node: build
 	@bin/knapweedgw serve
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -74,11 +74,17 @@
 }
 
 // send asks through the nodes until there is an answer or no further try is
-// allowed. It returns the last failure.
+// allowed. It returns the last failure. The time to the first token counts
+// from the first try.
 func (r *Runner) send(ctx context.Context, rng *rand.Rand, req request) (answer, *failure) {
+	begin := time.Now()
 	for try := 1; ; try++ {
+		waited := time.Since(begin)
 		a, fail := r.try(ctx, r.balancer.pick(rng), req)
 		if fail == nil {
+			if a.first > 0 {
+				a.first += waited
+			}
 			return a, nil
 		}
 		if try == r.cfg.MaxTries || !fail.callAgain(req.key) || ctx.Err() != nil {
--- a/lab/load/config.go
+++ b/lab/load/config.go
@@ -113,3 +113,22 @@
 		return urgencyNormal
 	}
 }
+
+// classesOf returns the classes that a chat's latencies belong to.
+func (c Config) classesOf(p chatPlan) []class {
+	of := []class{classNormal}
+	switch p.urgency {
+	case urgencyEmergency:
+		of[0] = classEmergency
+	case urgencyBatch:
+		of[0] = classBatch
+	}
+	switch {
+	case c.SurgeWorkspaces == 0:
+		return of
+	case p.workspace < c.SurgeWorkspaces:
+		return append(of, classSurging)
+	default:
+		return append(of, classOther)
+	}
+}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -114,7 +114,7 @@
 	if r.result.add(fail, own) != outcomeWhole {
 		return "", false
 	}
-	r.result.latency(p.urgency, a.first, time.Since(start))
+	r.result.latency(r.cfg.classesOf(p), a.first, time.Since(start))
 	if turn > 0 {
 		could := engine.PromptTokens(known)
 		r.result.CouldReuse += could
--- a/lab/load/plan_test.go
+++ b/lab/load/plan_test.go
@@ -84,11 +84,16 @@
 	r := newResult()
 	r.add(nil, true)
 	r.CouldReuse, r.Reused = 200, 150
-	r.latency(urgencyBatch, 20*time.Millisecond, time.Second)
+	surge := Config{SurgeWorkspaces: 1}
+	r.latency(surge.classesOf(chatPlan{urgency: urgencyBatch, workspace: 1}), 20*time.Millisecond, time.Second)
+	is.Equal(surge.classesOf(chatPlan{urgency: urgencyEmergency}), []class{classEmergency, classSurging})
+	is.Equal(Config{}.classesOf(chatPlan{urgency: urgencyNormal}), []class{classNormal})
 	var table, lines bytes.Buffer
 	is.NoErr(r.Write(&table, &lines))
 	is.True(strings.Contains(lines.String(), `{"name":"prefix reuse","section":"load","value":0.75}`))
-	is.True(strings.Contains(lines.String(), `"urgency":7`))
-	is.True(!strings.Contains(lines.String(), `"urgency":0`)) // no such chat
+	for _, c := range classes {
+		want := c == classBatch || c == classOther
+		is.Equal(strings.Contains(lines.String(), `"chats of":"`+string(c)+`"`), want)
+	}
 	is.Equal(r.Summary(), "demo: requests=1 whole=1 lost=0 doubled=0 reuse=0.75 skew=0.00")
 }
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -37,11 +37,25 @@
 	Reasons map[problem.Reason]int
 
 	skew     skewMeter
-	classes  map[urgency]*classLatency
+	classes  map[class]*classLatency
 	failures map[outcome]string // the first of each kind, for people
 }
 
-// classLatency has the latencies of one urgency, in microseconds.
+// class is a set of chats whose latencies are reported together. Each chat
+// belongs to one by its urgency, and in a surge to one by its workspace.
+type class string
+
+const (
+	classEmergency class = "urgency 0"
+	classNormal    class = "urgency 3"
+	classBatch     class = "urgency 7"
+	classSurging   class = "surging workspaces"
+	classOther     class = "other workspaces"
+)
+
+var classes = []class{classEmergency, classNormal, classBatch, classSurging, classOther}
+
+// classLatency has the latencies of one class, in microseconds.
 type classLatency struct{ first, whole *hdrhistogram.Histogram }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -50,9 +64,9 @@
 }
 
 func newResult() Result {
-	r := Result{Reasons: make(map[problem.Reason]int), classes: make(map[urgency]*classLatency), failures: make(map[outcome]string)}
-	for _, u := range []urgency{urgencyEmergency, urgencyNormal, urgencyBatch} {
-		r.classes[u] = &classLatency{newHistogram(), newHistogram()}
+	r := Result{Reasons: make(map[problem.Reason]int), classes: make(map[class]*classLatency), failures: make(map[outcome]string)}
+	for _, c := range classes {
+		r.classes[c] = &classLatency{newHistogram(), newHistogram()}
 	}
 	return r
 }
@@ -94,11 +108,13 @@
 	}
 }
 
-func (r *Result) latency(u urgency, first, whole time.Duration) {
-	if first > 0 {
-		_ = r.classes[u].first.RecordValue(first.Microseconds())
+func (r *Result) latency(of []class, first, whole time.Duration) {
+	for _, c := range of {
+		if first > 0 {
+			_ = r.classes[c].first.RecordValue(first.Microseconds())
+		}
+		_ = r.classes[c].whole.RecordValue(whole.Microseconds())
 	}
-	_ = r.classes[u].whole.RecordValue(whole.Microseconds())
 }
 
 // Reuse is the share of the prompt tokens which an engine had held that came
@@ -176,9 +192,9 @@
 		}
 		rows = append(rows, total{"failed tries, " + name, r.Reasons[reason]})
 	}
-	for _, u := range []urgency{urgencyEmergency, urgencyNormal, urgencyBatch} {
-		if c := r.classes[u]; c.whole.TotalCount() > 0 {
-			rows = append(rows, classRow{u, c})
+	for _, c := range classes {
+		if l := r.classes[c]; l.whole.TotalCount() > 0 {
+			rows = append(rows, classRow{c, l})
 		}
 	}
 	return rows
@@ -195,9 +211,9 @@
 	return []measure.Field{{Name: "name", Value: t.name}, {Name: "value", Value: t.value}}
 }
 
-// classRow is a row with the latencies of one urgency.
+// classRow is a row with the latencies of one class.
 type classRow struct {
-	urgency urgency
+	class   class
 	latency *classLatency
 }
 
@@ -207,8 +223,8 @@
 		return measure.Field{Value: float64(h.ValueAtQuantile(quantile)) / 1000}
 	}
 	fields := []measure.Field{
-		{Name: "urgency", Value: int(c.urgency)},
-		{Name: "chat turns", Value: c.latency.whole.TotalCount()},
+		{Name: "chats of", Value: string(c.class)},
+		{Name: "turns", Value: c.latency.whole.TotalCount()},
 	}
 	for _, q := range []float64{50, 95, 99} {
 		f := ms(c.latency.first, q)
