Kill a node under the load; callers ask another for the rest of a stream

Cause: the load took each broken connection for a lost answer, so that no node could be killed under it, though the nodes can pass on the rest of a stream.

Ruled out: repeating streams from their start (it hides whether the rest can be had).

Before: not possible (a killed node counted lost answers by design).

--- a/lab/load/answer.go
+++ b/lab/load/answer.go
@@ -57,9 +57,14 @@
 func readStream(body io.Reader, start time.Time) (answer, error) {
 	var a answer
 	var content strings.Builder
+	pending, lastEvent := "", "" // event IDs: of the event being read, of the last whole one
 	sc := bufio.NewScanner(body)
 	sc.Buffer(nil, maxEventBytes)
 	for sc.Scan() {
+		if id, ok := strings.CutPrefix(sc.Text(), "id: "); ok {
+			pending = id
+			continue
+		}
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
 		if !ok {
 			continue
@@ -70,7 +75,7 @@
 		}
 		var c chunk
 		if err := json.Unmarshal([]byte(data), &c); err != nil {
-			return answer{}, errors.Wrap(err, "event")
+			return answer{}, brokenStream(lastEvent, content.String(), a.first, err)
 		}
 		if c.Error != nil {
 			return answer{}, streamFailure(c, content.Len())
@@ -82,8 +87,18 @@
 			content.WriteString(c.Choices[0].Delta.Content)
 		}
 		a.cached += c.Usage.Details.Cached
+		lastEvent = pending
+	}
+	return answer{}, brokenStream(lastEvent, content.String(), a.first, sc.Err())
+}
+
+// brokenStream is a stream that ended before its [DONE] without a word.
+func brokenStream(lastEvent, content string, first time.Duration, cause error) error {
+	f := &failure{ran: problem.RanUnknown, cause: errors.Newf("stream ended early: %v", cause)}
+	if lastEvent != "" {
+		f.partial = &partial{lastEvent: lastEvent, content: content, first: first}
 	}
-	return answer{}, errors.Newf("stream ended early: %v", sc.Err())
+	return f
 }
 
 // streamFailure is an error event; after the first token it can't mean that
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Sends chats and notices through the fleet while the platform's store fails,
 # loses answers and forgets its history, engines cut streams, refuse and die, a
-# service loses answers, a node is paused and another is stopped. Callers retry
-# as they may. The engine that dies can't be asked what it ran.
+# service loses answers, a node is paused, another is stopped and a third dies.
+# Callers retry as they may. The engine that dies can't be asked what it ran.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export DEMO_NODES=${DEMO_NODES:-4}
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 
@@ -22,7 +23,8 @@
  {"after_ms":7000,"name":"engine dies","signal":{"pids":[${pid_of[engine-$engines]}],"signal":"KILL"}},
  {"after_ms":8000,"name":"node continues","signal":{"pids":[${pid_of[node-1]}],"signal":"CONT"}},
  {"after_ms":9000,"name":"VM list lags","put":{"url":"$platform/lab/faults","body":{"vm_list_lag_ms":3000,"vm_list_back":2}}},
- {"after_ms":10000,"name":"node stops","signal":{"pids":[${pid_of[node-$nodes]}],"signal":"TERM"}}
+ {"after_ms":10000,"name":"node stops","signal":{"pids":[${pid_of[node-$nodes]}],"signal":"TERM"}},
+ {"after_ms":11000,"name":"node dies","signal":{"pids":[${pid_of[node-2]}],"signal":"KILL"}}
 ]}
 JSON
 start experiment "$bin"/knapweedlab experiment "$logs/plan.json"
