Read engines under an order before overdue settled ones

Cause: rolling out to 196 engines took 1,900 s where four loads of 30 s at a time allow 1,470 s. Ruled out: the load rate; 12 a minute is more than four at a time need.

TestReadOrder, shown failing first (e00 != e01).

--- a/orders/pool.go
+++ b/orders/pool.go
@@ -161,7 +161,7 @@
 	var next *engine
 	for _, id := range p.ids {
 		e := p.engines[id]
-		if !now.Before(e.nextRead) && (next == nil || e.nextRead.Before(next.nextRead)) {
+		if !now.Before(e.nextRead) && (next == nil || e.readBefore(next)) {
 			next = e
 		}
 	}
@@ -172,6 +172,20 @@
 	return next.target, true
 }
 
+// readBefore says which of two engines that are due is read first: one under
+// an order, for the next engine waits for it; else the one due for longer.
+func (e *engine) readBefore(o *engine) bool {
+	if e.busy() != o.busy() {
+		return e.busy()
+	}
+	return e.nextRead.Before(o.nextRead)
+}
+
+// busy says that the engine loads something, or was ordered to.
+func (e *engine) busy() bool {
+	return e.known && (e.state.Phase == PhaseLoading || !e.ordered.IsZero())
+}
+
 // NextOrder returns the order to send now. If there is none, Waiting tells
 // why.
 func (p *Pool) NextOrder(now time.Time) (Target, Order, bool) {
@@ -244,7 +258,7 @@
 		views[i] = view{
 			class:   c,
 			serving: e.known && e.state.Phase == PhaseReady && e.ordered.IsZero(),
-			busy:    e.known && (e.state.Phase == PhaseLoading || !e.ordered.IsZero()),
+			busy:    e.busy(),
 			weights: !e.state.Current.SameWeights(p.spec.Desired),
 			unread:  !e.known && e.readFails < unreachableReads,
 			tried:   c == classLoading || e.attempts > 0 && !gaveUp,
--- a/orders/pool_test.go
+++ b/orders/pool_test.go
@@ -281,6 +281,16 @@
 	is.True(ok)
 }
 
+// TestReadOrder: an engine under an order is read before those overdue.
+func TestReadOrder(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(spec(1, "2", FencingChecked), is1("2", PhaseReady), is1("2", PhaseLoading))
+	p.Observe("e01", is1("2", PhaseLoading), nil, epoch.Add(40*time.Second))
+	next, ok := p.NextRead(epoch.Add(42 * time.Second))
+	is.True(ok)
+	is.Equal(next.ID, "e01")
+}
+
 // TestRecordPace: a changed state is recorded at once, progress every
 // RecordEvery.
 func TestRecordPace(t *testing.T) {
