Let operators set how soon a duty can be taken over

Cause: the lease of the orders' issuer was fixed at 15 s; a site with a store that answers within milliseconds can hand over sooner, one with long stalls would rather wait longer. The test of separate processes waited for it, too. Ruled out: four flags; margin, renewal and retry follow the TTL in proportion. The store's adapter rounds to whole seconds, so the flag takes only those.

--- a/config/config.go
+++ b/config/config.go
@@ -36,6 +36,7 @@
 	StreamHold      time.Duration
 	AdmissionWait   time.Duration
 	AdmissionResync time.Duration
+	DutyTTL         time.Duration
 	DrainGrace      time.Duration
 	DrainDeadline   time.Duration
 	ClaimRetention  time.Duration
@@ -54,6 +55,8 @@
 	defaultStreamHold     = 250 * time.Millisecond
 	defaultAdmissionWait  = 25 * time.Millisecond
 	defaultResync         = 5 * time.Second
+	defaultDutyTTL        = 15 * time.Second
+	minDutyTTL            = 3 * time.Second
 	defaultDrainGrace     = 2 * time.Second
 	defaultClaimRetention = 15 * time.Minute
 	minClaimRetention     = time.Minute
@@ -81,6 +84,7 @@
 	fs.DurationVar(&c.AdmissionWait, "admission-timeout", defaultAdmissionWait, "shortest wait for an owner's answer before the node decides by its own estimate; at most four times that")
 	fs.DurationVar(&c.AdmissionResync, "admission-resync", defaultResync, "interval of a node's full account of its places to each owner")
 	fs.DurationVar(&c.DrainGrace, "drain-grace", defaultDrainGrace, "time without a new request, after readiness failed, before the listener closes; at most ten times that")
+	fs.DurationVar(&c.DutyTTL, "duty-ttl", defaultDutyTTL, "time after which another node may take over the orders of a node that doesn't renew its lease; whole seconds")
 	fs.DurationVar(&c.DrainDeadline, "drain-deadline", 0, "longest wait for requests in progress when stopping; 0 waits for all")
 	fs.DurationVar(&c.ClaimRetention, "claim-retention", defaultClaimRetention, "time for which an Idempotency-Key runs at most once; the same on all nodes")
 	fs.DurationVar(&c.ClaimInterval, "claim-interval", defaultClaimInterval, "shortest time between two writes of a shard of claims")
@@ -132,6 +136,7 @@
 	check(c.StreamHold >= 0, "--stream-hold is negative: use 0 for none")
 	check(c.AdmissionWait > 0, "--admission-timeout is not positive: use 25ms")
 	check(c.AdmissionResync > 0, "--admission-resync is not positive: use 5s")
+	check(c.DutyTTL >= minDutyTTL && c.DutyTTL%time.Second == 0, "--duty-ttl is under 3s or not in whole seconds: use 15s")
 	check(c.DrainGrace >= 0, "--drain-grace is negative: use 0 or more")
 	check(c.ClaimRetention >= minClaimRetention, "--claim-retention is under 1m: use 15m")
 	check(c.ClaimInterval > 0, "--claim-interval is not positive: use 140ms")
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -34,12 +34,16 @@
 	Retry time.Duration
 }
 
-// DefaultConfig covers clock rates that differ by up to 11%.
-func DefaultConfig() Config {
-	return Config{
-		TTL: 15 * time.Second, Margin: 1500 * time.Millisecond,
-		RenewEvery: 5 * time.Second, Retry: 2 * time.Second,
-	}
+// DefaultTTL lets another node take over within some twenty seconds.
+const DefaultTTL = 15 * time.Second
+
+// DefaultConfig is ConfigFor(DefaultTTL).
+func DefaultConfig() Config { return ConfigFor(DefaultTTL) }
+
+// ConfigFor returns durations in proportion to a TTL. They cover clock rates
+// that differ by up to 11% and two failed renewals.
+func ConfigFor(ttl time.Duration) Config {
+	return Config{TTL: ttl, Margin: ttl / 10, RenewEvery: ttl / 3, Retry: ttl * 2 / 15}
 }
 
 // Validate reports the first fault with its remedy.
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,7 @@
 	return orders.NewService(orders.Deps{
 		Node: cfg.NodeID, Region: cfg.Region, Limits: orders.DefaultLimits(),
 		Store: st, Client: orders.NewHTTPClient(), Metrics: orders.NewMetrics(reg), Log: l, Now: time.Now,
-	}, lease.DefaultConfig(), lease.NewMetrics(reg))
+	}, lease.ConfigFor(cfg.DutyTTL), lease.NewMetrics(reg))
 }
 
 // provideKernel registers the services in the order in which they start.
