--- a/admission/ask.go
+++ b/admission/ask.go
@@ -16,6 +16,8 @@
 // and targets that this node knows to be leaving.
 const maxAsks = 3
 
+var errBreakerOpen = errors.New("admission: the owner didn't answer of late; it is asked again soon")
+
 type answerKind int
 
 const (
@@ -24,6 +26,7 @@
 	answerFull
 	answerRefused
 	answerCanceled // the caller gave up
+	answerGone     // granted on a target that this node knows to be gone
 )
 
 // answer is what came of asking a cell's owner.
@@ -48,20 +51,18 @@
 			return answer{reason: reasonNoOwner}
 		}
 		a = e.askOwner(ctx, owner, k, exclude)
-		var again bool
-		switch {
-		case a.kind == answerGranted && a.place.target.ID == "":
-			// This node knows better than the owner that the target is gone.
+		again, why := false, redirectOwner
+		switch a.kind {
+		case answerGone:
 			exclude = append(slices.Clip(exclude), a.reply.Target)
-			a = answer{kind: answerFull}
-			again = true
-		case a.kind == answerNone:
+			again, why = true, redirectTarget
+		case answerNone:
 			owner, again = s.nextOwner(k, owner, a)
 		}
 		if !again {
 			return a
 		}
-		s.metrics.redirects.WithLabelValues("owner").Inc()
+		s.metrics.redirects.WithLabelValues(why).Inc()
 	}
 	return a
 }
@@ -193,15 +194,15 @@
 	}
 }
 
-// heedGrant records the place, or releases it and leaves the place empty if
-// this node knows that the target is leaving or gone.
+// heedGrant records the place, or releases it if this node knows that the
+// target is leaving or gone.
 func (e *entry) heedGrant(r holds.Reply, outcome string, owner membership.Node, k holds.Key, seq uint64) answer {
 	s := e.service
 	t, ok := s.plan().liveTarget(k, r.Target)
 	if !ok {
 		s.table.GiveUp(k, seq)
 		s.sendRelease(owner.ID, k, seq)
-		return answer{kind: answerGranted, reply: r}
+		return answer{kind: answerGone, reply: r}
 	}
 	s.table.Grant(s.now(), k, holderOf(owner), holds.Detail{
 		Seq: seq, Target: t.ID, Workspace: workspaceName(e.request), Chat: e.request.Chat,
--- a/admission/entry.go
+++ b/admission/entry.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
 	"github.com/knapweedgw/knapweedgw/problem"
@@ -66,13 +64,13 @@
 	var last answer
 	for next := e.home(); next >= 0 && len(e.tried) < maxCells; next = e.next(last) {
 		if len(e.tried) > 0 {
-			e.service.metrics.redirects.WithLabelValues("full").Inc()
+			e.service.metrics.redirects.WithLabelValues(redirectFull).Inc()
 		}
 		last = e.askCell(ctx, next)
 		switch last.kind {
 		case answerGranted:
 			return e.grant(last.place, last.outcome), nil
-		case answerFull:
+		case answerFull, answerGone:
 			e.tried = append(e.tried, next)
 		case answerRefused:
 			return Grant{}, e.refuse(outcomeRefused, last.reply)
@@ -179,5 +177,3 @@
 }
 
 func workspaceName(r Request) string { return r.Workspace.Team + "/" + r.Workspace.Name }
-
-var errBreakerOpen = errors.New("admission: the owner didn't answer of late; it is asked again soon")
--- a/admission/metrics.go
+++ b/admission/metrics.go
@@ -20,6 +20,13 @@
 	outcomeCanceled = "canceled"
 )
 
+// The reasons for asking once more.
+const (
+	redirectFull   = "full"   // another cell
+	redirectOwner  = "owner"  // another owner of the cell
+	redirectTarget = "target" // for another target than one that is leaving
+)
+
 // The reasons for falling back on the local estimate.
 const (
 	reasonTimeout     = "timeout"
