--- a/admission/cell/memory.go
+++ b/admission/cell/memory.go
@@ -8,9 +8,9 @@
 
 // Recent says where a chat last ran.
 type Recent struct {
-	Chat   uint64
-	Target string
-	Age    time.Duration // since it was placed there
+	Chat   uint64        `json:"h"`
+	Target string        `json:"t"`
+	Age    time.Duration `json:"a"` // since it was placed there
 }
 
 // Memory holds the target on which each chat last ran, up to a number of
