--- a/membership/machine.go
+++ b/membership/machine.go
@@ -158,7 +158,7 @@
 		n.listed = false
 	}
 	for _, vm := range list.VMs {
-		if vm.Role != vmlist.RoleNode || vm.ID == m.self.ID {
+		if vm.Role != vmlist.RoleNode || vm.ID == m.self.ID || vm.PeerAddr == "" {
 			continue
 		}
 		n := fromVM(vm)
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -321,12 +321,13 @@
 	now := time.Unix(1000, 0)
 	m := membership.NewMachine(membership.Node{ID: "a", Region: "r"}, membership.DefaultConfig(), rand.New(rand.NewPCG(1, 1)), now)
 	vm := func(id, region string, s vmlist.State) vmlist.VM {
-		return vmlist.VM{ID: id, Role: vmlist.RoleNode, Region: region, State: s, Incarnation: 1}
+		return vmlist.VM{ID: id, Role: vmlist.RoleNode, Region: region, State: s, Incarnation: 1, PeerAddr: id}
 	}
 	m.List(vmlist.List{Version: 1, VMs: []vmlist.VM{
 		vm("a", "r", vmlist.StateLive), vm("b", "r", vmlist.StateLive),
 		vm("c", "other", vmlist.StateLive), vm("d", "other", vmlist.StateLeaving),
 		{ID: "e", Role: vmlist.RoleEngine, Region: "r"},
+		{ID: "f", Role: vmlist.RoleNode, Region: "r"}, // without an address
 	}}, now)
 	v := m.View(now)
 	is.Equal(len(v.Nodes), 4)
--- a/targets/book.go
+++ b/targets/book.go
@@ -44,10 +44,15 @@
 // prune forgets the oldest words on targets that are not listed, beyond limit
 // of them.
 func (b *book) prune(listed map[string]bool, limit int) {
-	excess := len(b.leaving) - len(listed) - limit
-	if excess <= 0 {
+	if len(b.leaving) <= limit {
 		return
 	}
+	excess := -limit
+	for id := range b.leaving {
+		if !listed[id] {
+			excess++
+		}
+	}
 	b.order = slices.DeleteFunc(b.order, func(id string) bool {
 		if excess <= 0 || listed[id] {
 			return false
