--- a/lab/fleettest/kill_test.go
+++ b/lab/fleettest/kill_test.go
@@ -31,6 +31,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := startFleet(t, 3, 3)
 			left := f.engineURLs[tc.engines:]
--- a/lab/fleettest/process_test.go
+++ b/lab/fleettest/process_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -108,15 +110,21 @@
 	return o.buf.String()
 }
 
-// freeAddr returns a loopback "ip:port" that was free a moment ago.
+// freeAddr returns a loopback "ip:port" that was free a moment ago. It is below
+// the ports that the system gives to connections, one of which could otherwise
+// take it before the process listens.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const lowest, highest, tries = 10_000, 32_000, 1000
+	for range tries {
+		addr := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // eventually waits for a condition.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/knapweedgw/knapweedgw/targets"
 )
@@ -69,7 +68,7 @@
 }
 
 // gossip sends the news to a few nodes.
-func (m *Machine) gossip(time.Time) []Envelope {
+func (m *Machine) gossip() []Envelope {
 	if m.news.empty() {
 		return nil
 	}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -131,9 +131,9 @@
 func (m *Machine) Leave() { m.retire(Leaving) }
 
 // Left returns the last messages of a node that stops.
-func (m *Machine) Left(now time.Time) []Envelope {
+func (m *Machine) Left() []Envelope {
 	m.retire(Dead)
-	return m.gossip(now)
+	return m.gossip()
 }
 
 func (m *Machine) retire(s State) {
--- a/membership/membershiptest/fleet.go
+++ b/membership/membershiptest/fleet.go
@@ -31,12 +31,15 @@
 	Down bool
 	// Side is the part of a divided network that the node is on.
 	Side int
-	// MostSent is the most messages sent at one event.
+	// Messages and Bytes are what the node has sent; Bytes only while
+	// Fleet.CountBytes is set.
 	Messages, Bytes int64
-	MostSent        int
-	addr            string
-	fleet           *Fleet
-	view            *membership.View
+	// MostSent is the most messages that it sent at one event.
+	MostSent int
+
+	addr  string
+	fleet *Fleet
+	view  *membership.View
 }
 
 // Fleet is a set of nodes and the network between them.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -44,7 +44,7 @@
 	if !m.nextHold.IsZero() && !now.Before(m.nextHold) {
 		m.changed = true
 	}
-	return append(out, m.gossip(now)...)
+	return append(out, m.gossip()...)
 }
 
 // excusePause gives every node the time that this one was paused: it can't
--- a/membership/service.go
+++ b/membership/service.go
@@ -101,7 +101,7 @@
 func (m *Members) Stop(ctx context.Context) error {
 	close(m.stop)
 	m.mu.Lock()
-	out := m.machine.Left(time.Now())
+	out := m.machine.Left()
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
@@ -121,7 +121,7 @@
 		case <-m.stop:
 			return
 		case <-tick.C:
-			m.step(func(now time.Time) []Envelope { return m.machine.Tick(now) })
+			m.step(m.machine.Tick)
 		}
 	}
 }
