Give up on callers that stall and on targets that vanish

Cause: a caller that stops reading without closing its connection held its engine's place until TCP gave up, and a target VM lost without a FIN was waited for by Go's keep-alive of 150 s. A flush that takes 30 s now ends the stream as if the caller had gone (requests that may not be repeated are still seen through); keep-alive towards targets finds a lost VM within 11 s. An idle limit between events was ruled out: a frozen engine may still come back with the stream it holds.

Shown failing first: with a limit of an hour TestStalledCaller ends by the test's own timeout (8 s); it passes with the limit.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 const (
 	headerReadTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// callerStall is how long a caller may take nothing of its stream.
+	callerStall = 30 * time.Second
 	// maxHeaderBytes is answered with a problem document; the HTTP server
 	// cuts off what is larger than serverHeaderBytes by itself.
 	maxHeaderBytes    = 32 << 10
@@ -67,6 +69,7 @@
 	clients  clients
 	budget   *retry.Budget
 	backoff  retry.Backoff
+	stall    time.Duration
 
 	settings SettingsSource
 	admitter admission.Admitter
@@ -90,6 +93,7 @@
 		clients: newClients(),
 		budget:  retry.NewBudget(budget, time.Now()),
 		backoff: retry.Backoff{Base: retryBaseBackoff, Max: retryMaxBackoff},
+		stall:   callerStall,
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,6 +37,7 @@
 	endFailed
 	endOverload
 	endCut
+	endStalled // the caller takes no more
 )
 
 // stream relays the events of one generation, over as many connections to its
@@ -80,6 +81,9 @@
 		switch end {
 		case endWhole:
 			return nil
+		case endStalled:
+			s.g.cancelGeneration(s.c, s.target, s.gen)
+			return s.fail(retry.Sent, problem.CallerGone, err)
 		case endOverload:
 			return s.fail(retry.Refused, problem.TargetRefused, err)
 		case endFailed:
@@ -144,7 +148,9 @@
 			after = noID
 		}
 		s.last = max(s.last, ev.id)
-		s.emit(ev, events.buffered())
+		if err := s.emit(ev, events.buffered()); err != nil && s.f.repeatable {
+			return endStalled, err
+		}
 		if ev.kind == eventDone {
 			s.c.captured.end()
 			return endWhole, nil
@@ -207,30 +213,39 @@
 	s.c.captured.begin(http.StatusOK, eventStream)
 	s.write(s.held)
 	s.held = nil
-	_ = s.rc.Flush()
+	_ = s.flush()
 }
 
 // emit delivers an event, or holds it if it is an opening event. more says
-// that another follows at once, so that flushing can wait for it.
-func (s *stream) emit(ev event, more bool) {
+// that another follows at once, so that flushing can wait for it. It fails if
+// the caller takes nothing for the gateway's stall time.
+func (s *stream) emit(ev event, more bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.released {
 		s.held = append(s.held, ev.raw...)
 		s.heldN++
 		if isOpening(ev) && s.heldN < maxHeldEvents && len(s.held) < maxHeldBytes {
-			return
+			return nil
 		}
 		s.releaseLocked()
-		return
+		return nil
 	}
 	s.write(ev.raw)
-	if !more {
-		_ = s.rc.Flush()
+	if more {
+		return nil
 	}
+	return s.flush()
 }
 
 func (s *stream) write(p []byte) {
 	s.c.captured.add(p)
 	_, _ = s.c.w.Write(p)
 }
+
+// flush sends what was written. A failed write shows here. net/http lifts the
+// deadline before the connection's next request.
+func (s *stream) flush() error {
+	_ = s.rc.SetWriteDeadline(time.Now().Add(s.g.stall))
+	return s.rc.Flush()
+}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -344,6 +345,30 @@
 	is.Equal(testutil.ToFloat64(n.Gateway.metrics.cancels), 1.0)
 }
 
+// A caller that takes nothing of its stream loses it, and gives its engine
+// back.
+func TestStalledCaller(t *testing.T) {
+	canceled := make(chan struct{})
+	var once sync.Once
+	n := newNode(t, []http.Handler{http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			once.Do(func() { close(canceled) })
+			return
+		}
+		w.Header().Set("Content-Type", eventStream)
+		event := "data: {\"content\":\"" + strings.Repeat("x", 64<<10) + "\"}\n\n"
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, event)
+		}
+	})})
+	n.stall = 50 * time.Millisecond
+	resp := n.open(t, chatPath, streamReq)
+	defer func() { _ = resp.Body.Close() }()
+	<-canceled
+	eventually(t, n.released)
+	eventually(t, func() bool { return n.refused(problem.CallerGone) == 1 })
+}
+
 // A keyed stream runs to its end without its caller and is replayed whole.
 func TestClaimedStream(t *testing.T) {
 	is := is.New(t)
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -20,6 +20,12 @@
 	dialTimeout        = time.Second
 )
 
+// targetKeepAlive finds a VM that is lost without closing its connections
+// within 11 s; a slow target still acknowledges.
+var targetKeepAlive = net.KeepAliveConfig{
+	Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3,
+}
+
 // errGateClosed is returned by a write that its gate forbade.
 var errGateClosed = errors.New("request may no longer be sent")
 
@@ -38,7 +44,7 @@
 }
 
 func newClient(fresh bool) *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: targetKeepAlive}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
