Advise to come back only where that is safe

Cause: a refusal with ran "unknown" carried Retry-After, which advises a caller to repeat what may have run; and a request whose key is still in progress, where asking again is what helps, forbade clients to do so.

Shown failing first: TestOutcomes (6 cases) and TestClaimVerdicts "in progress".

--- a/gateway/claim_test.go
+++ b/gateway/claim_test.go
@@ -186,6 +186,9 @@
 			a := n.send(t, "POST", letters, keyA, chatBody, HeaderIdempotencyKey, "k")
 			is.Equal(a.status, tt.status)
 			is.True(a.is(tt.reason, tt.ran))
+			// Asking again helps while the first is in progress, only then.
+			is.Equal(a.header.Get("Retry-After") != "", tt.state == claims.InProgress)
+			is.Equal(a.header.Get("X-Should-Retry") == "", tt.state == claims.InProgress)
 			other := n.send(t, "POST", letters, keyA, "other", HeaderIdempotencyKey, "k")
 			is.Equal(other.status, 422)
 			is.True(other.is(problem.ClaimConflict, problem.RanNo))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -83,7 +83,8 @@
 }
 
 // refuse completes a refusal: whatever it says, a request that an earlier
-// attempt may have run is never reported as not run.
+// attempt may have run is never reported as not run, nor is its caller advised
+// to repeat it.
 func (g *Gateway) refuse(ctx context.Context, c *call, err error) error {
 	var p *problem.Problem
 	if !errors.As(err, &p) {
@@ -95,12 +96,14 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		p = problem.New(problem.DeadlineExceeded, p.Ran, p.Detail)
 	}
-	if p.Ran == problem.RanNo {
-		refused := *p
+	refused := *p
+	if refused.Ran == problem.RanNo {
 		refused.Ran = c.ran()
-		return &refused
 	}
-	return p
+	if refused.Ran != problem.RanNo {
+		refused.RetryAfter = 0
+	}
+	return &refused
 }
 
 func refusal(e *attemptError, v retry.Verdict) error {
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -73,6 +73,7 @@
 			is.True(n.released())
 			if tt.ran == problem.RanUnknown {
 				is.Equal(a.header.Get("X-Should-Retry"), "false")
+				is.Equal(a.header.Get("Retry-After"), "") // no advice to repeat it
 			}
 		})
 	}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -171,7 +171,8 @@
 
 // Write sends the problem as the whole response. Retry-After is rounded up to
 // whole seconds. X-Should-Retry, which clients of the OpenAI interface heed,
-// forbids them to repeat by themselves what may have been run.
+// forbids them to repeat by themselves what may have been run, unless the problem
+// says when to come back.
 func (p *Problem) Write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", ContentType)
@@ -180,7 +181,7 @@
 		seconds := int64((p.RetryAfter + time.Second - 1) / time.Second)
 		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	if p.Ran != RanNo {
+	if p.Ran != RanNo && p.RetryAfter == 0 {
 		h.Set("X-Should-Retry", "false")
 	}
 	w.WriteHeader(p.Status)
