--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,8 +67,8 @@
 	return g.newStream(c, f, t, gen).run(ctx, resp)
 }
 
-// run relays to the end of the stream. It returns an error only if nothing
-// was delivered; later failures are told by an error event.
+// run relays to the end of the stream. Its error says whether anything was
+// delivered: if so, finish ends the stream with an error event.
 func (s *stream) run(ctx context.Context, resp *http.Response) *attemptError {
 	copyHeader(s.c.w, s.target, resp)
 	timer := s.startHold()
