Split the platform's store wrapper by what it does

Cause: one file of 312 lines held the counts, the switches and the watches, and each call built a map to find its counter.

Ruled out: a package of its own (the platform alone uses it).

Conclusion: kept; no change of behaviour.

--- a/lab/platform/faulty.go
+++ b/lab/platform/faulty.go
@@ -12,23 +12,6 @@
 	"github.com/knapweedgw/knapweedgw/store/memory"
 )
 
-// Calls counts the calls that the key-value service has had.
-type Calls struct {
-	Reads   int64 `json:"reads"`
-	Writes  int64 `json:"writes"`
-	Watches int64 `json:"watches"`
-	Leases  int64 `json:"leases"`
-	// WaitingWatches is how many watches are open now.
-	WaitingWatches int64 `json:"waiting_watches"`
-	// Batches counts what the watches sent.
-	Batches int64 `json:"batches"`
-	// Limited counts the calls refused by the rate limits.
-	Limited int64 `json:"limited"`
-	// LostAnswers counts the writes and lease calls that took effect but
-	// whose answer was lost.
-	LostAnswers int64 `json:"lost_answers"`
-}
-
 // faultyStore wraps a store with fault switches and call counts.
 type faultyStore struct {
 	*memory.Store
@@ -103,25 +86,11 @@
 	return f.faults, f.changed
 }
 
-// kind is a kind of call.
-type kind int
-
-const (
-	kindRead kind = iota
-	kindWrite
-	kindLease
-	kindWatch
-)
-
 // admit counts a call and takes it from its rate limit. nth is its number
 // among the calls of its kind.
 func (f *faultyStore) admit(k kind) (nth int64, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := map[kind]*int64{
-		kindRead: &f.count.Reads, kindWrite: &f.count.Writes,
-		kindLease: &f.count.Leases, kindWatch: &f.count.Watches,
-	}
 	limit := f.reads
 	if k == kindWrite || k == kindLease {
 		limit = f.writes
@@ -130,8 +99,9 @@
 		f.count.Limited++
 		return 0, false
 	}
-	*counts[k]++
-	return *counts[k], true
+	count := f.count.of(k)
+	*count++
+	return *count, true
 }
 
 // enter lets a call in: refused in an outage or over the rate limit, delayed,
@@ -249,53 +219,3 @@
 	faults, _ := f.state()
 	return faults
 }
-
-// Watch implements store.Store. An outage ends the watch.
-func (f *faultyStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Batch, error) {
-	if _, err := f.enter(ctx, kindWatch); err != nil {
-		return nil, err
-	}
-	f.mu.Lock()
-	cut := f.cut
-	f.mu.Unlock()
-	inner, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(cut, cancel)
-	batches, err := f.Store.Watch(inner, prefix, from)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	f.add(func(c *Calls) { c.WaitingWatches++ })
-	out := make(chan store.Batch)
-	go func() {
-		defer close(out)
-		defer f.add(func(c *Calls) { c.WaitingWatches-- })
-		defer cancel()
-		defer stop()
-		f.forward(ctx, batches, out)
-	}()
-	return out, nil
-}
-
-// forward passes the batches on until they end; a watch that was cut ends
-// with ErrUnavailable.
-func (f *faultyStore) forward(ctx context.Context, batches <-chan store.Batch, out chan<- store.Batch) {
-	for b := range batches {
-		if err := f.pass(ctx); err != nil {
-			b = store.Batch{Err: err}
-		}
-		f.add(func(c *Calls) { c.Batches++ })
-		select {
-		case out <- b:
-		case <-ctx.Done():
-			return
-		}
-		if b.Err != nil {
-			return
-		}
-	}
-	select {
-	case out <- store.Batch{Err: errors.Wrap(store.ErrUnavailable, "watch cut")}:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/lab/platform/watch.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/store"
+)
+
+// Watch implements store.Store. An outage ends the watch.
+func (f *faultyStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Batch, error) {
+	if _, err := f.enter(ctx, kindWatch); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	cut := f.cut
+	f.mu.Unlock()
+	inner, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(cut, cancel)
+	batches, err := f.Store.Watch(inner, prefix, from)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	f.add(func(c *Calls) { c.WaitingWatches++ })
+	out := make(chan store.Batch)
+	go func() {
+		defer close(out)
+		defer f.add(func(c *Calls) { c.WaitingWatches-- })
+		defer cancel()
+		defer stop()
+		f.forward(ctx, batches, out)
+	}()
+	return out, nil
+}
+
+// forward passes the batches on until they end; a watch that was cut ends
+// with ErrUnavailable.
+func (f *faultyStore) forward(ctx context.Context, batches <-chan store.Batch, out chan<- store.Batch) {
+	for b := range batches {
+		if err := f.pass(ctx); err != nil {
+			b = store.Batch{Err: err}
+		}
+		f.add(func(c *Calls) { c.Batches++ })
+		select {
+		case out <- b:
+		case <-ctx.Done():
+			return
+		}
+		if b.Err != nil {
+			return
+		}
+	}
+	select {
+	case out <- store.Batch{Err: errors.Wrap(store.ErrUnavailable, "watch cut")}:
+	case <-ctx.Done():
+	}
+}
