Give a new issuer's number to engines that are in the desired state

Cause: an engine that checks fencing numbers refuses an old order only after it has seen a newer number. A new issuer ordered only engines in another state, so an old order could still reach a converged one at any time. Weighed: a separate request that only raises the number (the engines' protocol has none), or an idempotent order for the state that the engine has. Taken: it loads nothing, takes nothing out of service and needs no new request. Only for engines that check; to others it would do nothing.

Shown failing first: TestClaim (0 != 5 orders) and TestPausedIssuer with the stricter end that each engine has the number of the term that goes on (fails after 0 runs). After: go test -race ./orders: ok, 8.2 s; TestIssuer with separate processes: ok.

--- a/lease/machine.go
+++ b/lease/machine.go
@@ -217,7 +217,7 @@
 	return Action{Call: CallProbe}
 }
 
-// believes is Held for the whole TTL when the lease was only just renewed.
+// believes says whether the term goes on.
 func (m *Machine) believes(now time.Time) bool {
 	_, ok := m.Held(now)
 	return ok
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -26,6 +26,7 @@
 	tried   bool // ordered and not there yet, whether loading or waiting to retry
 	gaveUp  bool
 	nextTry time.Time
+	fence   int64 // the greatest that the engine has accepted
 }
 
 // Reason says why no order was issued.
--- a/orders/pool.go
+++ b/orders/pool.go
@@ -201,6 +201,9 @@
 	}
 	i, why := plan(views, p.limits, p.loads.has(now), now)
 	p.reason = why
+	if i < 0 {
+		i = p.claim(views, now)
+	}
 	if i < 0 {
 		return Target{}, Order{}, false
 	}
@@ -208,6 +211,18 @@
 	return t, Order{Fence: p.term.Fence, Incarnation: t.Incarnation, Desired: p.spec.Desired}, true
 }
 
+// claim returns an engine that is in the desired state but would still accept
+// an order of an older term, or -1. An order for the state that it has makes it
+// refuse those from then on.
+func (p *Pool) claim(views []view, now time.Time) int {
+	if p.spec.Fencing != FencingChecked {
+		return -1
+	}
+	return slices.IndexFunc(views, func(v view) bool {
+		return v.class == classDone && v.fence < p.term.Fence && !now.Before(v.nextTry)
+	})
+}
+
 // Waiting returns why the last NextOrder returned none.
 func (p *Pool) Waiting() Reason { return p.reason }
 
@@ -264,6 +279,7 @@
 			tried:   c == classLoading || e.attempts > 0 && !gaveUp,
 			gaveUp:  gaveUp,
 			nextTry: e.nextTry,
+			fence:   e.state.Fence,
 		}
 	}
 	return views
@@ -294,6 +310,8 @@
 		p.loads.take()
 	}
 	switch {
+	case err == nil && e.class(p.spec.Desired) == classDone:
+		e.state.Fence = p.term.Fence
 	case err == nil, errors.Is(err, ErrUncertain):
 		e.ordered = now
 		e.nextRead = now.Add(p.limits.PendingReadEvery)
--- a/orders/pool_test.go
+++ b/orders/pool_test.go
@@ -18,7 +18,7 @@
 }
 
 func is1(version string, phase Phase) State {
-	s := State{Incarnation: 1, Phase: phase, Target: spec(0, version, "").Desired}
+	s := State{Incarnation: 1, Fence: 1, Phase: phase, Target: spec(0, version, "").Desired}
 	if phase == PhaseReady {
 		s.Current = s.Target
 	}
@@ -281,6 +281,21 @@
 	is.True(ok)
 }
 
+// TestClaim: a new issuer gives its number to engines that are in the desired
+// state, if they check it, and takes none of them out of service.
+func TestClaim(t *testing.T) {
+	is := is.New(t)
+	for kind, want := range map[Fencing]int{FencingChecked: 5, FencingIgnored: 0} {
+		old := is1("2", PhaseReady)
+		old.Fence = 0
+		p := poolOf(spec(1, "2", kind), repeat(5, old)...)
+		now := epoch.Add(time.Minute)
+		is.Equal(drain(p, now), want)
+		is.Equal(count(p.views()).out, 0)
+		is.Equal(p.Waiting(), ReasonDone)
+	}
+}
+
 // TestReadOrder: an engine under an order is read before those overdue.
 func TestReadOrder(t *testing.T) {
 	is := is.New(t)
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -234,9 +234,25 @@
 	}
 }
 
+// fence returns the number of the term that goes on, 0 if none does.
+func (w *world) fence() int64 {
+	for _, n := range w.nodes {
+		if term, ok := n.keeper.Held(); ok {
+			return term.Fence
+		}
+	}
+	return 0
+}
+
+// converged says that every engine is in the desired state and, if it checks
+// fencing numbers, refuses those of older terms.
 func (w *world) converged() bool {
+	fence := w.fence()
 	for _, e := range w.engines {
 		s := e.State()
+		if w.spec.Fencing == orders.FencingChecked && s.Fence != fence {
+			return false
+		}
 		if s.Phase != orders.PhaseReady || !s.Current.Equal(w.spec.Desired) {
 			return false
 		}
