Use the service from many goroutines under the race detector

Cause: the fleet of the tests runs in one goroutine, so -race saw nothing. go test -race -run Concurrent -count 3 ./admission: no race, counts exact.

--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -369,3 +370,35 @@
 	is.Equal(owner.owned.len(), 0)
 	is.Equal(f.counted()[g.Target.ID] >= 1, true)
 }
+
+// TestConcurrentUse: requests through every node, changes of views and the
+// nodes' own work at the same time leave exact counts.
+func TestConcurrentUse(t *testing.T) {
+	f := newFleet(3, 6, 2)
+	var wg sync.WaitGroup
+	for node := range f.nodes {
+		for worker := range 4 {
+			wg.Go(func() {
+				for i := range 100 {
+					g, err := f.acquire(node, uint64(worker*100+i))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					g.Release()
+				}
+			})
+		}
+		wg.Go(func() {
+			for i := range 50 {
+				f.nodes[node].views.v.Store(f.view(f.nodes[i%3].cfg.Node))
+				f.nodes[node].tick(context.Background())
+				f.nodes[node].flush(context.Background())
+			}
+		})
+	}
+	wg.Wait()
+	f.setViews(f.view())
+	f.settle()
+	is.New(t).Equal(f.counted(), map[string]int{})
+}
