Pick the estimate's target in one pass over the pool

Cause: the local estimate copied the pool, hashed and sorted all of it for each request, which grows with the square of the pool; and each ask walked the whole view for nodes that hand over, though there mostly are none. Now one pass without a copy.

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -133,7 +133,7 @@
 	if c, ok := e.plan.pools[r.Pool.Pool]; ok {
 		r.Pool.LoadFactor, r.Pool.MaxInFlight = c.cell.LoadFactor, c.cell.MaxInFlight
 	}
-	t, done, err := s.local.place(eligible(e.group.live, r.Exclude), r)
+	t, done, err := s.local.place(e.group.live, r)
 	if err != nil {
 		s.metrics.requests.WithLabelValues(outcomeFull).Inc()
 		return Grant{}, err
--- a/admission/local.go
+++ b/admission/local.go
@@ -71,31 +71,37 @@
 
 // Acquire implements Admitter.
 func (l *Local) Acquire(_ context.Context, r Request) (Grant, error) {
-	t, release, err := l.place(eligible(l.targets.Snapshot().Pool(r.Pool.Pool), r.Exclude), r)
+	t, release, err := l.place(l.targets.Snapshot().Pool(r.Pool.Pool), r)
 	if err != nil {
 		return Grant{}, err
 	}
 	return Grant{Target: t, Release: sync.OnceFunc(release)}, nil
 }
 
-// place counts the request on the first target in the rendezvous order under
-// the bound. The returned function must be called once.
-func (l *Local) place(candidates []targets.Target, r Request) (targets.Target, func(), error) {
-	if len(candidates) == 0 {
-		return targets.Target{}, nil, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
-	}
+// place counts the request on the best-ranked target under the bound. The
+// returned function must be called once.
+func (l *Local) place(pool []targets.Target, r Request) (targets.Target, func(), error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	mean := l.mean(candidates, now)
-	for _, i := range rank(candidates, r.Chat) {
-		t := candidates[i]
+	mean, ok := l.mean(pool, r, now)
+	if !ok {
+		return targets.Target{}, nil, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+	}
+	best, bestScore := -1, uint64(0)
+	for i, t := range pool {
 		bound := int(math.Ceil(r.Pool.LoadFactor * mean * float64(t.Capacity)))
-		if l.estimate(t.ID).load(now) < min(bound, r.Pool.MaxInFlight*t.Capacity) {
-			return t, l.count(t.ID), nil
+		if !eligible(t, r) || l.load(t.ID, now) >= min(bound, r.Pool.MaxInFlight*t.Capacity) {
+			continue
+		}
+		if s := routing.Score(r.Chat, routing.Hash(t.ID)); best < 0 || s > bestScore {
+			best, bestScore = i, s
 		}
 	}
-	return targets.Target{}, nil, problem.New(problem.Saturated, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+	if best < 0 {
+		return targets.Target{}, nil, problem.New(problem.Saturated, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
+	}
+	return pool[best], l.count(pool[best].ID), nil
 }
 
 // sent counts a request of this node until the returned function is called.
@@ -120,14 +126,24 @@
 	}
 }
 
-// mean is the load of a target of capacity 1 with the request to be placed.
-func (l *Local) mean(candidates []targets.Target, now time.Time) float64 {
+// mean is the load of a target of capacity 1 with the request to be placed. It
+// also says whether there is any eligible target.
+func (l *Local) mean(pool []targets.Target, r Request, now time.Time) (float64, bool) {
 	total, capacity := 1, 0
-	for _, t := range candidates {
-		total += l.estimate(t.ID).load(now)
-		capacity += t.Capacity
+	for _, t := range pool {
+		if eligible(t, r) {
+			total += l.load(t.ID, now)
+			capacity += t.Capacity
+		}
+	}
+	return float64(total) / float64(max(capacity, 1)), capacity > 0
+}
+
+func (l *Local) load(target string, now time.Time) int {
+	if e, ok := l.loads[target]; ok {
+		return e.load(now)
 	}
-	return float64(total) / float64(max(capacity, 1))
+	return 0
 }
 
 func (l *Local) estimate(target string) *estimate {
@@ -151,16 +167,6 @@
 	}
 }
 
-func eligible(pool []targets.Target, exclude []string) []targets.Target {
-	return slices.DeleteFunc(slices.Clone(pool), func(t targets.Target) bool {
-		return t.Leaving || slices.Contains(exclude, t.ID)
-	})
-}
-
-func rank(candidates []targets.Target, chat uint64) []int {
-	hashes := make([]uint64, len(candidates))
-	for i, t := range candidates {
-		hashes[i] = routing.Hash(t.ID)
-	}
-	return routing.Top(nil, chat, hashes, len(hashes))
+func eligible(t targets.Target, r Request) bool {
+	return !t.Leaving && !slices.Contains(r.Exclude, t.ID)
 }
--- a/admission/service.go
+++ b/admission/service.go
@@ -277,6 +277,9 @@
 func (s *Service) leavers() []holds.From {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.left) == 0 && !s.draining.Load() {
+		return nil
+	}
 	var out []holds.From
 	for _, n := range s.view.View().Nodes {
 		if n.State <= membership.Suspect && s.hasLeft(n) {
