--- a/lab/measure/fanout/exchange.go
+++ b/lab/measure/fanout/exchange.go
@@ -224,7 +224,10 @@
 			if n.state.Head() > since {
 				e.advanced(n)
 				e.pull(n, h, done)
-			} else if done != nil {
+				return
+			}
+			e.seekHolder(n)
+			if done != nil {
 				done()
 			}
 		}
@@ -238,6 +241,16 @@
 	})
 }
 
+// seekHolder tells one node of the region of what came from elsewhere.
+func (e *exchange) seekHolder(n *node) {
+	if n.confirmed >= n.state.Head() {
+		return
+	}
+	if seeds := duty.Seeds(e.s.fleet.view(n), e.s.rnd); len(seeds) > 0 {
+		e.announceTo(n, seeds[0], n.state.Head(), 1)
+	}
+}
+
 // confirm notes that another node of the region holds a revision, as the
 // follower does; no node is alone in its region here.
 func (e *exchange) confirm(n, other *node, revision int64) {
--- a/settings/duty/duty_test.go
+++ b/settings/duty/duty_test.go
@@ -57,6 +57,18 @@
 	is.Equal(Position(after, before[0].ID), -1)
 }
 
+func TestAllLeavingStillHasPeers(t *testing.T) {
+	is := is.New(t)
+	v := view(1, 3)
+	v.Self = v.Nodes[0].ID
+	for i := range v.Nodes {
+		v.Nodes[i].State = membership.Leaving
+	}
+	first, later := Announcees(v)
+	is.Equal(len(first)+len(later), 2)
+	is.Equal(len(Acceptors(v)), 0)
+}
+
 func TestAcceptorsAreApart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(rt)
--- a/settings/duty/peers.go
+++ b/settings/duty/peers.go
@@ -21,6 +21,9 @@
 	}
 	self, _ := v.Node(v.Self)
 	relays := Relays(v, self.FailureDomain)
+	if len(relays) == 0 {
+		return near, nil
+	}
 	for _, n := range near {
 		if Position(relays, v.Self) == int(routing.Hash(n.ID)%uint64(len(relays))) {
 			first = append(first, n)
--- a/settings/follower/exchange.go
+++ b/settings/follower/exchange.go
@@ -201,11 +201,25 @@
 		f.confirm(addr, d.Through)
 		f.absorb(ctx, d, sourcePeer)
 		if f.Head() <= since {
+			f.seekHolder(ctx)
 			return nil
 		}
 	}
 }
 
+// seekHolder tells one node that a restart would ask of what came from
+// elsewhere, so that it comes to hold it too.
+func (f *Follower) seekHolder(ctx context.Context) {
+	head := f.Head()
+	if f.confirmed() >= head {
+		return
+	}
+	if seeds := duty.Seeds(f.members.View(), newRand()); len(seeds) > 0 {
+		m := headMessage{Head: head, From: f.self().PeerAddr}
+		f.spawn(func() { f.announceTo(ctx, seeds[0].PeerAddr, m) })
+	}
+}
+
 func (f *Follower) pullOnce(ctx context.Context, addr string, since int64, timeout time.Duration) (accepted.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
