--- a/node/node.go
+++ b/node/node.go
@@ -85,6 +85,7 @@
 
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
+	tel telemetry.Service,
 	hub *peer.Hub,
 	reg *targets.Registry,
 	mem *membership.Members,
@@ -95,5 +96,5 @@
 	ord *orders.Service,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(hub, mem, reg, set, acc, adm, clm, ord, gw)
+	return kernel.New(tel, hub, mem, reg, set, acc, adm, clm, ord, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -20,6 +20,7 @@
 var services = wire.NewSet(
 	provideLogger,
 	telemetry.NewRegistry,
+	telemetry.NewService,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 	provideStore,
 	provideVMList,
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -22,11 +22,12 @@
 
 // New assembles a node. Logs go to logs.
 func New(cfg *config.Node, logs io.Writer) (*kernel.Kernel, error) {
+	registry := telemetry.NewRegistry()
+	service := telemetry.NewService(registry)
 	logger, err := provideLogger(cfg, logs)
 	if err != nil {
 		return nil, err
 	}
-	registry := telemetry.NewRegistry()
 	hub := provideHub(cfg, logger, registry)
 	source := provideVMList(cfg)
 	targetsRegistry := provideTargets(cfg, source, logger, registry)
@@ -34,11 +35,11 @@
 	store := provideStore(cfg)
 	followerFollower := follower.New(store, logger, registry)
 	acceptorAcceptor := acceptor.New(store, logger, registry)
-	service := provideAdmission(cfg, logger, registry)
+	admissionService := provideAdmission(cfg, logger, registry)
 	claimsService := provideClaims(cfg, store, hub, members, logger, registry)
 	ordersService := provideOrders(cfg, store, logger, registry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(hub, targetsRegistry, members, followerFollower, acceptorAcceptor, service, claimsService, ordersService, gatewayGateway)
+	kernelKernel, err := provideKernel(service, hub, targetsRegistry, members, followerFollower, acceptorAcceptor, admissionService, claimsService, ordersService, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -49,7 +50,7 @@
 
 // services is the set of providers of a node.
 var services = wire.NewSet(
-	provideLogger, telemetry.NewRegistry, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)), provideStore,
+	provideLogger, telemetry.NewRegistry, telemetry.NewService, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)), provideStore,
 	provideVMList,
 	provideTargets,
 	provideHub,
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -38,7 +38,6 @@
 	UnknownModel       Reason = "unknown_model"
 	UnknownService     Reason = "unknown_service"
 	NotFound           Reason = "not_found"
-	Draining           Reason = "draining"
 	NoSettings         Reason = "no_settings"
 	NoTarget           Reason = "no_target"
 	Saturated          Reason = "saturated"
@@ -77,7 +76,6 @@
 	UnknownModel:       {http.StatusNotFound, "Your workspace has no such model", "Use a model listed by GET /v1/models."},
 	UnknownService:     {http.StatusNotFound, "Your workspace has no such service", "Use a service named in your team's settings."},
 	NotFound:           {http.StatusNotFound, "There is no such resource", "See the README for the paths served."},
-	Draining:           {http.StatusServiceUnavailable, "This node is stopping", "Send the request again; the balancer picks another node."},
 	NoSettings:         {http.StatusServiceUnavailable, "This node has no settings yet", "Send the request again after Retry-After."},
 	NoTarget:           {http.StatusServiceUnavailable, "No live target serves this pool", "Send the request again after Retry-After; operators: check the VM list."},
 	Saturated:          {http.StatusServiceUnavailable, "Every target of this pool is full", "Send the request again after Retry-After."},
