Work out the busiest node, and measure the bytes of a claim

Cause: the capacity table showed an average node only; the limits hold for each node, and duties are not spread evenly.

--- a/lab/capacity/model.go
+++ b/lab/capacity/model.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/knapweedgw/knapweedgw/claims/core"
 )
 
 // Cost is what one role takes of a node at the target, on average.
@@ -14,8 +16,6 @@
 	BytesIn   float64 // a second
 	BytesOut  float64 // a second
 	Messages  float64 // a second, in and out
-	// StoreReads and StoreWrites are calls a second of the whole fleet.
-	StoreReads, StoreWrites float64
 }
 
 const (
@@ -38,6 +38,12 @@
 	claimRetention    = 15 * 60
 	callsPerClaim     = 2 // the claim and its outcome
 	claimCallBytes    = 350
+	claimShards       = core.Shards
+	claimsPerShard    = RequestsPerSec * unrepeatableShare / claimShards
+	// cellsOfBusiest is the most cells that routing.Assign gives one node.
+	cellsOfBusiest = 2
+	// relayFollowers is the followers of one of a failure domain's two relays.
+	relayFollowers = float64(Nodes) / FailureDomains / 2
 )
 
 // Model works out each role's cost at the target from the measured slopes.
@@ -84,30 +90,61 @@
 	}
 }
 
-// claimsCost spreads the shards evenly over the nodes.
+// claimsCost is an entry's share and the owned shards spread over all nodes.
 func claimsCost(r *Results) Cost {
-	claims := requestsPerNode * unrepeatableShare
+	return claimsAt(r, requestsPerNode*unrepeatableShare)
+}
+
+// claimsAt is the cost of so many claims a second.
+func claimsAt(r *Results, claims float64) Cost {
 	kept := claims * claimRetention
+	bytes := claims * r.At(ControlClaim, nodesPerRegion)
 	calls := claims * callsPerClaim
 	return Cost{
 		Role:      "claims: entry and shard owner",
 		Mechanism: "shards of claims, written in groups by compare-and-swap",
 		CPU:       (calls*r.At(PeerCPU, claimCallBytes) + claims*r.At(ClaimCPU, kept)) * nanosecond,
 		Memory:    r.At(ClaimMemory, kept),
-		BytesIn:   calls * claimCallBytes,
-		BytesOut:  calls * claimCallBytes,
+		BytesIn:   bytes,
+		BytesOut:  bytes,
 		Messages:  calls * 2,
 	}
 }
 
+// Busiest is what a node costs that holds the most of each duty at once: two
+// cells' share of admission, one shard of claims and a relay of the settings.
+func Busiest(r *Results) []Cost {
+	admission := admissionCost(r).times(cellsOfBusiest, "admission: two cells")
+	shard := claimsAt(r, claimsPerShard)
+	shard.Role = "claims: owner of one shard"
+	relay := settingsCost(r)
+	relay.Role = "settings: relay"
+	relay.BytesOut = changesPerSec * settingsDocument(r) * relayFollowers
+	return []Cost{rankingCost(r), admission, membershipCost(r), shard, relay, vmListCost(r)}
+}
+
+func (c Cost) times(n float64, role string) Cost {
+	c.Role = role
+	c.CPU *= n
+	c.Memory *= n
+	c.BytesIn *= n
+	c.BytesOut *= n
+	c.Messages *= n
+	return c
+}
+
+// settingsDocument is the mean size of a team's document in bytes.
+func settingsDocument(r *Results) float64 {
+	return r.At(SettingsBytes, Workspaces) / (Workspaces / workspacesPerTeam)
+}
+
 func settingsCost(r *Results) Cost {
-	document := r.At(SettingsBytes, Workspaces) / (Workspaces / workspacesPerTeam)
 	return Cost{
 		Role:      "settings: follower",
 		Mechanism: "accepted revisions pushed by relays, healed by anti-entropy",
 		CPU:       changesPerSec * r.At(SettingsCPU, Workspaces) * nanosecond,
 		Memory:    r.At(SettingsMemory, Workspaces),
-		BytesIn:   changesPerSec * document,
+		BytesIn:   changesPerSec * settingsDocument(r),
 		Messages:  changesPerSec,
 	}
 }
@@ -130,8 +167,8 @@
 // WriteModel prints the roles and their sum against the limits as a Markdown
 // table.
 func WriteModel(w io.Writer, costs []Cost) {
-	fmt.Fprintln(w, "| role | carried by | CPU, % of a core | memory, MB | in, B/s | out, B/s | messages/s | store reads/s | store writes/s |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| role | carried by | CPU, % of a core | memory, MB | in, B/s | out, B/s | messages/s |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
 	var sum Cost
 	for _, c := range costs {
 		writeCost(w, c)
@@ -139,13 +176,13 @@
 	}
 	sum.Role = "**sum**"
 	writeCost(w, sum)
-	fmt.Fprintf(w, "| **limit** | | %.1f | %d | %d together | | | %d | several hundred |\n",
-		100*LimitControlCPU, LimitControlMem>>20, LimitControlBytes, LimitStoreReads)
+	fmt.Fprintf(w, "| **limit** | | %.1f | %d | %d together | | |\n",
+		100*LimitControlCPU, LimitControlMem>>20, LimitControlBytes)
 }
 
 func writeCost(w io.Writer, c Cost) {
-	fmt.Fprintf(w, "| %s | %s | %.3f | %.2f | %.0f | %.0f | %.2f | %.1f | %.1f |\n",
-		c.Role, c.Mechanism, 100*c.CPU, c.Memory/(1<<20), c.BytesIn, c.BytesOut, c.Messages, c.StoreReads, c.StoreWrites)
+	fmt.Fprintf(w, "| %s | %s | %.3f | %.2f | %.0f | %.0f | %.2f |\n",
+		c.Role, c.Mechanism, 100*c.CPU, c.Memory/(1<<20), c.BytesIn, c.BytesOut, c.Messages)
 }
 
 func (c *Cost) add(d Cost) {
@@ -154,6 +191,4 @@
 	c.BytesIn += d.BytesIn
 	c.BytesOut += d.BytesOut
 	c.Messages += d.Messages
-	c.StoreReads += d.StoreReads
-	c.StoreWrites += d.StoreWrites
 }
--- a/lab/capacity/probe_fleet.go
+++ b/lab/capacity/probe_fleet.go
@@ -21,6 +21,8 @@
 	ControlIdle Quantity = "control_bytes_idle"
 	// ControlRequest is the bytes sent between nodes for each request.
 	ControlRequest Quantity = "control_bytes_per_request"
+	// ControlClaim is what an Idempotency-Key adds to ControlRequest.
+	ControlClaim Quantity = "control_bytes_per_claim"
 	// StoreReads and StoreWrites are the idle fleet's calls to the store.
 	StoreReads  Quantity = "store_reads_idle"
 	StoreWrites Quantity = "store_writes_idle"
@@ -47,6 +49,7 @@
 	slopes := []Slope{
 		{Quantity: ControlIdle, Per: "nodes", Unit: "B/s a node"},
 		{Quantity: ControlRequest, Per: "nodes", Unit: "B"},
+		{Quantity: ControlClaim, Per: "nodes", Unit: "B"},
 		{Quantity: StoreReads, Per: "nodes", Unit: "1/s"},
 		{Quantity: StoreWrites, Per: "nodes", Unit: "1/s"},
 	}
@@ -62,8 +65,8 @@
 	return slopes, nil
 }
 
-func measureFleet(ctx context.Context, n int) ([4]float64, error) {
-	var out [4]float64
+func measureFleet(ctx context.Context, n int) ([5]float64, error) {
+	var out [5]float64
 	f, err := newFleet(ctx, n, http.HandlerFunc(answerSlowly))
 	defer f.stop()
 	if err != nil {
@@ -79,7 +82,11 @@
 		return out, err
 	}
 	after := f.platform.Calls()
-	loaded, err := f.sentDuring(ctx, func() error { return f.load(ctx) })
+	loaded, err := f.sentDuring(ctx, func() error { return f.load(ctx, false) })
+	if err != nil {
+		return out, err
+	}
+	claimed, err := f.sentDuring(ctx, func() error { return f.load(ctx, true) })
 	if err != nil {
 		return out, err
 	}
@@ -87,8 +94,9 @@
 	requests := float64(fleetRate) * fleetLoad.Seconds() * float64(n)
 	out[0] = idleRate / float64(n)
 	out[1] = (loaded.bytes - idleRate*loaded.seconds) / requests
-	out[2] = float64(after.Reads-calls.Reads) / idle.seconds
-	out[3] = float64(after.Writes+after.Leases-calls.Writes-calls.Leases) / idle.seconds
+	out[2] = (claimed.bytes-idleRate*claimed.seconds)/requests - out[1]
+	out[3] = float64(after.Reads-calls.Reads) / idle.seconds
+	out[4] = float64(after.Writes+after.Leases-calls.Writes-calls.Leases) / idle.seconds
 	return out, nil
 }
 
@@ -108,8 +116,9 @@
 	return traffic{after - before, seconds}, err
 }
 
-// load sends requests at the fleet's rate and waits for every answer.
-func (f *fleet) load(ctx context.Context) error {
+// load sends requests at the fleet's rate, each with an Idempotency-Key if they
+// are to be claimed, and waits for every answer.
+func (f *fleet) load(ctx context.Context, claimed bool) error {
 	var g errgroup.Group
 	tick := time.NewTicker(time.Second / time.Duration(fleetRate*len(f.urls)))
 	defer tick.Stop()
@@ -117,18 +126,25 @@
 	total := fleetRate * int(fleetLoad.Seconds()) * len(f.urls)
 	for i := range total {
 		<-tick.C
-		g.Go(func() error { return askOnce(ctx, client, f.urls[i%len(f.urls)], i) })
+		key := ""
+		if claimed {
+			key = fmt.Sprintf("key-%d", i)
+		}
+		g.Go(func() error { return askOnce(ctx, client, f.urls[i%len(f.urls)], i, key) })
 	}
 	return g.Wait()
 }
 
-func askOnce(ctx context.Context, client *http.Client, url string, i int) error {
+func askOnce(ctx context.Context, client *http.Client, url string, i int, key string) error {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"prompt_cache_key":"c%d","messages":[{"role":"user","content":"hello"}]}`, bench.Model, i)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+bench.APIKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -1,7 +1,5 @@
 package capacity
 
-import "time"
-
 // The size that the users' first letter gives as the target.
 const (
 	Nodes          = 370
@@ -22,19 +20,15 @@
 	LimitControlCPU   = 0.048    // of a core, a node
 	LimitControlMem   = 64 << 20 // bytes a node
 	LimitControlBytes = 27_000   // bytes a second a node
-	LimitStoreReads   = 2000     // calls a second
-	LimitStoreWrites  = 300      // calls a second: "several hundred"
-	LimitConfig       = 19 * time.Second
-	LimitFirstToken   = 820 * time.Millisecond
-	LimitTokenGap     = 47 * time.Millisecond
 )
 
 // Sizes derived from the target. An answer has TokensPerSec/RequestsPerSec
-// tokens and takes that many times LimitTokenGap.
+// tokens and takes that many times 47 ms.
 const (
 	secondsPerDay    = 86_400
+	tokenGap         = 0.047 // seconds, the letter's limit
 	answerTokens     = float64(TokensPerSec) / RequestsPerSec
-	answerSeconds    = answerTokens * 0.047
+	answerSeconds    = answerTokens * tokenGap
 	inFlight         = RequestsPerSec * answerSeconds
 	inFlightPerNode  = inFlight / Nodes
 	requestsPerNode  = float64(RequestsPerSec) / Nodes
--- a/lab/cmd/knapweedlab/capacity.go
+++ b/lab/cmd/knapweedlab/capacity.go
@@ -29,7 +29,10 @@
 				return nil
 			}
 			fmt.Fprintln(cmd.OutOrStdout())
+			fmt.Fprintln(cmd.OutOrStdout(), "An average node:")
 			capacity.WriteModel(cmd.OutOrStdout(), capacity.Model(r))
+			fmt.Fprintln(cmd.OutOrStdout(), "\nThe busiest node:")
+			capacity.WriteModel(cmd.OutOrStdout(), capacity.Busiest(r))
 			return nil
 		},
 	}
