Tell the owner of the last cell that no other is left to ask

Cause: a node that heard "full" from every cell turned to its estimate (reason all_full), outside the owners' counts, though the pool had room: totals between owners are late while a pool fills.

Ruled out: sending totals at each grant (bytes); refusing (wrongful).

The cell then goes by its own mean where that is higher, as admission/cell already allows.

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -108,6 +108,12 @@
 	return -1
 }
 
+// last says whether the cell being asked is the last one.
+func (e *entry) last() bool {
+	cells := e.plan.pools[e.request.Pool.Pool].cells
+	return len(e.tried) >= min(maxCells, cells)-1
+}
+
 func (e *entry) refuse(outcome string, r holds.Reply) error {
 	e.service.metrics.requests.WithLabelValues(outcome).Inc()
 	reason := problem.Saturated
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -55,6 +55,8 @@
 	Urgency   int      `json:"u"`
 	Exclude   []string `json:"x,omitempty"`
 	Returning bool     `json:"y,omitempty"`
+	// Last says that no other cell is left to ask.
+	Last bool `json:"b,omitempty"`
 	// Left are nodes that the asking node knows to hand their cells over.
 	Left []From `json:"z,omitempty"`
 }
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -100,7 +100,7 @@
 	v := o.cell.Acquire(now, cell.Ask{
 		Holder: m.Holder(), Request: requestName(m.Seq), Chat: m.Chat,
 		Workspace: m.Workspace, Weight: m.Weight, Urgency: m.Urgency,
-		Exclude: m.Exclude, Returning: m.Returning,
+		Exclude: m.Exclude, Returning: m.Returning, Last: m.Last,
 	})
 	if v.Outcome == cell.Granted {
 		h.holds[m.Seq] = holdOf(Detail{Seq: m.Seq, Target: v.Target, Workspace: m.Workspace, Chat: m.Chat})
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -77,6 +77,21 @@
 	})
 }
 
+// TestLateTotalsDontTurnToTheEstimate: a pool that fills faster than its owners
+// tell each other still places by their counts.
+func TestLateTotalsDontTurnToTheEstimate(t *testing.T) {
+	const nodes, engines, cells, requests = 4, 8, 4, 200
+	f := newFleet(nodes, engines, cells)
+	for i := range requests {
+		if _, err := f.acquire(i%nodes, uint64(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range f.nodes {
+		is.New(t).Equal(n.fallbacks(reasonAllFull), 0)
+	}
+}
+
 // TestNoOwnerFaultLosesARequest: whatever is wrong with the owner, a request
 // gets a place, and the count is exact again after it is mended.
 func TestNoOwnerFaultLosesARequest(t *testing.T) {
