Wait for a new fleet's first settings before a node is ready

Ruled out: being not ready without settings at all (an empty fleet would never be ready).

Before: TestNewFleetWaitsForTheFirstAcceptance red (0 polls). After: green; the wait ends with the first acceptance, an empty tree, a store error or after 10 s.

--- a/settings/follower/bootstrap.go
+++ b/settings/follower/bootstrap.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/duty"
 )
 
@@ -14,6 +15,11 @@
 	viewWait = 500 * time.Millisecond
 	// viewPoll is the time between looks at the view meanwhile.
 	viewPoll = 20 * time.Millisecond
+	// firstWait is how long a node of a fleet without accepted settings waits
+	// for the first, if operators have written any.
+	firstWait = 10 * time.Second
+	// firstPoll is the time between reads of the head meanwhile.
+	firstPoll = 100 * time.Millisecond
 	// bootstrapDelay is the wait when neither the store nor a peer answered.
 	bootstrapDelay = 500 * time.Millisecond
 )
@@ -32,6 +38,7 @@
 		f.log.Warn("no settings yet: neither the store nor a peer answers; asking again", "err", err)
 		sleep(ctx, bootstrapDelay)
 	}
+	f.awaitFirst(ctx)
 	f.mu.Lock()
 	f.ready = ctx.Err() == nil
 	f.mu.Unlock()
@@ -45,6 +52,23 @@
 	}
 }
 
+// awaitFirst waits until the first settings of a new fleet are accepted, lest
+// the node be ready and know no caller. It gives up when there are none to
+// accept, the store fails, or all are refused for firstWait.
+func (f *Follower) awaitFirst(ctx context.Context) {
+	deadline := f.now().Add(firstWait)
+	for f.Head() == 0 && f.now().Before(deadline) && ctx.Err() == nil {
+		page, err := f.store.List(ctx, settings.Prefix)
+		if err != nil || len(page.KVs) == 0 {
+			return
+		}
+		f.wait(ctx, firstPoll)
+		if _, err := f.catchUp(ctx); err != nil {
+			return
+		}
+	}
+}
+
 // askSeeds pulls from the peer with the highest head. It returns whether a
 // peer that serves settings answered: others may be as ignorant as this node,
 // though what they hold counts.
--- a/settings/follower/fake_test.go
+++ b/settings/follower/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
 	"github.com/knapweedgw/knapweedgw/store"
 	"github.com/knapweedgw/knapweedgw/store/memory"
@@ -166,6 +167,7 @@
 	stale  int // index of the page to answer with, -1 or beyond for the newest
 	pages  []store.Page
 	heads  []accepted.Head
+	raw    []store.KV // the operators' tree
 }
 
 func (s *faultyStore) remember(h accepted.Head) {
@@ -214,6 +216,9 @@
 		return store.Page{}, store.ErrUnavailable
 	}
 	page := s.page()
+	if prefix == settings.Prefix {
+		return store.Page{KVs: s.raw}, nil
+	}
 	page.KVs = slices.DeleteFunc(slices.Clone(page.KVs), func(kv store.KV) bool { return !strings.HasPrefix(kv.Key, prefix) })
 	return page, nil
 }
--- a/settings/follower/run_test.go
+++ b/settings/follower/run_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/settings"
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // eventually waits for what must happen; it fails only if it never does.
@@ -58,3 +61,26 @@
 	f.store.setOutage(false)
 	eventually(t, "third revision everywhere", everywhere(3))
 }
+
+// TestNewFleetWaitsForTheFirstAcceptance requires that a node isn't ready
+// before operators' first settings are accepted.
+func TestNewFleetWaitsForTheFirstAcceptance(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 1)
+	n := f.nodes[0]
+	f.store.raw = []store.KV{{Key: settings.TeamKey("a"), Value: []byte(document), ModRevision: 1}}
+	polls := 0
+	n.wait = func(_ context.Context, d time.Duration) {
+		if d != firstPoll {
+			return // of an announcement
+		}
+		is.True(n.Snapshot() == nil)
+		if polls++; polls == 3 {
+			f.accept(document, "a")
+		}
+	}
+	n.now = time.Now
+	n.bootstrap(context.Background())
+	is.Equal(polls, 3)
+	is.Equal(n.Snapshot().Revision, int64(1))
+}
