Count the routing measurement's control bytes as the codec sends them

Cause: the measurement summed uncompressed JSON, which connections no longer carry.

Ruled out: a fixed ratio (it differs by message: 4 for an ask, 7 for a release). Messages of drawn contents go through the peer codec, in the turns in which a connection carries them.

--- a/lab/measure/routing/wire.go
+++ b/lab/measure/routing/wire.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/peer"
 )
 
 // workspaceWeight is what an operator would set: a workspace's usual share of
@@ -24,87 +26,192 @@
 
 func workspaceName(i int) string { return fmt.Sprintf("team-%02d/ws-%03d", i%20, i) }
 
-// frameBytes is the length prefix of a message.
-const frameBytes = 2
-
-// Fields of usual length in the peer protocol's messages.
-var (
-	sampleFrom = holds.From{Node: "node-001", Incarnation: 1_700_000_000}
-	sampleKey  = holds.Key{Pool: "asistente-lm", Cell: 10, Of: 26}
-)
-
+// A conversation is measured after its first messages, whose repeated parts
+// the connection hasn't carried yet.
 const (
-	sampleSeq       = 123456
-	sampleSeqStep   = 26
-	sampleChat      = 12345678901234567890
-	sampleTarget    = "engine-0001"
-	sampleWorkspace = "team-01/ws-001"
+	conversation = 64
+	warmUp       = 8
+	sampleList   = 32 // elements of a list whose mean size is taken
+	// sampleSeqStep is the mean step from one place of a node in a cell to
+	// the next, as a node numbers its places in all cells.
+	sampleSeqStep = 26
 )
 
-// wireSizes gives the sizes of the peer protocol's messages: the JSON-RPC
-// envelope with its length prefix, without TCP and IP headers.
-var wireSizes = newSizes()
+// wireSizes gives the sizes of the peer protocol's messages as a connection
+// carries them, without TCP and IP headers.
+var wireSizes = newSizes(rand.New(rand.NewPCG(1, 1)))
 
 type sizes struct {
 	askBytes, excludeBytes, grantBytes, fullBytes, releaseBytes int
 	resyncBytes, heldBytes, detailBytes, recentBytes, pullBytes int
-	totalsBytes, cellBytes                                      int
+	totalsBytes, cellBytes, deltaBytes                          int
 }
 
-func newSizes() sizes {
-	acquire := holds.Acquire{
-		From: sampleFrom, Key: sampleKey, Seq: sampleSeq, Chat: sampleChat,
-		Workspace: sampleWorkspace, Weight: 1.25, Urgency: 3, Returning: true,
+// sampler makes messages of usual content.
+type sampler struct {
+	rng  *rand.Rand
+	from holds.From
+	key  holds.Key
+}
+
+func newSizes(rng *rand.Rand) sizes {
+	s := sampler{
+		rng:  rng,
+		from: holds.From{Node: "node-001", Incarnation: 1_700_000_000_000_000_000},
+		key:  holds.Key{Pool: "asistente-lm", Cell: 10, Of: 26},
 	}
-	resync := holds.Resync{From: sampleFrom, Key: sampleKey, At: sampleSeq, Held: holds.Seqs{sampleSeq}}
-	detail := holds.Detail{Seq: sampleSeq, Target: sampleTarget, Workspace: sampleWorkspace, Chat: sampleChat}
-	totals := holds.CellTotals{Key: sampleKey, InFlight: 540, Capacity: 30}
+	asks := onWire(s.acquire(0), s.release)
 	return sizes{
-		askBytes:     call("admission.acquire", acquire),
-		excludeBytes: listed(sampleTarget),
-		grantBytes:   answer(holds.Reply{Target: sampleTarget}),
-		fullBytes:    answer(holds.Reply{Code: holds.Full, Reason: cell.ReasonSaturated, RetryAfterMS: 1500, Least: 12}),
-		releaseBytes: notice("admission.release", holds.Release{
-			From: sampleFrom, Cells: []holds.Released{{Key: sampleKey, Seqs: holds.Seqs{sampleSeq}}},
-		}),
-		resyncBytes: call("admission.resync", resync) + answer(holds.ResyncReply{}),
-		heldBytes:   listed(sampleSeqStep),
-		detailBytes: listed(detail),
-		recentBytes: listed(cell.Recent{Chat: sampleChat, Target: sampleTarget, Age: 2 * time.Minute}),
-		pullBytes:   notice("admission.pull", holds.Pull{From: sampleFrom, Key: sampleKey}),
-		totalsBytes: notice("admission.totals", holds.Totals{From: sampleFrom, Seq: sampleSeq}),
-		cellBytes:   listed(totals),
+		askBytes:     asks[0],
+		releaseBytes: asks[1],
+		excludeBytes: onWire(s.acquire(1), s.release)[0] - asks[0],
+		grantBytes:   onWire(s.grant)[0],
+		fullBytes:    onWire(s.full)[0],
+		resyncBytes:  onWire(s.resync(0))[0] + onWire(s.resynced)[0],
+		heldBytes:    element(s.resync),
+		detailBytes:  element(s.details),
+		recentBytes:  element(s.recent),
+		pullBytes:    onWire(s.pull)[0],
+		totalsBytes:  onWire(s.totals(0))[0],
+		cellBytes:    element(s.totals),
+		deltaBytes:   element(s.delta),
 	}
 }
 
-func call(method string, params any) int {
-	return encodedLen(jsonrpc2.Request{Method: method, ID: jsonrpc2.ID{Num: sampleSeq}, Params: raw(params)}) + frameBytes
+// onWire returns the mean sizes of messages that take turns on a connection.
+func onWire(turns ...func() any) []int {
+	var messages []any
+	for range conversation {
+		for _, next := range turns {
+			messages = append(messages, next())
+		}
+	}
+	all, err := peer.WireBytes(messages...)
+	if err != nil {
+		panic(err) // a type of this file that can't be encoded
+	}
+	means := make([]int, len(turns))
+	for i := warmUp * len(turns); i < len(all); i++ {
+		means[i%len(turns)] += all[i]
+	}
+	for i := range means {
+		means[i] = (means[i] + (conversation-warmUp)/2) / (conversation - warmUp)
+	}
+	return means
 }
 
-func notice(method string, params any) int {
-	return encodedLen(jsonrpc2.Request{Method: method, Notif: true, Params: raw(params)}) + frameBytes
+// element returns the mean size of an element of a list, rounded up.
+func element(list func(n int) func() any) int {
+	empty, full := onWire(list(0))[0], onWire(list(sampleList))[0]
+	return (full - empty + sampleList - 1) / sampleList
 }
 
-func answer(result any) int {
-	return encodedLen(jsonrpc2.Response{ID: jsonrpc2.ID{Num: sampleSeq}, Result: raw(result)}) + frameBytes
+func (s sampler) acquire(exclude int) func() any {
+	return func() any {
+		m := holds.Acquire{
+			From: s.from, Key: s.key, Seq: s.rng.Uint64N(1e6), Chat: s.rng.Uint64(),
+			Workspace: workspaceName(s.rng.IntN(workspaces)), Weight: 1.25, Urgency: 3, Returning: s.rng.IntN(4) > 0,
+		}
+		for range exclude {
+			m.Exclude = append(m.Exclude, s.target())
+		}
+		return call("admission.acquire", s.rng.Uint64N(1e6), m)
+	}
 }
 
-// listed is the size of an element of a list, with its comma.
-func listed(v any) int { return encodedLen(v) + 1 }
+func (s sampler) target() string { return fmt.Sprintf("engine-%04d", s.rng.IntN(786)) }
 
-func encodedLen(v any) int { return len(encode(v)) }
+func (s sampler) release() any {
+	return notice("admission.release", holds.Release{
+		From: s.from, Cells: []holds.Released{{Key: s.key, Seqs: holds.Seqs{s.rng.Uint64N(1e6)}}},
+	})
+}
 
-func raw(v any) *json.RawMessage {
-	m := json.RawMessage(encode(v))
-	return &m
+func (s sampler) grant() any { return s.answer(holds.Reply{Target: s.target()}) }
+
+func (s sampler) full() any {
+	return s.answer(holds.Reply{Code: holds.Full, Reason: cell.ReasonSaturated, RetryAfterMS: s.rng.Int64N(2000), Least: 12})
 }
 
-func encode(v any) []byte {
+func (s sampler) resync(n int) func() any {
+	return func() any {
+		m := holds.Resync{From: s.from, Key: s.key, At: s.rng.Uint64N(1e6)}
+		seq := m.At
+		for range n {
+			seq += 1 + s.rng.Uint64N(2*sampleSeqStep)
+			m.Held = append(m.Held, seq)
+		}
+		return call("admission.resync", s.rng.Uint64N(1e6), m)
+	}
+}
+
+func (s sampler) resynced() any { return s.answer(holds.ResyncReply{}) }
+
+func (s sampler) details(n int) func() any {
+	return func() any {
+		list := make([]holds.Detail, n)
+		for i := range list {
+			list[i] = holds.Detail{
+				Seq: s.rng.Uint64N(1e6), Target: s.target(),
+				Workspace: workspaceName(s.rng.IntN(workspaces)), Chat: s.rng.Uint64(),
+			}
+		}
+		return s.answer(list)
+	}
+}
+
+func (s sampler) recent(n int) func() any {
+	return func() any {
+		list := make([]cell.Recent, n)
+		for i := range list {
+			list[i] = cell.Recent{Chat: s.rng.Uint64(), Target: s.target(), Age: time.Duration(s.rng.IntN(300)) * time.Second}
+		}
+		return s.answer(list)
+	}
+}
+
+func (s sampler) pull() any { return notice("admission.pull", holds.Pull{From: s.from, Key: s.key}) }
+
+func (s sampler) totals(n int) func() any {
+	return func() any {
+		m := holds.Totals{From: s.from, Seq: s.rng.Uint64N(1e6)}
+		for range n {
+			m.Cells = append(m.Cells, holds.CellTotals{Key: s.key, InFlight: 400 + s.rng.IntN(200), Capacity: 30})
+		}
+		return notice("admission.totals", m)
+	}
+}
+
+// delta is a message of way 2: changed counts of targets.
+func (s sampler) delta(n int) func() any {
+	return func() any {
+		list := make([][2]int, n)
+		for i := range list {
+			list[i] = [2]int{s.rng.IntN(786), s.rng.IntN(3) - 1}
+		}
+		return notice("routing.delta", list)
+	}
+}
+
+func call(method string, id uint64, params any) any {
+	return jsonrpc2.Request{Method: method, ID: jsonrpc2.ID{Num: id}, Params: raw(params)}
+}
+
+func notice(method string, params any) any {
+	return jsonrpc2.Request{Method: method, Notif: true, Params: raw(params)}
+}
+
+func (s sampler) answer(result any) any {
+	return jsonrpc2.Response{ID: jsonrpc2.ID{Num: s.rng.Uint64N(1e6)}, Result: raw(result)}
+}
+
+func raw(v any) *json.RawMessage {
 	b, err := json.Marshal(v)
 	if err != nil {
 		panic(err) // a type of this file that can't be encoded
 	}
-	return b
+	m := json.RawMessage(b)
+	return &m
 }
 
 func (z sizes) ask(exclude int) int { return z.askBytes + exclude*z.excludeBytes }
@@ -133,6 +240,4 @@
 func (z sizes) totals(cells int) int { return z.totalsBytes + cells*z.cellBytes }
 
 // delta is the size of a message of way 2 with that many changed counts.
-func (z sizes) delta(changes int) int {
-	return notice("routing.delta", sampleFrom) + changes*listed([]int{123, -1})
-}
+func (z sizes) delta(changes int) int { return z.totalsBytes + changes*z.deltaBytes }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -126,3 +126,19 @@
 	}
 	return data, nil
 }
+
+// WireBytes returns how many bytes each message takes on a connection that
+// carries them in this order, framing included, without TCP and IP headers.
+func WireBytes(messages ...any) ([]int, error) {
+	c := newCodec()
+	var wire bytes.Buffer
+	sizes := make([]int, len(messages))
+	for i, m := range messages {
+		wire.Reset()
+		if err := c.WriteObject(&wire, m); err != nil {
+			return nil, err
+		}
+		sizes[i] = wire.Len()
+	}
+	return sizes, nil
+}
