Share the sleep, quantile and CPU time that were written several times

Cause: three copies of a sleep that ends with its context, three of a quantile and two of the process's CPU time, by parts written side by side.

Ruled out: a general utility package; each has a package named after its job (pause, lab/usage) or sits where its users meet (lab/measure).

Before: 8 copies. After: 3 functions. The fan-out's quantile took the value at q*n, the others at q*(n-1); all now do the latter.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 		if left <= 0 || ctx.Err() != nil {
 			return g.server.Shutdown(ctx)
 		}
-		sleep(ctx, left)
+		pause.Sleep(ctx, left)
 	}
 }
 
@@ -43,12 +44,3 @@
 	}
 	return end
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -125,7 +126,7 @@
 
 func (g *Gateway) pause(ctx context.Context, number int) {
 	seeded := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	sleep(ctx, g.backoff.Pause(number, seeded))
+	pause.Sleep(ctx, g.backoff.Pause(number, seeded))
 }
 
 // attempt sends the request to one target and relays the answer. While it
--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -7,9 +7,10 @@
 	"runtime"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/knapweedgw/knapweedgw/lab/measure"
+	"github.com/knapweedgw/knapweedgw/lab/usage"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -115,7 +116,7 @@
 		return err
 	}
 	for _, q := range []float64{0.50, 0.99} {
-		d, n := quantile(direct, q), quantile(node, q)
+		d, n := measure.Quantile(direct, q), measure.Quantile(node, q)
 		_, _ = fmt.Fprintf(w, "first token p%.0f: direct %v, through the node %v, added %v\n", q*100, d, n, n-d)
 	}
 	return nil
@@ -152,7 +153,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	start := cpuTime()
+	start := usage.CPUTime()
 	var g errgroup.Group
 	for i := range relayStreams {
 		g.Go(func() error { return c.chat(ctx, i, 0).err })
@@ -160,19 +161,12 @@
 	if err := g.Wait(); err != nil {
 		return cost{}, err
 	}
-	used := cpuTime() - start
+	used := usage.CPUTime() - start
 	runtime.ReadMemStats(&after)
 	const events = relayStreams * relayTokens
 	return cost{used / events, float64(after.Mallocs-before.Mallocs) / events}, nil
 }
 
-// cpuTime is the CPU time that this process has used.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // memory reports the live heap while requests pass.
 func memory(ctx context.Context, w io.Writer) error {
 	p, err := newPair(source{tokens: 5})
@@ -197,11 +191,3 @@
 	}
 	return nil
 }
-
-func quantile(d []time.Duration, q float64) time.Duration {
-	slices.Sort(d)
-	if len(d) == 0 {
-		return 0
-	}
-	return d[int(q*float64(len(d)-1))]
-}
--- a/lab/bench/overload.go
+++ b/lab/bench/overload.go
@@ -12,6 +12,7 @@
 
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/lab/engine"
+	"github.com/knapweedgw/knapweedgw/lab/measure"
 )
 
 const (
@@ -60,7 +61,7 @@
 	defer func() { _ = n.Stop(context.Background()) }()
 	failed, firsts := overloadLoad(ctx, newCaller(n.URL()))
 	_, _ = fmt.Fprintf(w, "hidden overload in %s, hold %v: %d of %d failed, first token p50 %v p99 %v\n",
-		share(every), hold, failed, overloadRequests, quantile(firsts, 0.50), quantile(firsts, 0.99))
+		share(every), hold, failed, overloadRequests, measure.Quantile(firsts, 0.50), measure.Quantile(firsts, 0.99))
 	return nil
 }
 
--- a/lab/capacity/probe_membership.go
+++ b/lab/capacity/probe_membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/knapweedgw/knapweedgw/lab/usage"
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/membership/membershiptest"
 )
@@ -48,9 +49,9 @@
 		node.Messages = 0
 	}
 	f.CountBytes = true
-	start := cpuTime()
+	start := usage.CPUTime()
 	f.Run(membershipTime)
-	cpu := cpuTime() - start
+	cpu := usage.CPUTime() - start
 	var bytes, messages int64
 	for _, node := range f.Nodes {
 		bytes += node.Bytes
--- a/lab/capacity/slope.go
+++ b/lab/capacity/slope.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/knapweedgw/knapweedgw/lab/usage"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -87,11 +88,11 @@
 func perOp(atLeast time.Duration, f func()) float64 {
 	f()
 	for n := 1; ; n *= 2 {
-		start := cpuTime()
+		start := usage.CPUTime()
 		for range n {
 			f()
 		}
-		spent := cpuTime() - start
+		spent := usage.CPUTime() - start
 		if spent >= atLeast {
 			return float64(spent.Nanoseconds()) / float64(n)
 		}
--- a/lab/capacity/usage.go
+++ b/lab/capacity/usage.go
@@ -2,22 +2,12 @@
 
 import (
 	"runtime"
-	"syscall"
 	"time"
 )
 
 // settleTime lets goroutines that are about to block do so.
 const settleTime = 200 * time.Millisecond
 
-// cpuTime returns the CPU time the process has used.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // heapOf returns the live heap bytes that the value made by build holds.
 func heapOf[T any](build func() T) float64 {
 	before := liveHeap()
--- a/lab/measure/claims/cost.go
+++ b/lab/measure/claims/cost.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"slices"
 	"strconv"
 	"time"
 
@@ -288,11 +287,3 @@
 		}
 	})
 }
-
-func quantile(d []time.Duration, q float64) time.Duration {
-	if len(d) == 0 {
-		return 0
-	}
-	slices.Sort(d)
-	return d[int(q*float64(len(d)-1))]
-}
--- a/lab/measure/claims/section.go
+++ b/lab/measure/claims/section.go
@@ -130,8 +130,8 @@
 		{Name: "claims_per_s", Value: claims},
 		{Name: "writes_per_s", Value: perSecond(r.c.writes)},
 		{Name: "reads_per_s", Value: perSecond(r.c.reads)},
-		{Name: "p50_ms", Value: millis(quantile(r.c.latencies, 0.5))},
-		{Name: "p99_ms", Value: millis(quantile(r.c.latencies, 0.99))},
+		{Name: "p50_ms", Value: millis(measure.Quantile(r.c.latencies, 0.5))},
+		{Name: "p99_ms", Value: millis(measure.Quantile(r.c.latencies, 0.99))},
 		{Name: "conflicts", Value: r.c.conflicts},
 		{Name: "value_mean_bytes", Value: float64(r.c.valueBytes) / float64(max(1, r.c.values))},
 		{Name: "value_max_bytes", Value: r.c.maxValue},
@@ -153,8 +153,8 @@
 	return []measure.Field{
 		{Name: "outage_s", Value: (r.load.outUntil - r.load.outFrom).Seconds()},
 		{Name: "refused", Value: len(r.c.refusals)},
-		{Name: "refusal_p50_ms", Value: millis(quantile(r.c.refusals, 0.5))},
-		{Name: "refusal_p99_ms", Value: millis(quantile(r.c.refusals, 0.99))},
+		{Name: "refusal_p50_ms", Value: millis(measure.Quantile(r.c.refusals, 0.5))},
+		{Name: "refusal_p99_ms", Value: millis(measure.Quantile(r.c.refusals, 0.99))},
 		{Name: "first_grant_of_last_shard_ms", Value: millis(r.c.firstGrant)},
 	}
 }
--- a/lab/measure/fanout/section.go
+++ b/lab/measure/fanout/section.go
@@ -133,13 +133,6 @@
 	}
 	slices.Sort(took)
 	r.changes = len(took)
-	r.p50, r.p99, r.worst = quantile(took, 0.50), quantile(took, 0.99), quantile(took, 1)
+	r.p50, r.p99, r.worst = measure.Quantile(took, 0.50), measure.Quantile(took, 0.99), measure.Quantile(took, 1)
 	return r
 }
-
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
-}
--- /dev/null
+++ b/lab/measure/quantile.go
@@ -0,0 +1,16 @@
+package measure
+
+import (
+	"slices"
+	"time"
+)
+
+// Quantile sorts d and returns its q-quantile (0 to 1): the value at or below
+// which that share of the others lies; 0 if d is empty.
+func Quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[int(q*float64(len(d)-1))]
+}
--- a/settings/acceptor/acceptor.go
+++ b/settings/acceptor/acceptor.go
@@ -15,6 +15,7 @@
 
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
 	"github.com/knapweedgw/knapweedgw/settings/duty"
@@ -88,12 +89,12 @@
 func (a *Acceptor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if a.position() < 0 {
-			sleep(ctx, dutyInterval)
+			pause.Sleep(ctx, dutyInterval)
 			continue
 		}
 		if err := a.serve(ctx); err != nil && ctx.Err() == nil {
 			a.log.Warn("settings are not accepted for now", "err", err)
-			sleep(ctx, retryDelay)
+			pause.Sleep(ctx, retryDelay)
 		}
 	}
 }
@@ -292,12 +293,3 @@
 	}
 	return kv.ModRevision, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/settings/follower/bootstrap.go
+++ b/settings/follower/bootstrap.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/duty"
 )
@@ -36,7 +37,7 @@
 			break
 		}
 		f.log.Warn("no settings yet: neither the store nor a peer answers; asking again", "err", err)
-		sleep(ctx, bootstrapDelay)
+		pause.Sleep(ctx, bootstrapDelay)
 	}
 	f.awaitFirst(ctx)
 	f.mu.Lock()
@@ -48,7 +49,7 @@
 func (f *Follower) awaitView(ctx context.Context) {
 	deadline := f.now().Add(viewWait)
 	for len(f.members.View().Nodes) <= 1 && f.now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, viewPoll)
+		pause.Sleep(ctx, viewPoll)
 	}
 }
 
--- a/settings/follower/exchange.go
+++ b/settings/follower/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
 	"github.com/knapweedgw/knapweedgw/settings/duty"
 )
@@ -237,7 +238,7 @@
 	rnd := newRand()
 	start := f.now()
 	for round := 0; ctx.Err() == nil; round++ {
-		sleep(ctx, AntiEntropyDelay(f.now().Sub(start), rnd))
+		pause.Sleep(ctx, AntiEntropyDelay(f.now().Sub(start), rnd))
 		n, ok := duty.AntiEntropyPeer(f.members.View(), round, rnd)
 		if !ok {
 			continue
--- a/settings/follower/follower.go
+++ b/settings/follower/follower.go
@@ -18,6 +18,7 @@
 
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
@@ -58,7 +59,7 @@
 	const hintBuffer = 16
 	return &Follower{
 		store: s, log: l, metrics: newMetrics(reg), now: time.Now,
-		spawn: func(do func()) { go do() }, wait: sleep,
+		spawn: func(do func()) { go do() }, wait: pause.Sleep,
 		hints: make(chan hint, hintBuffer), docs: make(map[string]settings.Team),
 	}
 }
@@ -196,12 +197,3 @@
 	f.metrics.served.Set(float64(head))
 	f.log.Info("settings in force", "revision", head, "teams", len(teams))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/settings/follower/relay.go
+++ b/settings/follower/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings/accepted"
 	"github.com/knapweedgw/knapweedgw/settings/duty"
 	"github.com/knapweedgw/knapweedgw/store"
@@ -33,13 +34,13 @@
 func (f *Follower) relayLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.isRelay() {
-			sleep(ctx, DutyInterval)
+			pause.Sleep(ctx, DutyInterval)
 			continue
 		}
 		if err := f.watch(ctx); err != nil && ctx.Err() == nil {
 			f.metrics.watchRestarts.WithLabelValues(watchEnd(err)).Inc()
 			f.log.Warn("settings are not watched for now; peers are asked meanwhile", "err", err)
-			sleep(ctx, retryDelay)
+			pause.Sleep(ctx, retryDelay)
 		}
 	}
 }
--- a/settings/follower/run_test.go
+++ b/settings/follower/run_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/store"
 )
@@ -34,7 +35,7 @@
 	launch := func(i int) {
 		n := f.replace(i)
 		n.now = time.Now
-		n.spawn, n.wait = func(do func()) { go do() }, sleep
+		n.spawn, n.wait = func(do func()) { go do() }, pause.Sleep
 		is.NoErr(n.Start(ctx))
 	}
 	everywhere := func(revision int64) func() bool {
