--- /dev/null
+++ b/lab/doccheck/operations_test.go
@@ -0,0 +1,85 @@
+package doccheck
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/pflag"
+
+	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/node"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/telemetry"
+)
+
+var fqName = regexp.MustCompile(`fqName: "([^"]+)"`)
+
+// operations returns the operators' page.
+func operations(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	is.New(t).NoErr(err)
+	return string(raw)
+}
+
+func TestEveryReasonHasARemedy(t *testing.T) {
+	text := operations(t)
+	for _, r := range problem.Reasons() {
+		if !strings.Contains(text, "`"+string(r)+"`") {
+			t.Errorf("docs/OPERATIONS.md: no refusal reason %s", r)
+		}
+	}
+}
+
+func TestEveryMetricIsExplained(t *testing.T) {
+	text := operations(t)
+	for name := range metrics(t) {
+		if !strings.Contains(text, "`"+name+"`") {
+			t.Errorf("docs/OPERATIONS.md: no metric %s", name)
+		}
+	}
+}
+
+// metrics returns the names of the node's own metrics.
+func metrics(t *testing.T) map[string]bool {
+	t.Helper()
+	is := is.New(t)
+	cfg := config.Bind(pflag.NewFlagSet("node", pflag.ContinueOnError))
+	cfg.NodeID, cfg.Region, cfg.FailureDomain = "node-1", "region-1", "domain-1"
+	cfg.StoreEndpoints, cfg.VMListURL = []string{"http://127.0.0.1:1"}, "http://127.0.0.1:1/v1/vms"
+	k, err := node.New(cfg, io.Discard)
+	is.NoErr(err)
+	reg, err := kernel.Lookup[prometheus.Collector](k, telemetry.ServiceID)
+	is.NoErr(err)
+	descs := make(chan *prometheus.Desc)
+	go func() {
+		reg.Describe(descs)
+		close(descs)
+	}()
+	names := make(map[string]bool)
+	for d := range descs {
+		name := fqName.FindStringSubmatch(d.String())[1]
+		if strings.HasPrefix(name, telemetry.Namespace) {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+func TestEveryFlagIsExplained(t *testing.T) {
+	text := operations(t)
+	fs := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	config.Bind(fs)
+	fs.VisitAll(func(f *pflag.Flag) {
+		if !strings.Contains(text, "`--"+f.Name+"`") {
+			t.Errorf("docs/OPERATIONS.md: no flag --%s", f.Name)
+		}
+	})
+}
