Suspend failing targets at the cell's owner

Cause: a node sees a given target about once a minute at the target size, so no node learns that a target fails, and each keeps sending first attempts there. Worse, what fails at once is empty: it draws the overflow of the others and lowers the mean. With a quarter of the targets failing, three quarters hold 0.75 x 1.25 < 1 times the mean, and nearly all requests end at failing targets.

Entries now report how a place ended (Grant.Release takes a result); the owner suspends a target after three failures in a row of at least two chats, for 1 to 30 s, then lets single trials through. At most half of a cell's capacity is suspended. Suspended capacity doesn't count in the mean. The local estimate prefers targets that failed nothing of late.

Ruled out: a breaker in each node (too few requests a target), counting refusals for overload or passed deadlines, counting failures of places that another owner granted (they may be of an earlier incarnation).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -25,11 +26,22 @@
 	Returning bool
 }
 
+// Result says how a request ended on its target, so that targets that fail are
+// suspended.
+type Result = cell.Result
+
+// The results of a request.
+const (
+	Answered = cell.Answered
+	Failed   = cell.Failed
+	Unknown  = cell.Unknown
+)
+
 // Grant is a place on a target. Release must be called once the target no
 // longer works on the request.
 type Grant struct {
 	Target  targets.Target
-	Release func()
+	Release func(Result)
 }
 
 // Admitter grants places.
--- a/admission/ask.go
+++ b/admission/ask.go
@@ -150,7 +150,7 @@
 	reason := failureReason(err)
 	if reason != reasonUnreachable && reason != reasonBreaker {
 		s.metrics.givenUp.Inc()
-		s.sendRelease(owner.ID, k, seq)
+		s.sendRelease(owner.ID, k, seq, Unknown)
 	}
 	if ctx.Err() != nil {
 		return answer{kind: answerCanceled}
@@ -201,7 +201,7 @@
 	t, ok := s.plan().liveTarget(k, r.Target)
 	if !ok {
 		s.table.GiveUp(k, seq)
-		s.sendRelease(owner.ID, k, seq)
+		s.sendRelease(owner.ID, k, seq, Unknown)
 		return answer{kind: answerGone, reply: r}
 	}
 	s.table.Grant(s.now(), k, holderOf(owner), holds.Detail{
--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -23,7 +23,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				g.Release()
+				g.Release(Answered)
 				if i%100 == 0 {
 					f.pass(releaseDelay)
 				}
--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -28,6 +28,11 @@
 	memory *Memory
 	trust  trust
 	trend  trend
+	// health has the targets that failed of late; suspended is the capacity of
+	// those that are suspended, and trials numbers their trials.
+	health    map[string]*health
+	suspended int
+	trials    uint64
 }
 
 // slot is a target and the number of requests in flight on it. A target that
@@ -37,7 +42,10 @@
 	key      uint64
 	count    int
 	capacity int
-	usable   bool // listed and not leaving
+	listed   bool // and not leaving
+	usable   bool // listed and not suspended
+	// incarnation is the run of the target's process.
+	incarnation int64
 }
 
 // New returns a cell without targets.
@@ -49,6 +57,7 @@
 		holds:  make(map[Holder]map[string]Hold),
 		shares: newShares(),
 		memory: NewMemory(cfg.Memory),
+		health: make(map[string]*health),
 	}
 }
 
@@ -84,7 +93,9 @@
 	c.slots = make([]slot, 0, len(targets))
 	c.index = make(map[string]int, len(targets))
 	for _, t := range targets {
-		c.addSlot(slot{id: t.ID, capacity: max(t.Capacity, 1), usable: !t.Leaving})
+		c.addSlot(slot{
+			id: t.ID, capacity: max(t.Capacity, 1), listed: !t.Leaving, usable: !t.Leaving, incarnation: t.Incarnation,
+		})
 	}
 	for _, s := range old {
 		if s.count == 0 {
@@ -103,6 +114,7 @@
 			c.own.InFlight += s.count
 		}
 	}
+	c.keepHealth()
 }
 
 func (c *Cell) addSlot(s slot) int {
@@ -137,15 +149,23 @@
 		return v
 	}
 	c.trend.observe(now, c.Totals().InFlight+c.others.InFlight)
-	i := c.place(a)
+	i := c.place(now, a)
 	if i < 0 {
 		return c.full(now, a)
 	}
-	id := c.slots[i].id
 	c.shares.setWeight(a.Workspace, a.Weight)
-	c.add(a.Holder, Hold{Request: a.Request, Target: id, Workspace: a.Workspace, Chat: a.Chat})
-	c.memory.Put(now, a.Chat, id)
-	return Verdict{Outcome: Granted, Target: id}
+	return c.grant(now, a, &c.slots[i])
+}
+
+func (c *Cell) grant(now time.Time, a Ask, s *slot) Verdict {
+	hold := Hold{Request: a.Request, Target: s.id, Workspace: a.Workspace, Chat: a.Chat}
+	hold.granted, hold.incarnation = true, s.incarnation
+	if !s.usable {
+		hold.trial = c.beginTrial(s.id)
+	}
+	c.add(a.Holder, hold)
+	c.memory.Put(now, a.Chat, s.id)
+	return Verdict{Outcome: Granted, Target: s.id}
 }
 
 func (c *Cell) full(now time.Time, a Ask) Verdict {
@@ -212,7 +232,12 @@
 
 func (c *Cell) add(h Holder, place Hold) {
 	m := c.holder(h)
-	if old, ok := m[place.Request]; ok {
+	old, ok := m[place.Request]
+	switch {
+	case ok && old.Target == place.Target && !place.granted:
+		place.ownRecord = old.ownRecord
+		c.uncount(old)
+	case ok:
 		c.remove(old)
 	}
 	m[place.Request] = place
@@ -224,6 +249,11 @@
 }
 
 func (c *Cell) remove(place Hold) {
+	c.endTrial(place)
+	c.uncount(place)
+}
+
+func (c *Cell) uncount(place Hold) {
 	c.count(place.Target, -1)
 	c.shares.add(place.Workspace, -1)
 }
--- /dev/null
+++ b/admission/cell/health.go
@@ -0,0 +1,217 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/routing"
+)
+
+// A target is suspended after maxFailures failed requests in a row, for a pause
+// that doubles from suspendMin to suspendMax, less up to half by jitter.
+const (
+	maxFailures = 3
+	suspendMin  = time.Second
+	suspendMax  = 30 * time.Second
+	// calm is how long a target must have been usable for its next pause to be
+	// short again.
+	calm = time.Minute
+	// maxSuspended is the largest share of the cell's capacity that may be
+	// suspended: if more fails, requests are better tried than refused.
+	maxSuspended = 0.5
+)
+
+// Result says how a request ended on its target.
+type Result int
+
+// The results of a request.
+const (
+	// Answered means that the target answered whole.
+	Answered Result = iota
+	// Failed means that the target couldn't be reached, lost the connection or
+	// said that it failed.
+	Failed
+	// Unknown says nothing of the target: it refused for overload, the caller
+	// went away, or the request wasn't sent for a reason of the node.
+	Unknown
+)
+
+// Suspension is the start of a pause in which a target gets no requests.
+type Suspension struct {
+	Target string
+	Pause  time.Duration
+}
+
+// health is the record of a target that failed of late. A suspended target's
+// pause is followed by a trial: one request at a time, until one is answered.
+type health struct {
+	incarnation int64
+	failures    int    // since the last answer; those of one chat in a row are one
+	chat        uint64 // of the last failure
+	pauses      int    // without calm in between
+	suspended   bool
+	until       time.Time // end of the pause
+	eased       time.Time // end of the last suspension
+	trial       uint64    // number of the trial under way, or 0
+}
+
+// fail counts a failure and says whether there are enough to suspend.
+func (t *health) fail(chat uint64) bool {
+	if t.failures == 0 || t.chat != chat {
+		t.failures++
+	}
+	t.chat = chat
+	return t.failures >= maxFailures
+}
+
+// suspend begins a pause and returns its length.
+func (t *health) suspend(now time.Time, key uint64) time.Duration {
+	if !t.suspended && now.Sub(t.eased) > calm {
+		t.pauses = 0
+	}
+	longest := suspendMax
+	if t.pauses < 8 {
+		longest = min(suspendMin<<t.pauses, suspendMax)
+	}
+	t.pauses++
+	jitter := routing.Rank(uint64(now.UnixNano()), key) % uint64(longest/2)
+	pause := longest - time.Duration(jitter)
+	t.suspended, t.until, t.trial = true, now.Add(pause), 0
+	return pause
+}
+
+// trialDue says whether a trial may begin.
+func (t *health) trialDue(now time.Time) bool {
+	return t.suspended && t.trial == 0 && !now.Before(t.until)
+}
+
+// succeed ends a suspension. It says whether the record is to be kept, for the
+// length of the next pause.
+func (t *health) succeed(now time.Time) bool {
+	if t.suspended {
+		t.eased = now
+	}
+	t.suspended, t.failures = false, 0
+	return t.pauses > 0 && now.Sub(t.eased) <= calm
+}
+
+// Report takes the result of a place that is about to be released, and returns
+// the suspension that it led to, if any. A failure counts only if this cell
+// granted the place, and to the present incarnation of the target.
+func (c *Cell) Report(now time.Time, h Holder, request string, r Result) (Suspension, bool) {
+	hold, ok := c.holds[h][request]
+	if !ok || r == Unknown {
+		return Suspension{}, false
+	}
+	i := c.index[hold.Target]
+	if r == Answered {
+		c.succeed(now, i)
+		return Suspension{}, false
+	}
+	if !c.slots[i].listed || !hold.granted || hold.incarnation != c.slots[i].incarnation {
+		return Suspension{}, false
+	}
+	return c.fail(now, i, hold)
+}
+
+func (c *Cell) fail(now time.Time, i int, hold Hold) (Suspension, bool) {
+	s := &c.slots[i]
+	t := c.health[s.id]
+	if t == nil {
+		t = &health{incarnation: s.incarnation}
+		c.health[s.id] = t
+	}
+	enough := t.fail(hold.Chat)
+	if t.suspended && t.trial != 0 && t.trial == hold.trial {
+		return Suspension{s.id, t.suspend(now, s.key)}, true
+	}
+	if t.suspended || !enough || !c.maySuspend(s.capacity) {
+		return Suspension{}, false
+	}
+	c.setUsable(i, false)
+	return Suspension{s.id, t.suspend(now, s.key)}, true
+}
+
+func (c *Cell) succeed(now time.Time, i int) {
+	s := &c.slots[i]
+	t := c.health[s.id]
+	if t == nil {
+		return
+	}
+	if !t.succeed(now) {
+		delete(c.health, s.id)
+	}
+	if s.listed && !s.usable {
+		c.setUsable(i, true)
+	}
+}
+
+// maySuspend says whether that much more capacity may be suspended.
+func (c *Cell) maySuspend(capacity int) bool {
+	all := float64(c.own.Capacity + c.suspended)
+	return float64(c.suspended+capacity) <= maxSuspended*all
+}
+
+// setUsable moves a listed target into or out of what the mean is taken over.
+func (c *Cell) setUsable(i int, usable bool) {
+	s := &c.slots[i]
+	sign := 1
+	if !usable {
+		sign = -1
+	}
+	s.usable = usable
+	c.own.Capacity += sign * s.capacity
+	c.own.InFlight += sign * s.count
+	c.suspended -= sign * s.capacity
+}
+
+// keepHealth applies what is known to a new list of targets, of which all that
+// are listed are usable. An incarnation that is new, or a target that is gone
+// or leaving, starts without failures.
+func (c *Cell) keepHealth() {
+	c.suspended = 0
+	known := c.health
+	c.health = make(map[string]*health)
+	for i := range c.slots {
+		s := &c.slots[i]
+		t := known[s.id]
+		if t == nil || !s.listed || t.incarnation != s.incarnation {
+			continue
+		}
+		if t.suspended && !c.maySuspend(s.capacity) {
+			continue
+		}
+		c.health[s.id] = t
+		if t.suspended {
+			c.setUsable(i, false)
+		}
+	}
+}
+
+// onTrial says whether a suspended target may get a request.
+func (c *Cell) onTrial(now time.Time, i int) bool {
+	s := &c.slots[i]
+	return s.listed && !s.usable && c.health[s.id].trialDue(now)
+}
+
+func (c *Cell) beginTrial(target string) uint64 {
+	c.trials++
+	c.health[target].trial = c.trials
+	return c.trials
+}
+
+func (c *Cell) endTrial(place Hold) {
+	if t := c.health[place.Target]; t != nil && t.trial == place.trial {
+		t.trial = 0
+	}
+}
+
+// SuspendedTargets returns the number of targets that are suspended.
+func (c *Cell) SuspendedTargets() int {
+	n := 0
+	for _, t := range c.health {
+		if t.suspended {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/admission/cell/health_test.go
@@ -0,0 +1,250 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// ward is a cell whose targets fail or answer as told.
+type ward struct {
+	*Cell
+	now     time.Time
+	targets []Target
+	next    int
+}
+
+func newWard(targets int) *ward {
+	w := &ward{Cell: New(Config{LoadFactor: 100, NewFactor: 100, MaxInFlight: 1000}), now: epoch}
+	for i := range targets {
+		w.targets = append(w.targets, Target{ID: string(rune('a' + i)), Capacity: 1, Incarnation: 1})
+	}
+	w.SetTargets(w.targets)
+	return w
+}
+
+// ask returns the request's name and its target. Each is of another chat.
+func (w *ward) ask(exclude ...string) (string, string) {
+	w.next++
+	name := fmt.Sprint(w.next)
+	v := w.Acquire(w.now, Ask{Request: name, Chat: uint64(w.next), Exclude: exclude})
+	return name, v.Target
+}
+
+func (w *ward) end(request string, r Result) (Suspension, bool) {
+	s, ok := w.Report(w.now, Holder{}, request, r)
+	w.Release(Holder{}, request)
+	return s, ok
+}
+
+// on runs requests until one is on the target.
+func (w *ward) on(t interface{ Fatal(...any) }, target string) string {
+	for range 1000 {
+		name, got := w.ask()
+		if got == target {
+			return name
+		}
+		w.end(name, Unknown)
+	}
+	t.Fatal("no request on", target)
+	return ""
+}
+
+func (w *ward) gets(target string) bool {
+	for range 200 {
+		name, got := w.ask()
+		w.end(name, Unknown)
+		if got == target {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSuspension(t *testing.T) {
+	fail := func(n int) func(*testing.T, *ward) {
+		return func(t *testing.T, w *ward) {
+			for range n {
+				w.end(w.on(t, "a"), Failed)
+			}
+		}
+	}
+	with := func(r Result) func(*testing.T, *ward) {
+		return func(t *testing.T, w *ward) { w.end(w.on(t, "a"), r) }
+	}
+	pass := func(d time.Duration) func(*testing.T, *ward) {
+		return func(_ *testing.T, w *ward) { w.now = w.now.Add(d) }
+	}
+	restart := func(_ *testing.T, w *ward) {
+		w.targets[0].Incarnation++
+		w.SetTargets(w.targets)
+	}
+	relist := func(_ *testing.T, w *ward) { w.SetTargets(w.targets) }
+	for _, tt := range []struct {
+		name  string
+		steps []func(*testing.T, *ward)
+		want  bool // a gets requests
+	}{
+		{"two failures", []func(*testing.T, *ward){fail(2)}, true},
+		{"three failures", []func(*testing.T, *ward){fail(3)}, false},
+		{"an answer in between", []func(*testing.T, *ward){fail(2), with(Answered), fail(2)}, true},
+		{"a refusal in between", []func(*testing.T, *ward){fail(2), with(Unknown), fail(1)}, false},
+		{"the pause is over", []func(*testing.T, *ward){fail(3), pass(suspendMin)}, true},
+		{"a failed trial", []func(*testing.T, *ward){fail(3), pass(suspendMin), fail(1)}, false},
+		{"a failed trial pauses for longer", []func(*testing.T, *ward){fail(3), pass(suspendMin), fail(1), pass(suspendMin - 1)}, false},
+		{"an answered trial", []func(*testing.T, *ward){fail(3), pass(suspendMin), with(Answered), fail(2)}, true},
+		{"a refused trial is no answer", []func(*testing.T, *ward){fail(3), pass(suspendMin), with(Unknown), fail(1)}, false},
+		{"a new incarnation", []func(*testing.T, *ward){fail(3), restart}, true},
+		{"failures before a new incarnation", []func(*testing.T, *ward){fail(2), restart, fail(2)}, true},
+		{"a new list of the same targets", []func(*testing.T, *ward){fail(3), relist}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWard(4)
+			for _, step := range tt.steps {
+				step(t, w)
+			}
+			is.New(t).Equal(w.gets("a"), tt.want)
+		})
+	}
+}
+
+// A suspended target's capacity and requests don't count in the mean.
+func TestMeanIsOverUsableTargets(t *testing.T) {
+	is := is.New(t)
+	w := newWard(4)
+	running := w.on(t, "a")
+	for range maxFailures {
+		w.end(w.on(t, "a"), Failed)
+	}
+	is.Equal(w.Totals(), Totals{InFlight: 0, Capacity: 3})
+	w.end(running, Answered) // which ends the suspension, too
+	running = w.on(t, "a")
+	is.Equal(w.Totals(), Totals{InFlight: 1, Capacity: 4})
+	w.end(running, Unknown)
+	is.Equal(w.Totals(), Totals{Capacity: 4})
+}
+
+func TestOneTrialAtATime(t *testing.T) {
+	is := is.New(t)
+	w := newWard(4)
+	for range maxFailures {
+		w.end(w.on(t, "a"), Failed)
+	}
+	w.now = w.now.Add(suspendMin)
+	trial := w.on(t, "a")
+	is.True(!w.gets("a"))
+	w.Resync(Holder{}, []Hold{{Request: trial, Target: "a"}}) // still there
+	is.True(!w.gets("a"))
+	w.Resync(Holder{}, nil) // ended, nobody knows how
+	is.True(w.gets("a"))
+	w.end(w.on(t, "a"), Answered)
+	w.on(t, "a")
+	is.True(w.gets("a"))
+}
+
+// One chat whose requests break whatever runs them suspends nothing.
+func TestOneChatIsNoProof(t *testing.T) {
+	is := is.New(t)
+	w := newWard(2)
+	for i := range 10 * maxFailures {
+		name := fmt.Sprint(i)
+		w.Acquire(w.now, Ask{Request: name, Chat: 1})
+		_, suspended := w.end(name, Failed)
+		is.True(!suspended)
+	}
+}
+
+// Failures of places that another owner granted may be of an earlier
+// incarnation.
+func TestFailuresOfOthersDontCount(t *testing.T) {
+	is := is.New(t)
+	w := newWard(2)
+	for i := range 10 * maxFailures {
+		w.Resync(Holder{}, []Hold{{Request: "r", Target: "a", Chat: uint64(i)}})
+		_, suspended := w.end("r", Failed)
+		is.True(!suspended)
+	}
+}
+
+func TestPauseGrowsWithinBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		h := &health{}
+		now := epoch.Add(time.Duration(rapid.Int64Range(0, 1e15).Draw(rt, "start")))
+		for i := range 20 {
+			longest := min(suspendMin<<i, suspendMax)
+			pause := h.suspend(now, rapid.Uint64().Draw(rt, "key"))
+			is.True(pause > longest/2-1 && pause <= longest)
+			is.True(!h.trialDue(now.Add(pause - 1)))
+			is.True(h.trialDue(now.Add(pause)))
+			now = now.Add(pause)
+		}
+		is.True(h.succeed(now))
+		is.True(h.suspend(now.Add(calm), 0) > suspendMax/2-1)
+		is.True(!h.succeed(now) || h.pauses > 0)
+		h.suspended = false
+		is.True(h.suspend(h.eased.Add(calm+1), 0) <= suspendMin)
+	})
+}
+
+// Whatever fails in whatever order: at most half of the capacity is suspended,
+// so that some target always gets the request; a target that has just answered
+// gets requests; and the totals are those of the usable targets.
+func TestHealthIsSafe(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		w := newWard(rapid.IntRange(1, 6).Draw(rt, "targets"))
+		for i := range w.targets {
+			w.targets[i].Capacity = rapid.IntRange(1, 3).Draw(rt, "capacity")
+		}
+		w.SetTargets(w.targets)
+		var running []string
+		on := make(map[string]string)
+		bias := rapid.SampledFrom([]Result{Answered, Failed}).Draw(rt, "bias")
+		for range rapid.IntRange(0, 150).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			case 0:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			case 1:
+				i := rapid.IntRange(0, len(w.targets)-1).Draw(rt, "changed")
+				w.targets[i].Incarnation++
+				w.SetTargets(w.targets)
+				is.True(!w.isSuspended(w.targets[i].ID))
+			case 2, 3, 4:
+				if len(running) > 0 {
+					r := rapid.SampledFrom([]Result{bias, bias, bias, Answered, Failed, Unknown}).Draw(rt, "result")
+					w.end(running[0], r)
+					is.True(r != Answered || !w.isSuspended(on[running[0]]))
+					running = running[1:]
+				}
+			default:
+				name, target := w.ask()
+				is.True(target != "") // fail open
+				running, on[name] = append(running, name), target
+			}
+			w.check(is)
+		}
+	})
+}
+
+func (w *ward) isSuspended(target string) bool { return !w.slots[w.index[target]].usable }
+
+func (w *ward) check(is *is.I) {
+	var usable Totals
+	suspended := 0
+	for _, s := range w.slots {
+		if s.usable {
+			usable.Capacity += s.capacity
+			usable.InFlight += s.count
+		} else if s.listed {
+			suspended += s.capacity
+		}
+	}
+	is.Equal(w.own, usable)
+	is.Equal(w.suspended, suspended)
+	is.True(2*suspended <= suspended+usable.Capacity)
+	is.True(len(w.health) <= len(w.targets))
+}
--- a/admission/cell/place.go
+++ b/admission/cell/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/knapweedgw/knapweedgw/routing"
 )
@@ -93,20 +94,20 @@
 }
 
 // place picks the best target for an Ask, or -1 if none is under its bound.
-func (c *Cell) place(a Ask) int {
+func (c *Cell) place(now time.Time, a Ask) int {
 	last, known := c.memory.Get(a.Chat)
 	// Where the prefix is lost anyway, a chat is placed as if new; where it may
 	// be at home, home is worth more load.
 	l := c.limits(a.Returning && !known, a.Last)
-	if i, ok := c.index[last]; ok && c.eligible(i, a.Exclude) && c.score(i, a.Chat, &l).tier > tierNone {
+	if i, ok := c.index[last]; ok && c.eligible(now, i, a.Exclude) && c.score(i, a.Chat, &l).tier > tierNone {
 		return i
 	}
 	best := candidate{slot: -1}
 	for i := range c.slots {
-		if !c.slots[i].usable {
+		if !c.slots[i].listed {
 			continue
 		}
-		if s := c.score(i, a.Chat, &l); s.better(&best) && c.eligible(i, a.Exclude) {
+		if s := c.score(i, a.Chat, &l); s.better(&best) && c.eligible(now, i, a.Exclude) {
 			best = s
 		}
 	}
@@ -114,8 +115,8 @@
 }
 
 // eligible filters out what must not get the request, whatever its load.
-func (c *Cell) eligible(i int, exclude []string) bool {
-	return c.slots[i].usable && !slices.Contains(exclude, c.slots[i].id)
+func (c *Cell) eligible(now time.Time, i int, exclude []string) bool {
+	return (c.slots[i].usable || c.onTrial(now, i)) && !slices.Contains(exclude, c.slots[i].id)
 }
 
 // score ranks one target by its load and rendezvous rank.
--- a/admission/cell/types.go
+++ b/admission/cell/types.go
@@ -7,6 +7,8 @@
 	ID       string
 	Capacity int // relative to other targets; at least 1
 	Leaving  bool
+	// Incarnation grows with each start of the target's process.
+	Incarnation int64
 }
 
 // Config is what the pool's settings say. The zero value of an optional field
@@ -126,4 +128,13 @@
 	Target    string
 	Workspace string
 	Chat      uint64
+
+	ownRecord
+}
+
+// ownRecord is what a cell knows of a place that it granted itself.
+type ownRecord struct {
+	granted     bool
+	trial       uint64 // number of the trial of a suspended target, or 0
+	incarnation int64  // of the target
 }
--- a/admission/entry.go
+++ b/admission/entry.go
@@ -154,7 +154,7 @@
 	s := e.service
 	s.metrics.requests.WithLabelValues(outcome).Inc()
 	s.remember(e.request.Chat, p.target.ID)
-	return Grant{Target: p.target, Release: sync.OnceFunc(func() { s.release(p) })}
+	return Grant{Target: p.target, Release: releaseOnce(func(r Result) { s.release(p, r) })}
 }
 
 func (s *Service) remember(chat uint64, target string) {
@@ -163,23 +163,32 @@
 	s.recent.Put(s.now(), chat, target)
 }
 
+// releaseOnce makes a release that does nothing the second time.
+func releaseOnce(f func(Result)) func(Result) {
+	var once sync.Once
+	return func(r Result) { once.Do(func() { f(r) }) }
+}
+
 // release ends a place at the cell's present owner.
-func (s *Service) release(p place) {
+func (s *Service) release(p place, r Result) {
 	p.done()
+	s.local.ended(p.target.ID, r)
 	k := s.table.Release(p.key, p.seq)
 	owner, ok := s.plan().owner(k)
 	if !ok {
 		return
 	}
-	s.sendRelease(owner.ID, k, p.seq)
+	s.sendRelease(owner.ID, k, p.seq, r)
 }
 
-func (s *Service) sendRelease(node string, k holds.Key, seq uint64) {
+func (s *Service) sendRelease(node string, k holds.Key, seq uint64, r Result) {
 	if node == s.cfg.Node {
-		s.releaseOwned(s.self.Holder(), holds.Released{Key: k, Seqs: holds.Seqs{seq}})
+		e := holds.Released{Key: k}
+		e.Add(seq, r)
+		s.releaseOwned(s.self.Holder(), e)
 		return
 	}
-	s.releases.add(node, k, seq)
+	s.releases.add(node, k, seq, r)
 }
 
 func workspaceName(r Request) string { return r.Workspace.Team + "/" + r.Workspace.Name }
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -79,6 +80,39 @@
 type Released struct {
 	Key
 	Seqs Seqs `json:"q"`
+	// Failed and Unknown are those of Seqs that their target didn't answer; see
+	// cell.Result.
+	Failed  Seqs `json:"f,omitempty"`
+	Unknown Seqs `json:"v,omitempty"`
+}
+
+// Add appends an ended place.
+func (r *Released) Add(seq uint64, result cell.Result) {
+	r.Seqs = append(r.Seqs, seq)
+	switch result {
+	case cell.Failed:
+		r.Failed = append(r.Failed, seq)
+	case cell.Unknown:
+		r.Unknown = append(r.Unknown, seq)
+	}
+}
+
+// Sort puts the numbers in the order that their encoding needs.
+func (r *Released) Sort() {
+	slices.Sort(r.Seqs)
+	slices.Sort(r.Failed)
+	slices.Sort(r.Unknown)
+}
+
+// result returns how a place of Seqs ended.
+func (r *Released) result(seq uint64) cell.Result {
+	if _, ok := slices.BinarySearch(r.Failed, seq); ok {
+		return cell.Failed
+	}
+	if _, ok := slices.BinarySearch(r.Unknown, seq); ok {
+		return cell.Unknown
+	}
+	return cell.Answered
 }
 
 // Release tells an owner of ended places.
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -125,6 +125,22 @@
 	return out
 }
 
+// Ended ends places with their results and returns the suspensions of targets
+// that the failures led to.
+func (o *Owner) Ended(now time.Time, from cell.Holder, e Released) []cell.Suspension {
+	var out []cell.Suspension
+	for _, q := range e.Seqs {
+		if s, ok := o.cell.Report(now, from, requestName(q), e.result(q)); ok {
+			out = append(out, s)
+		}
+	}
+	o.Release(now, from, e.Seqs)
+	return out
+}
+
+// SuspendedTargets returns the number of targets that are suspended.
+func (o *Owner) SuspendedTargets() int { return o.cell.SuspendedTargets() }
+
 // Release ends places. A place that isn't known is remembered as ended.
 func (o *Owner) Release(now time.Time, from cell.Holder, seqs Seqs) {
 	h := o.hear(now, from)
--- a/admission/local.go
+++ b/admission/local.go
@@ -17,6 +17,9 @@
 	saturatedRetryAfter = 2 * time.Second
 	// reportMaxAge is the age from which a target's report no longer counts.
 	reportMaxAge = 10 * time.Second
+	// avoidTime is how long the estimate prefers other targets to one that
+	// failed a request of this node.
+	avoidTime = 10 * time.Second
 )
 
 // TargetSource gives the current targets.
@@ -37,8 +40,9 @@
 	own      int // requests of this node in flight
 	reported int
 	at       time.Time
-	epoch    int // number of reports
-	since    int // own requests in flight that began after the report
+	epoch    int       // number of reports
+	since    int       // own requests in flight that began after the report
+	failed   time.Time // when a request of this node last failed; zero after an answer
 }
 
 func (e *estimate) load(now time.Time) int {
@@ -75,11 +79,15 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	return Grant{Target: t, Release: sync.OnceFunc(release)}, nil
+	return Grant{Target: t, Release: releaseOnce(func(r Result) {
+		release()
+		l.ended(t.ID, r)
+	})}, nil
 }
 
-// place counts the request on the best-ranked target under the bound. The
-// returned function must be called once.
+// place counts the request on the best-ranked target under the bound, if
+// possible one that hasn't failed of late. The returned function must be called
+// once.
 func (l *Local) place(pool []targets.Target, r Request) (targets.Target, func(), error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,14 +96,16 @@
 	if !ok {
 		return targets.Target{}, nil, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(saturatedRetryAfter)
 	}
-	best, bestScore := -1, uint64(0)
+	best, bestScore, bestFailed := -1, uint64(0), false
 	for i, t := range pool {
 		bound := int(math.Ceil(r.Pool.LoadFactor * mean * float64(t.Capacity)))
 		if !eligible(t, r) || l.load(t.ID, now) >= min(bound, r.Pool.MaxInFlight*t.Capacity) {
 			continue
 		}
-		if s := routing.Score(r.Chat, routing.Hash(t.ID)); best < 0 || s > bestScore {
-			best, bestScore = i, s
+		failed := l.failedOfLate(t.ID, now)
+		s := routing.Score(r.Chat, routing.Hash(t.ID))
+		if best < 0 || bestFailed && !failed || bestFailed == failed && s > bestScore {
+			best, bestScore, bestFailed = i, s, failed
 		}
 	}
 	if best < 0 {
@@ -104,6 +114,25 @@
 	return pool[best], l.count(pool[best].ID), nil
 }
 
+// ended takes the result of a request of this node.
+func (l *Local) ended(target string, r Result) {
+	if r == Unknown {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r == Failed {
+		l.estimate(target).failed = l.now()
+	} else if e, ok := l.loads[target]; ok {
+		e.failed = time.Time{}
+	}
+}
+
+func (l *Local) failedOfLate(target string, now time.Time) bool {
+	e, ok := l.loads[target]
+	return ok && now.Sub(e.failed) < avoidTime
+}
+
 // sent counts a request of this node until the returned function is called.
 func (l *Local) sent(target string) func() {
 	l.mu.Lock()
@@ -161,7 +190,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, e := range l.loads {
-		if e.own == 0 && now.Sub(e.at) > reportMaxAge {
+		if e.own == 0 && now.Sub(e.at) > reportMaxAge && now.Sub(e.failed) > avoidTime {
 			delete(l.loads, id)
 		}
 	}
--- a/admission/metrics.go
+++ b/admission/metrics.go
@@ -47,8 +47,10 @@
 	givenUp   prometheus.Counter
 	resyncs   *prometheus.CounterVec
 	takeovers prometheus.Counter
-	roundTrip prometheus.Histogram
-	bytes     *prometheus.CounterVec
+	// suspensions counts those of targets in owned cells.
+	suspensions prometheus.Counter
+	roundTrip   prometheus.Histogram
+	bytes       *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -71,6 +73,10 @@
 			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "takeovers_total",
 			Help: "Cells that this node became the owner of.",
 		}),
+		suspensions: f.NewCounter(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "suspensions_total",
+			Help: "Pauses of targets of owned cells that failed several requests in a row.",
+		}),
 		roundTrip: f.NewHistogram(prometheus.HistogramOpts{
 			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "owner_round_trip_seconds",
 			Help:    "Time until another node that owns a cell answered.",
@@ -90,5 +96,6 @@
 	}
 	gauge("places_held", "Places that this node's requests hold.", s.table.Len)
 	gauge("cells_owned", "Cells that this node owns.", s.owned.len)
+	gauge("targets_suspended", "Targets of owned cells that get no requests but trials.", s.owned.suspended)
 	gauge("places_owned", "Places known on the targets of owned cells.", s.owned.places)
 }
--- a/admission/owned.go
+++ b/admission/owned.go
@@ -47,6 +47,12 @@
 	return n
 }
 
+func (o *owned) suspended() int {
+	n := 0
+	o.each(func(_ holds.Key, c *ownedCell) { n += c.owner.SuspendedTargets() })
+	return n
+}
+
 // each calls f with every cell, locked.
 func (o *owned) each(f func(holds.Key, *ownedCell)) {
 	o.mu.Lock()
--- a/admission/plan.go
+++ b/admission/plan.go
@@ -203,7 +203,7 @@
 	var out []cell.Target
 	for _, t := range p.in(k.Pool, k.Region).all {
 		if cell.Of(t.ID, k.Of) == k.Cell {
-			out = append(out, cell.Target{ID: t.ID, Capacity: t.Capacity, Leaving: t.Leaving})
+			out = append(out, cell.Target{ID: t.ID, Capacity: t.Capacity, Leaving: t.Leaving, Incarnation: t.Incarnation})
 		}
 	}
 	return out
--- a/admission/releases.go
+++ b/admission/releases.go
@@ -1,31 +1,36 @@
 package admission
 
 import (
-	"slices"
 	"sync"
 
+	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
 )
 
 // releases gathers ended places until they are sent, by the node to be told.
 type releases struct {
 	mu    sync.Mutex
-	queue map[string]map[holds.Key]holds.Seqs
+	queue map[string]map[holds.Key]*holds.Released
 	// wake has a token when the queue isn't empty.
 	wake chan struct{}
 }
 
 func newReleases() *releases {
-	return &releases{queue: make(map[string]map[holds.Key]holds.Seqs), wake: make(chan struct{}, 1)}
+	return &releases{queue: make(map[string]map[holds.Key]*holds.Released), wake: make(chan struct{}, 1)}
 }
 
-func (r *releases) add(node string, k holds.Key, seq uint64) {
+func (r *releases) add(node string, k holds.Key, seq uint64, result cell.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.queue[node] == nil {
-		r.queue[node] = make(map[holds.Key]holds.Seqs)
+		r.queue[node] = make(map[holds.Key]*holds.Released)
 	}
-	r.queue[node][k] = append(r.queue[node][k], seq)
+	e := r.queue[node][k]
+	if e == nil {
+		e = &holds.Released{Key: k}
+		r.queue[node][k] = e
+	}
+	e.Add(seq, result)
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -38,9 +43,9 @@
 	defer r.mu.Unlock()
 	out := make(map[string][]holds.Released, len(r.queue))
 	for node, cells := range r.queue {
-		for k, seqs := range cells {
-			slices.Sort(seqs)
-			out[node] = append(out[node], holds.Released{Key: k, Seqs: seqs})
+		for _, e := range cells {
+			e.Sort()
+			out[node] = append(out[node], *e)
 		}
 	}
 	clear(r.queue)
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -106,7 +106,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner.Release(s.now(), h, e.Seqs)
+	for _, sus := range c.owner.Ended(s.now(), h, e) {
+		s.metrics.suspensions.Inc()
+		s.log.Warn("target suspended", "target", sus.Target, "pool", e.Pool, "pause", sus.Pause)
+	}
 }
 
 func (s *Service) serveResync(m holds.Resync) holds.ResyncReply {
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -34,7 +34,7 @@
 
 func (l *load) release(i int) {
 	g := l.grants[i]
-	g.Release()
+	g.Release(Answered)
 	l.grants = slices.Delete(l.grants, i, i+1)
 	if l.counts[g.Target.ID]--; l.counts[g.Target.ID] == 0 {
 		delete(l.counts, g.Target.ID)
@@ -224,7 +224,7 @@
 		grants = append(grants, g)
 	}
 	for _, g := range grants {
-		g.Release()
+		g.Release(Answered)
 	}
 	f.pass(releaseDelay)
 	owner.fault = faultUnreachable
@@ -237,7 +237,7 @@
 		if g.Target.ID == target {
 			back++
 		}
-		g.Release()
+		g.Release(Answered)
 		f.pass(releaseDelay)
 	}
 	is.Equal(back, len(ran))
@@ -400,7 +400,7 @@
 						t.Error(err)
 						return
 					}
-					g.Release()
+					g.Release(Answered)
 				}
 			})
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -133,17 +133,33 @@
 // runs, c.sent is true from the first byte on; a target's word that it ran
 // nothing restores it.
 func (g *Gateway) attempt(ctx context.Context, c *call, f forwardRequest, grant admission.Grant) *attemptError {
-	defer grant.Release()
+	result := admission.Failed // stays so if relayUnheld aborts a cut answer
+	defer func() { grant.Release(result) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	before := c.sent.Load()
 	fail := g.exchange(ctx, c, f, grant.Target)
+	result = resultOf(ctx, c, fail)
 	if fail != nil && fail.progress <= retry.Refused {
 		c.sent.Store(before)
 	}
 	return fail
 }
 
+// resultOf says what an attempt shows of its target. A refusal for overload and
+// a caller or deadline that ended the attempt show nothing.
+func resultOf(ctx context.Context, c *call, fail *attemptError) admission.Result {
+	switch {
+	case ctx.Err() != nil || c.req.Context().Err() != nil:
+		return admission.Unknown
+	case fail == nil:
+		return admission.Answered
+	case errors.Is(fail.cause, errGateClosed) || fail.reason != problem.TargetFailed:
+		return admission.Unknown
+	}
+	return admission.Failed
+}
+
 func (g *Gateway) exchange(ctx context.Context, c *call, f forwardRequest, t targets.Target) *attemptError {
 	gen := newGeneration(c, t)
 	req, err := g.targetRequest(ctx, c, f, t, gen)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -63,6 +63,7 @@
 	held     int
 	requests []admission.Request
 	loads    map[string]int
+	results  []admission.Result // of the released places, in order
 }
 
 func (f *fakeAdmitter) ID() kernel.ID { return admission.ServiceID }
@@ -83,10 +84,11 @@
 	return admission.Grant{}, problem.New(problem.NoTarget, problem.RanNo, r.Pool.Name).After(time.Second)
 }
 
-func (f *fakeAdmitter) release() {
+func (f *fakeAdmitter) release(r admission.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.held--
+	f.results = append(f.results, r)
 }
 
 func (f *fakeAdmitter) Observe(target string, inFlight int, _ time.Time) {
--- a/lab/bench/node.go
+++ b/lab/bench/node.go
@@ -90,7 +90,7 @@
 	for i := range a.pool {
 		t := a.pool[(first+i)%len(a.pool)]
 		if !slices.Contains(r.Exclude, t.ID) {
-			return admission.Grant{Target: t, Release: func() {}}, nil
+			return admission.Grant{Target: t, Release: func(admission.Result) {}}, nil
 		}
 	}
 	return admission.Grant{}, problem.New(problem.NoTarget, problem.RanNo, "").After(time.Second)
--- a/lab/measure/retries/retries.go
+++ b/lab/measure/retries/retries.go
@@ -1,5 +1,7 @@
 // Package retries measures on virtual time how much the retry policy adds to
-// the load of the targets when a share of them fails every request they get.
+// the load of the targets when a share of them fails every request they get,
+// first with targets drawn at random, then with owners that place requests and
+// suspend targets.
 package retries
 
 import (
@@ -70,6 +72,11 @@
 			}
 		}
 	}
+	for _, c := range cases() {
+		if err := r.Add(s.Name(), SimulateCells(c, seconds*time.Second, seed)); err != nil {
+			return "", err
+		}
+	}
 	return fmt.Sprintf("retries: nodes=%d failing=%.2f share=%.2f amplification=%.3f answered=%.4f",
 		chosen.Nodes, chosen.Failing, chosen.Share, chosen.Amplification, chosen.Answered), nil
 }
--- a/lab/measure/retries/retries_test.go
+++ b/lab/measure/retries/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -26,3 +27,20 @@
 	is := is.New(t)
 	is.Equal(Simulate(8, 1, 3, 1).Amplification, float64(maxAttempts))
 }
+
+// A failing share of the targets is found by the owner: fewer requests meet it
+// and more are answered. If all fail, requests are still tried.
+func TestSuspensionHelps(t *testing.T) {
+	is := is.New(t)
+	c := Case{Nodes: 4, Pools: 1, Engines: 60, Failing: 0.25, Share: 0.2}
+	before := SimulateCells(c, time.Minute, 1)
+	c.Suspend = true
+	after := SimulateCells(c, time.Minute, 1)
+	is.True(after.Answered > before.Answered)
+	is.True(after.FirstFailed < before.FirstFailed/2)
+	is.True(after.Amplification < before.Amplification)
+	c.Failing = 1
+	all := SimulateCells(c, time.Minute, 1)
+	is.True(all.Amplification >= 1)
+	is.Equal(all.Answered, 0.0)
+}
