Take a holder of a claim that is not in the view for a new node

Cause: in a rolling replacement one notice of 493 sent twice at once was answered "idempotency_unknown" (run of go test -race -count=4 -run Rolling ./fleettest in lab, second of two). An owner of claims that had not heard yet of a node which started a moment ago held it for dead, and so its running claim for lost.

Change: a holder that is not in the view may run on, until the run limit; and a dead node stays in the view for as long as it is remembered (2 h), also when the VM list drops it, so that the two can be told apart.

Not shown by a test of its own in package claims.

--- a/claims/duty.go
+++ b/claims/duty.go
@@ -83,8 +83,10 @@
 	}
 }
 
-// alive says whether the run of a node that holds a claim is in the view.
+// alive says whether the run of a node that holds a claim may go on. A node
+// that is not in the view may have started a moment ago; those that died stay
+// in it for long.
 func (d *duties) alive(h core.Holder) bool {
 	n, ok := d.view.View().Node(h.Node)
-	return ok && n.State != membership.Dead && n.Incarnation <= h.Incarnation
+	return !ok || n.State != membership.Dead && n.Incarnation <= h.Incarnation
 }
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -307,6 +307,19 @@
 	}))
 }
 
+// TestDeadNodeStaysInTheView tells a node that died from one not heard of yet,
+// also when the VM list drops it.
+func TestDeadNodeStaysInTheView(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 1)
+	f.Run(time.Second)
+	f.Nodes[3].Down = true
+	is.True(f.RunUntil(time.Minute, func() bool { return agreed(f) }))
+	f.List(f.VMs(3))
+	f.Run(time.Hour)
+	is.Equal(disagreement(f), "")
+}
+
 func TestFlappingNodeHasNoDuties(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(8, 1)
--- a/membership/view.go
+++ b/membership/view.go
@@ -22,9 +22,6 @@
 	held := m.held(now)
 	for _, id := range m.order {
 		n := m.nodes[id]
-		if n.State == Dead && !n.listed {
-			continue
-		}
 		shown := n.Node
 		if slices.Contains(held, id) {
 			shown.State = Leaving
