Write the test's balancer by hand

Cause: the process tests used the standard library's ReverseProxy as a stand-in for the platform's balancer.

Ruled out: a balancer of connections (its callers' idle connections outlive a node's grace time, which no balancer of requests shows).

--- a/lab/fleettest/balancer_test.go
+++ b/lab/fleettest/balancer_test.go
@@ -4,10 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -20,7 +19,8 @@
 // balancer stands in for the platform's: it sends each request to the next
 // node whose /readyz answered 200 when it last asked. It repeats nothing.
 type balancer struct {
-	url string
+	url       string
+	transport *http.Transport
 
 	mu    sync.Mutex
 	nodes []string
@@ -30,12 +30,8 @@
 
 func startBalancer(t *testing.T) *balancer {
 	t.Helper()
-	b := &balancer{}
-	front := httptest.NewServer(readWhole(&httputil.ReverseProxy{
-		Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(b.choose()) },
-		FlushInterval: -1,
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 256},
-	}))
+	b := &balancer{transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	front := httptest.NewServer(b)
 	b.url = front.URL
 	ctx, stop := context.WithCancel(context.Background())
 	var polling sync.WaitGroup
@@ -49,18 +45,48 @@
 	return b
 }
 
-// readWhole reads each request's body before next handles it. A ReverseProxy
-// that starts to answer while its transport still looks for the body's end
-// closes the body, and with it the connection to the node.
-func readWhole(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		next.ServeHTTP(w, r)
-	})
+// ServeHTTP implements http.Handler. It reads the request whole, so that no
+// answer meets a body that is still being read, and passes on the answer as it
+// comes. An answer cut by the node is cut for the caller too.
+func (b *balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	resp, err := b.pass(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	maps.Copy(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(flushed{w}, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// pass sends a request to the next ready node, once.
+func (b *balancer) pass(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	node := b.choose()
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, node+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header = r.Header.Clone()
+	return b.transport.RoundTrip(req)
+}
+
+// flushed passes on each piece at once.
+type flushed struct{ http.ResponseWriter }
+
+func (f flushed) Write(p []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(p)
+	if err == nil {
+		err = http.NewResponseController(f.ResponseWriter).Flush()
+	}
+	return n, err
 }
 
 func (b *balancer) run(ctx context.Context) {
@@ -93,18 +119,14 @@
 	return slices.Contains(b.ready, node)
 }
 
-func (b *balancer) choose() *url.URL {
+func (b *balancer) choose() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
-		return &url.URL{Scheme: "http", Host: "127.0.0.1:1"}
+		return "http://127.0.0.1:1"
 	}
 	b.next++
-	u, err := url.Parse(b.ready[b.next%len(b.ready)])
-	if err != nil {
-		panic(err)
-	}
-	return u
+	return b.ready[b.next%len(b.ready)]
 }
 
 // send says whether a request gets status 200.
