Measure suspension beyond half and with a node that is cut off

Cause: the first measurement ended at a quarter of the targets and didn't show what the limit of half costs, nor whether a node whose own network fails gets targets suspended for all.

Ruled out: suspending more than half. It would serve 60% failing, but leave few targets to a pool whose failures are of another cause.

The shift of the pause is bounded by a named constant; the pauses are the same.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -38,7 +38,7 @@
 )
 
 // Grant is a place on a target. Release must be called once the target no
-// longer works on the request.
+// longer works on the request; a second call does nothing.
 type Grant struct {
 	Target  targets.Target
 	Release func(Result)
--- a/admission/cell/health.go
+++ b/admission/cell/health.go
@@ -12,6 +12,8 @@
 	maxFailures = 3
 	suspendMin  = time.Second
 	suspendMax  = 30 * time.Second
+	// maxDoublings of suspendMin are at least suspendMax.
+	maxDoublings = 5
 	// calm is how long a target must have been usable for its next pause to be
 	// short again.
 	calm = time.Minute
@@ -68,10 +70,7 @@
 	if !t.suspended && now.Sub(t.eased) > calm {
 		t.pauses = 0
 	}
-	longest := suspendMax
-	if t.pauses < 8 {
-		longest = min(suspendMin<<t.pauses, suspendMax)
-	}
+	longest := min(suspendMin<<min(t.pauses, maxDoublings), suspendMax)
 	t.pauses++
 	jitter := routing.Rank(uint64(now.UnixNano()), key) % uint64(longest/2)
 	pause := longest - time.Duration(jitter)
--- a/lab/measure/retries/suspension.go
+++ b/lab/measure/retries/suspension.go
@@ -29,21 +29,25 @@
 	Failing               float64 // share of the targets
 	// Flapping targets fail half of the time; what they have running goes on.
 	Flapping bool
-	Suspend  bool // the owners heed failures
-	Share    float64
+	// CutOff nodes, the first ones, fail whatever target they send to.
+	CutOff  int
+	Suspend bool // the owners heed failures
+	Share   float64
 }
 
-// cases returns the runs: three sizes, four faults, without and with
-// suspension.
+// cases returns the runs: faults at three sizes, without and with suspension.
 func cases() []Case {
 	var out []Case
 	for _, size := range []Case{
 		{Nodes: 8, Pools: 4, Engines: 30}, {Nodes: 53, Pools: 4, Engines: 196}, {Nodes: 370, Pools: 28, Engines: 196},
 	} {
-		for _, fault := range []Case{{Failing: 0.05}, {Failing: 0.05, Flapping: true}, {Failing: 0.25}, {Failing: 1}} {
+		for _, fault := range []Case{
+			{CutOff: 1}, {Failing: 0.05}, {Failing: 0.05, Flapping: true}, {Failing: 0.25}, {Failing: 0.5}, {Failing: 0.6}, {Failing: 1},
+		} {
 			for _, suspend := range []bool{false, true} {
 				c := size
-				c.Failing, c.Flapping, c.Suspend, c.Share = fault.Failing, fault.Flapping, suspend, 0.2
+				c.Failing, c.Flapping, c.CutOff = fault.Failing, fault.Flapping, fault.CutOff
+				c.Suspend, c.Share = suspend, 0.2
 				out = append(out, c)
 			}
 		}
@@ -64,7 +68,7 @@
 func (r SuspensionRow) Fields() []measure.Field {
 	return []measure.Field{
 		{Name: "nodes", Value: r.Nodes}, {Name: "failing", Value: r.Failing}, {Name: "flapping", Value: r.Flapping},
-		{Name: "suspend", Value: r.Suspend}, {Name: "share", Value: r.Share},
+		{Name: "cut_off", Value: r.CutOff}, {Name: "suspend", Value: r.Suspend}, {Name: "share", Value: r.Share},
 		{Name: "amplification", Value: r.Amplification}, {Name: "answered", Value: r.Answered},
 		{Name: "first_failed", Value: r.FirstFailed}, {Name: "suspensions", Value: r.Suspensions},
 	}
@@ -176,7 +180,7 @@
 		return // refused for want of room: not answered
 	}
 	s.attempts++
-	e.target, e.failed = v.Target, s.fails(v.Target, e.at)
+	e.target, e.failed = v.Target, e.node < s.CutOff || s.fails(v.Target, e.at)
 	if e.failed {
 		e.at = e.at.Add(failTime)
 	} else {
