Test late failures, old trials and shorter lists of a cell's suspensions

The check of a place's incarnation was tested for the record only, not for failures heard of after a restart.

Tests added: failures heard of after a new incarnation, TestOldTrial, TestLeavingTargetsEndSuspensions; TestFailuresOfOthersDontCount uses the incarnation that a place of another owner has; TestHealthIsSafe lets targets leave.

--- a/admission/cell/health_test.go
+++ b/admission/cell/health_test.go
@@ -82,6 +82,16 @@
 		w.targets[0].Incarnation++
 		w.SetTargets(w.targets)
 	}
+	lateFailures := func(t *testing.T, w *ward) {
+		var running []string
+		for range maxFailures {
+			running = append(running, w.on(t, "a"))
+		}
+		restart(t, w)
+		for _, name := range running {
+			w.end(name, Failed)
+		}
+	}
 	relist := func(_ *testing.T, w *ward) { w.SetTargets(w.targets) }
 	for _, tt := range []struct {
 		name  string
@@ -99,6 +109,7 @@
 		{"a refused trial is no answer", []func(*testing.T, *ward){fail(3), pass(suspendMin), with(Unknown), fail(1)}, false},
 		{"a new incarnation", []func(*testing.T, *ward){fail(3), restart}, true},
 		{"failures before a new incarnation", []func(*testing.T, *ward){fail(2), restart, fail(2)}, true},
+		{"failures heard of after a new incarnation", []func(*testing.T, *ward){lateFailures}, true},
 		{"a new list of the same targets", []func(*testing.T, *ward){fail(3), relist}, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -145,6 +156,43 @@
 	is.True(w.gets("a"))
 }
 
+// When usable targets leave, suspended ones come back rather than exceed half.
+func TestLeavingTargetsEndSuspensions(t *testing.T) {
+	is := is.New(t)
+	w := newWard(4)
+	for _, bad := range []string{"a", "b"} {
+		for range maxFailures {
+			w.end(w.on(t, bad), Failed)
+		}
+	}
+	is.Equal(w.SuspendedTargets(), 2)
+	w.targets[3].Leaving = true
+	w.SetTargets(w.targets)
+	is.Equal(w.SuspendedTargets(), 1)
+	w.check(is)
+}
+
+// A trial of an earlier suspension has no part in the next.
+func TestOldTrial(t *testing.T) {
+	is := is.New(t)
+	w := newWard(4)
+	running := w.on(t, "a")
+	suspend := func() string {
+		for range maxFailures {
+			w.end(w.on(t, "a"), Failed)
+		}
+		w.now = w.now.Add(suspendMax)
+		return w.on(t, "a")
+	}
+	old := suspend()
+	w.end(running, Answered)
+	suspend()
+	w.end(old, Failed)
+	is.True(!w.gets("a"))
+	w.now = w.now.Add(suspendMax)
+	is.True(!w.gets("a")) // the new trial goes on
+}
+
 // One chat whose requests break whatever runs them suspends nothing.
 func TestOneChatIsNoProof(t *testing.T) {
 	is := is.New(t)
@@ -162,6 +210,10 @@
 func TestFailuresOfOthersDontCount(t *testing.T) {
 	is := is.New(t)
 	w := newWard(2)
+	for i := range w.targets {
+		w.targets[i].Incarnation = 0 // what a place of another owner has
+	}
+	w.SetTargets(w.targets)
 	for i := range 10 * maxFailures {
 		w.Resync(Holder{}, []Hold{{Request: "r", Target: "a", Chat: uint64(i)}})
 		_, suspended := w.end("r", Failed)
@@ -210,9 +262,14 @@
 				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
 			case 1:
 				i := rapid.IntRange(0, len(w.targets)-1).Draw(rt, "changed")
-				w.targets[i].Incarnation++
+				restarts := rapid.Bool().Draw(rt, "restarts")
+				if restarts {
+					w.targets[i].Incarnation++
+				} else if i > 0 { // one stays
+					w.targets[i].Leaving = !w.targets[i].Leaving
+				}
 				w.SetTargets(w.targets)
-				is.True(!w.isSuspended(w.targets[i].ID))
+				is.True(!restarts || !w.isSuspended(w.targets[i].ID))
 			case 2, 3, 4:
 				if len(running) > 0 {
 					r := rapid.SampledFrom([]Result{bias, bias, bias, Answered, Failed, Unknown}).Draw(rt, "result")
@@ -230,7 +287,10 @@
 	})
 }
 
-func (w *ward) isSuspended(target string) bool { return !w.slots[w.index[target]].usable }
+func (w *ward) isSuspended(target string) bool {
+	s := w.slots[w.index[target]]
+	return s.listed && !s.usable
+}
 
 func (w *ward) check(is *is.I) {
 	var usable Totals
