Pause the handover by the shared package

Ruled out: nothing to weigh. Before and after: go test -race ./claims passes. Conclusion: one function less.

--- a/claims/handover.go
+++ b/claims/handover.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 )
 
 const (
@@ -74,7 +75,7 @@
 			return handedNoHeir
 		}
 		heirs = silent
-		pause(ctx, jitter(handoverPause))
+		pause.Sleep(ctx, jitter(handoverPause))
 	}
 	return handedNoHeir
 }
@@ -107,13 +108,6 @@
 	return r, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Service) handleInherit(_ context.Context, raw json.RawMessage) (any, error) {
 	var p inheritParams
 	if err := json.Unmarshal(raw, &p); err != nil {
