--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,9 @@
 	stateLeaving        = "leaving"
 )
 
+// hexBase is the base in which logs show a chat's key.
+const hexBase = 16
+
 const (
 	settingsRetryAfter = 2 * time.Second
 	targetRetryAfter   = time.Second
@@ -55,6 +59,7 @@
 	w         *answerWriter
 	workspace settings.WorkspaceRef
 	settings  *settings.Snapshot
+	chat      uint64 // routing key of the chat, 0 for none
 	base      *log.Logger
 	timeout   time.Duration // the caller's, 0 for none
 	// sent is true once a target may have run the request.
@@ -97,7 +102,11 @@
 // log returns the call's logger. It is built on demand, as most calls log
 // nothing.
 func (c *call) log() *log.Logger {
-	return c.base.With("request", c.id, "team", c.workspace.Team, "workspace", c.workspace.Name)
+	l := c.base.With("request", c.id, "team", c.workspace.Team, "workspace", c.workspace.Name)
+	if c.chat != 0 {
+		l = l.With("chat", strconv.FormatUint(c.chat, hexBase))
+	}
+	return l
 }
 
 // ran says whether a target may have run the request so far.
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -55,9 +55,10 @@
 	if !ok {
 		return problem.New(problem.UnknownModel, problem.RanNo, chat.Model)
 	}
+	c.chat = chatKey(c, chat)
 	f := forwardRequest{
 		admission: admission.Request{
-			ID: c.id, Chat: chatKey(c, chat), Workspace: c.workspace,
+			ID: c.id, Chat: c.chat, Workspace: c.workspace,
 			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: model,
 			Returning: len(chat.Messages) > openingMessages,
 		},
