Let the first settings change show its effect

Cause: tried from a fresh clone as a newcomer: the playground renamed a workspace and asked for the list of models, which looks the same before and after.

Ruled out: a change of an API key (it locks the newcomer's other commands out).

Before: no visible effect.

--- a/scripts/playground.sh
+++ b/scripts/playground.sh
@@ -21,12 +21,13 @@
 
   curl ${node_urls[0]}/services/obras-api/works/1 -H 'Authorization: Bearer ${keys[0]}'
 
-Change a setting: rename ws-1 in the team's document, write it, and see it come
-into force on another node:
+Change the routing knob (more reuse, more skew), write it, and see that every
+node has it:
 
-  sed -i.bak 's/"ws-1"/"cuadrilla-1"/' $bin/playground-team.json
-  $bin/knapweedgw settings set renovacion $bin/playground-team.json --store $platform
-  curl ${node_urls[1]}/v1/models -H 'Authorization: Bearer ${keys[0]}'
+  sed -i.bak 's/"asistente-lm":{}/"asistente-lm":{"load_factor":1.5}/' $bin/playground-team.json
+  $bin/knapweedgw settings set renovacion $bin/playground-team.json --store $platform --wait 20s
+  $bin/knapweedgw settings get renovacion --store $platform
+  $bin/knapweedgw status --vm-list $platform/v1/vms
 
 Let the platform's store fail, and mend it:
 
