Suspend targets that refuse as overloaded while they have little to do

Cause: an engine that answers 503 to everything is empty, so it draws what the others have no room for and lowers the mean; refusals counted as no evidence, so with 25% of such engines the pool collapsed.

Tried: counting a refusal while the owner knows at most half of the mean in flight on the target. Ruled out: counting every refusal (a real overload would suspend engines that are merely full).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -32,9 +32,10 @@
 
 // The results of a request.
 const (
-	Answered = cell.Answered
-	Failed   = cell.Failed
-	Unknown  = cell.Unknown
+	Answered   = cell.Answered
+	Failed     = cell.Failed
+	Unknown    = cell.Unknown
+	Overloaded = cell.Overloaded
 )
 
 // Grant is a place on a target. Release must be called once the target no
--- a/admission/cell/health.go
+++ b/admission/cell/health.go
@@ -20,6 +20,10 @@
 	// maxSuspended is the largest share of the cell's capacity that may be
 	// suspended: if more fails, requests are better tried than refused.
 	maxSuspended = 0.5
+	// A target with at most idleShare of the mean in flight, or idleCount, has
+	// no cause to refuse for overload.
+	idleShare = 0.5
+	idleCount = 4
 )
 
 // Result says how a request ended on its target.
@@ -32,9 +36,12 @@
 	// Failed means that the target couldn't be reached, lost the connection or
 	// said that it failed.
 	Failed
-	// Unknown says nothing of the target: it refused for overload, the caller
-	// went away, or the request wasn't sent for a reason of the node.
+	// Unknown says nothing of the target: the caller went away, or the request
+	// wasn't sent for a reason of the node.
 	Unknown
+	// Overloaded means that the target refused for overload. It counts as Failed
+	// where the target has far less in flight than the mean.
+	Overloaded
 )
 
 // Suspension is the start of a pause in which a target gets no requests.
@@ -102,6 +109,9 @@
 		return Suspension{}, false
 	}
 	i := c.index[hold.Target]
+	if r == Overloaded && !c.idle(i) {
+		return Suspension{}, false
+	}
 	if r == Answered {
 		c.succeed(now, i)
 		return Suspension{}, false
@@ -130,6 +140,15 @@
 	return Suspension{s.id, t.suspend(now, s.key)}, true
 }
 
+// idle says whether a target has far less in flight than the mean, the place
+// that is being released included.
+func (c *Cell) idle(i int) bool {
+	all := plus(c.own, c.others)
+	s := c.slots[i]
+	mean := float64(all.InFlight) / float64(max(all.Capacity, 1))
+	return float64(s.count) <= max(idleShare*mean, idleCount)*float64(s.capacity)
+}
+
 func (c *Cell) succeed(now time.Time, i int) {
 	s := &c.slots[i]
 	t := c.health[s.id]
--- a/admission/cell/health_test.go
+++ b/admission/cell/health_test.go
@@ -308,3 +308,35 @@
 	is.True(2*suspended <= suspended+usable.Capacity)
 	is.True(len(w.health) <= len(w.targets))
 }
+
+// A target that refuses for overload counts as failed only while it has far
+// less in flight than the mean.
+func TestOverloaded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		own  int // requests in flight on the target that refuses
+		want bool
+	}{
+		"idle":          {own: 0, want: true},
+		"below half":    {own: 3, want: true},
+		"above half":    {own: 8, want: false},
+		"as the others": {own: 12, want: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWard(4)
+			for _, target := range w.targets[1:] {
+				for range 12 {
+					w.on(t, target.ID)
+				}
+			}
+			for range tt.own {
+				w.on(t, "a")
+			}
+			suspended := false
+			for range maxFailures {
+				_, now := w.end(w.on(t, "a"), Overloaded)
+				suspended = suspended || now
+			}
+			is.New(t).Equal(suspended, tt.want)
+		})
+	}
+}
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -80,10 +80,11 @@
 type Released struct {
 	Key
 	Seqs Seqs `json:"q"`
-	// Failed and Unknown are those of Seqs that their target didn't answer; see
-	// cell.Result.
-	Failed  Seqs `json:"f,omitempty"`
-	Unknown Seqs `json:"v,omitempty"`
+	// Failed, Unknown and Overloaded are those of Seqs that their target didn't
+	// answer; see cell.Result.
+	Failed     Seqs `json:"f,omitempty"`
+	Unknown    Seqs `json:"v,omitempty"`
+	Overloaded Seqs `json:"z,omitempty"`
 }
 
 // Add appends an ended place.
@@ -94,6 +95,8 @@
 		r.Failed = append(r.Failed, seq)
 	case cell.Unknown:
 		r.Unknown = append(r.Unknown, seq)
+	case cell.Overloaded:
+		r.Overloaded = append(r.Overloaded, seq)
 	}
 }
 
@@ -102,6 +105,7 @@
 	slices.Sort(r.Seqs)
 	slices.Sort(r.Failed)
 	slices.Sort(r.Unknown)
+	slices.Sort(r.Overloaded)
 }
 
 // result returns how a place of Seqs ended.
@@ -112,6 +116,9 @@
 	if _, ok := slices.BinarySearch(r.Unknown, seq); ok {
 		return cell.Unknown
 	}
+	if _, ok := slices.BinarySearch(r.Overloaded, seq); ok {
+		return cell.Overloaded
+	}
 	return cell.Answered
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,14 +146,16 @@
 	return fail
 }
 
-// resultOf says what an attempt shows of its target. A refusal for overload and
-// a caller or deadline that ended the attempt show nothing.
+// resultOf says what an attempt shows of its target. A caller or deadline that
+// ended the attempt shows nothing.
 func resultOf(ctx context.Context, c *call, fail *attemptError) admission.Result {
 	switch {
 	case ctx.Err() != nil || c.req.Context().Err() != nil:
 		return admission.Unknown
 	case fail == nil:
 		return admission.Answered
+	case fail.reason == problem.TargetRefused:
+		return admission.Overloaded
 	case errors.Is(fail.cause, errGateClosed) || fail.reason != problem.TargetFailed:
 		return admission.Unknown
 	}
