Share the loop that calls a function at intervals

Ruled out: the loops of membership, peer and settings, which also wait for other events.

Before: 3 copies.

--- a/admission/service.go
+++ b/admission/service.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedgw/knapweedgw/admission/holds"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -142,7 +143,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
-	go s.run(ctx)
+	go pause.Every(ctx, tickInterval, s.tick)
 	go s.runReleases(ctx)
 	return nil
 }
@@ -169,19 +170,6 @@
 	s.local.Observe(target, inFlight, at)
 }
 
-func (s *Service) run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.tick(ctx)
-		}
-	}
-}
-
 // tick does what is due: it follows changes of the plan, tells owners what
 // this node holds, and tends the cells owned.
 func (s *Service) tick(ctx context.Context) {
--- a/orders/service.go
+++ b/orders/service.go
@@ -9,6 +9,7 @@
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/lease"
 	"github.com/knapweedgw/knapweedgw/membership"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
 )
@@ -89,16 +90,7 @@
 
 func (s *Service) run(ctx context.Context) {
 	defer close(s.done)
-	tick := time.NewTicker(surveyInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.survey()
-		}
-	}
+	pause.Every(ctx, surveyInterval, func(context.Context) { s.survey() })
 }
 
 // Drain implements kernel.Drainer: it hands every duty over.
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause has pauses that end early with their context.
+// Package pause has pauses and repetitions that end with their context.
 package pause
 
 import (
@@ -15,3 +15,18 @@
 	case <-t.C:
 	}
 }
+
+// Every calls f once in each interval until ctx ends. A call that takes longer
+// than the interval delays the next one.
+func Every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f(ctx)
+		}
+	}
+}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -14,6 +14,7 @@
 
 	"github.com/knapweedgw/knapweedgw/damping"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/vmlist"
 )
 
@@ -92,23 +93,10 @@
 // a failed read is logged and tried again.
 func (r *Registry) Start(ctx context.Context) error {
 	r.poll(ctx)
-	go r.run(ctx)
+	go pause.Every(ctx, r.interval, r.poll)
 	return nil
 }
 
-func (r *Registry) run(ctx context.Context) {
-	tick := time.NewTicker(r.interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.poll(ctx)
-		}
-	}
-}
-
 func (r *Registry) poll(ctx context.Context) {
 	list, err := r.source.Fetch(ctx)
 	if err != nil {
