Send nothing to targets that can't be reached, however many they are

Cause: suspensions give way when they take over 0.6 of a pool, since a fault of the node's own is then likelier. That also held for targets that had refused the last connection: with three quarters of the engines dead, three quarters of the sends went to dead ones, and a request's four tries were used up on them. Ruled out: dropping the 0.6 rule for all suspensions; those from shares of failures are a guess and must give way. TestUnreachableTargetsGetNothingHoweverMany fails without it.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,9 @@
 	Running int
 	// Suspended targets get work only when most of their service is suspended.
 	Suspended bool
+	// Unreachable targets could not be connected to when they were tried last.
+	// They get work only when no other target is left.
+	Unreachable bool
 	// Excluded targets were tried for this request.
 	Excluded bool
 	// Kept is the number of the request's shared prompt tokens that the target
@@ -114,7 +117,10 @@
 }
 
 // filter returns the candidates that may get work. Each step gives way if it
-// would leave none: first suspensions, then fallback targets.
+// would leave none: first suspensions, then targets that can't be reached, then
+// fallback targets. Suspensions are a guess from failures and give way sooner,
+// when they would take most of a service; what can't be reached is no use however
+// many targets that are.
 func filter(cands []Candidate, p Policy) []Candidate {
 	serving := make([]Candidate, 0, len(cands))
 	var fallback []Candidate
@@ -132,9 +138,9 @@
 		}
 	}
 	if len(serving) == 0 {
-		serving, fallback = fallback, nil
-		suspended = 0
+		serving, suspended = fallback, 0
 	}
+	serving, suspended = reachable(serving, suspended)
 	if suspended == 0 || float64(suspended) > p.MaxSuspended*float64(len(serving)) {
 		return serving
 	}
@@ -147,6 +153,26 @@
 	return healthy
 }
 
+// reachable returns the candidates that can be reached, all if there are none,
+// and how many of them are suspended.
+func reachable(serving []Candidate, suspended int) ([]Candidate, int) {
+	out := make([]Candidate, 0, len(serving))
+	left := 0
+	for _, c := range serving {
+		if c.Unreachable {
+			continue
+		}
+		out = append(out, c)
+		if c.Suspended {
+			left++
+		}
+	}
+	if len(out) == 0 {
+		return serving, suspended
+	}
+	return out, left
+}
+
 func loadLimit(cands []Candidate, p Policy) int {
 	total := 0
 	for _, c := range cands {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -292,3 +292,20 @@
 	}
 	is.New(t).Equal(len(got), 4)
 }
+
+// When most of a service is dead, its other targets get all work: the dead ones
+// would only use up attempts.
+func TestUnreachableTargetsGetNothingHoweverMany(t *testing.T) {
+	is, cands := is.New(t), pool(18)
+	for i := range cands {
+		cands[i].Unreachable, cands[i].Suspended = i >= 4, i >= 4
+	}
+	for key := range uint64(100) {
+		is.True(!byID(cands, pick(t, cands, Request{Key: key}).Target.ID).Unreachable)
+	}
+	for i := range cands {
+		cands[i].Unreachable = true
+	}
+	_, ok := Pick(cands, Request{Key: 7}, DefaultPolicy(), rng())
+	is.True(ok)
+}
