Turn requests away at once when a service is full, late callers first

Mechanism: each node compares what all nodes run, carried on to now by its own rate, with the slots and a short queue (module overload). Limits fall with the rank of priority, for callers that came back too late to be on time, and for workspaces that send over twice their usual share; what is served far less often than all goes first. No key goes to a target that is full while others have room.

--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,204 @@
+package overload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func constant(v float64) func(int) float64 { return func(int) float64 { return v } }
+
+// between returns high within [from, to) and low outside.
+func between(from, to int, low, high float64) func(int) float64 {
+	return func(tick int) float64 {
+		if tick >= from && tick < to {
+			return high
+		}
+		return low
+	}
+}
+
+// fleet is a service of 100 slots at an eighth of its capacity, before 7 nodes
+// that report to each other every 200 ms, with three kinds of request and ten
+// workspaces.
+func fleet() world {
+	w := world{
+		nodes: 7, slots: 100, lag: 100, gated: true,
+		kinds: []kind{
+			{"urgent", 0, 0.005, 1000}, {"usual", 1, 0.005, 1000}, {"spare", 2, 0.025, 100},
+		},
+		surge: constant(1),
+	}
+	for i := range 10 {
+		w.senders = append(w.senders, sender{fmt.Sprint("team-", i), constant(1)})
+	}
+	return w
+}
+
+const (
+	surgeFrom, surgeTo = 5_000, 15_000
+	seeds              = 5
+)
+
+// On a usual day nobody is turned away.
+func TestNothingIsTurnedAwayWhileThereIsRoom(t *testing.T) {
+	for seed := range uint64(seeds) {
+		all := fleet().run(seed, 0, 20_000)[""]
+		is.New(t).Equal(all.refused, 0)
+	}
+}
+
+// A surge of 20 times the usual traffic, two and a half times what the service
+// holds: most of its capacity goes into answers in time, which it doesn't without
+// the gate, no kind starves, and none is served less often than a less urgent one.
+func TestSurgeOfAllIsServedToCapacity(t *testing.T) {
+	for seed := range uint64(seeds) {
+		is, w := is.New(t), fleet()
+		w.surge = between(surgeFrom, surgeTo, 1, 20)
+		const capacity = 100 * (surgeTo - surgeFrom)
+		got := w.run(seed, surgeFrom, surgeTo)
+		w.gated = false
+		free := w.run(seed, surgeFrom, surgeTo)
+		used, freely := float64(got[""].work)/capacity, float64(free[""].work)/capacity
+		t.Logf("seed %d: used %.2f, in time %.2f, urgent %.2f, usual %.2f, spare %.2f; without %.2f", seed,
+			used, got[""].served(), got["urgent"].served(), got["usual"].served(), got["spare"].served(), freely)
+		is.True(used > 0.85)
+		is.True(freely < 0.3)
+		is.True(got["urgent"].served() > got["usual"].served()-0.05)
+		is.True(got["usual"].served() > got["spare"].served()-0.05)
+		for _, class := range []string{"urgent", "usual", "spare"} {
+			is.True(got[class].served() > 0.33*got[""].served())
+		}
+	}
+}
+
+// When the surge is over everybody is served again at once.
+func TestSurgeLeavesNothingBehind(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := fleet()
+		w.surge = between(surgeFrom, surgeTo, 1, 20)
+		all := w.run(seed, surgeTo+1500, surgeTo+10_000)[""]
+		is.New(t).True(all.served() > 0.99)
+	}
+}
+
+// One workspace sends 200 times its usual: the others are served as before, and
+// what they leave is the surging one's.
+func TestSurgingWorkspaceHarmsNoOther(t *testing.T) {
+	for seed := range uint64(seeds) {
+		is, w := is.New(t), fleet()
+		w.surge = between(surgeFrom, surgeTo, 1, 21)
+		w.senders[3].part = between(surgeFrom, surgeTo, 1, 200)
+		got := w.run(seed, surgeFrom, surgeTo)
+		others := outcome{}
+		for i, s := range w.senders {
+			if i != 3 {
+				others.asked += got[s.name].asked
+				others.inTime += got[s.name].inTime
+			}
+		}
+		t.Logf("seed %d: others %.3f, surging %.3f, all %.3f", seed, others.served(), got["team-3"].served(), got[""].served())
+		is.True(others.served() > 0.85)
+		is.True(float64(got[""].work) > 0.85*100*(surgeTo-surgeFrom))
+	}
+}
+
+// Nine tenths of the slots die: what is left is used for answers in time.
+func TestDeadTargetsLeaveARest(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := fleet()
+		w.surge = constant(2)
+		w.slotsAt = func(tick int) int { return int(between(surgeFrom, surgeTo, 100, 10)(tick)) }
+		all := w.run(seed, surgeFrom+1000, surgeTo)[""]
+		t.Logf("seed %d: %.2f", seed, all.served())
+		is.New(t).True(all.served() > 0.6*10/25)
+	}
+}
+
+func TestLimits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		r        Request
+		l        Load
+		admitted bool
+	}{
+		{"no slots known", Request{}, Load{Running: 9}, true},
+		{"room", Request{Priority: 9}, Load{Running: 7, Slots: 10}, true},
+		{"full", Request{}, Load{Running: 10, Slots: 10}, false},
+		{"nearly full, urgent", Request{}, Load{Running: 96, Slots: 100}, true},
+		{"nearly full, less urgent", Request{Priority: 1}, Load{Running: 96, Slots: 100}, false},
+		{"the lowest rank keeps most", Request{Priority: 9}, Load{Running: 79, Slots: 100}, true},
+		{"priority below zero", Request{Priority: -1}, Load{Running: 99, Slots: 100}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+			is.New(t).Equal(g.Admit(tt.r, tt.l, now).Admitted(), tt.admitted)
+		})
+	}
+}
+
+// Who has come back too late for an answer on time goes after those who can still
+// have one, of whatever urgency.
+func TestLateCallersGoAfterOthers(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	now := time.Unix(1000, 0)
+	r := Request{Class: "a", TargetLatency: 400 * time.Millisecond, Remaining: 10 * time.Second}
+	crowded, room := Load{Running: 89, Slots: 100}, Load{Running: 70, Slots: 100}
+	is.True(g.Admit(r, crowded, now).Admitted())
+	r.Remaining -= 190 * time.Millisecond
+	is.True(g.Admit(r, crowded, now).Admitted())
+	r.Remaining -= 20 * time.Millisecond
+	d := g.Admit(r, crowded, now)
+	is.True(d.Late && !d.Admitted())
+	is.True(g.Admit(r, room, now).Admitted())
+	r.Remaining, r.Priority = 10*time.Second, 2
+	is.True(g.Admit(r, crowded, now).Admitted())
+}
+
+// A request may wait for about a third of its target latency: at 100 ms in a slot
+// and a target of 300 ms, about as many as there are slots may wait.
+func TestQueueFollowsTargetLatency(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	for range 100 {
+		g.Released(100 * time.Millisecond)
+	}
+	now, r := time.Unix(1000, 0), Request{TargetLatency: 300 * time.Millisecond}
+	is.True(g.Admit(r, Load{Running: 20, Slots: 10}, now).Admitted())
+	is.True(!g.Admit(r, Load{Running: 21, Slots: 10}, now).Admitted())
+	r.Class, r.TargetLatency = "slow", time.Minute
+	is.True(!g.Admit(r, Load{Running: 21, Slots: 10}, now).Admitted()) // the others' limit holds
+	r.Class, r.TargetLatency = "fast", 100*time.Millisecond
+	is.True(!g.Admit(r, Load{Running: 14, Slots: 10}, now).Admitted())
+}
+
+// Callers come back within their time, never at once, and the later the longer
+// the shortage has lasted.
+func TestRetryAfter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		g := NewGate(cfg, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2)))
+		left := time.Duration(rapid.IntRange(1, 20_000).Draw(t, "left")) * time.Millisecond
+		now, full := time.Unix(1000, 0), Load{Running: 1, Slots: 1}
+		var d Decision
+		for range rapid.IntRange(1, 50).Draw(t, "refusals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			d = g.Admit(Request{Remaining: left}, full, now)
+		}
+		if d.RetryAfter < cfg.MinRetryAfter/2 {
+			t.Fatalf("at once: %v", d.RetryAfter)
+		}
+		lasted := now.Sub(time.Unix(1000, 0))
+		most := min(time.Duration(cfg.MaxRetryPart*float64(left)), 3*max(lasted, cfg.MinRetryAfter)/2)
+		if d.RetryAfter > max(most, cfg.MinRetryAfter/2) {
+			t.Fatalf("%v after %v with %v left", d.RetryAfter, lasted, left)
+		}
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,6 +42,14 @@
 	Shared int
 	// FailureDomain is the node's, preferred between equals.
 	FailureDomain string
+	// Waiting is how many requests may wait at a target, in parts of its slots.
+	Waiting float64
+}
+
+// full says whether targets with as many slots have as many requests as they can
+// begin in time.
+func (r Request) full(running, slots int) bool {
+	return slots > 0 && float64(running) >= float64(slots)*(1+r.Waiting)
 }
 
 // Policy sets the load bound.
@@ -182,17 +190,17 @@
 	return int(p.LoadFactor*mean + p.LoadSlack)
 }
 
-// keyed returns a candidate under the limit: one that keeps all shared parts
-// if there is one, else any. If none is under the limit, it returns the least
-// loaded.
+// keyed returns a candidate that is under the limit and not full: one that keeps
+// all shared parts if there is one, else any. If there is none, it returns the
+// least loaded.
 func keyed(cands []Candidate, req Request, limit int, rng *rand.Rand) Candidate {
 	var whole, rest []Candidate
-	copied := false
+	copied, allFull := false, allFull(cands, req)
 	for _, c := range cands {
 		keeps := req.Shared > 0 && c.Kept >= req.Shared
 		copied = copied || keeps
 		switch {
-		case c.Running > limit:
+		case c.Running > limit || !allFull && req.full(c.Running, c.Slots):
 		case keeps:
 			whole = append(whole, c)
 		default:
@@ -210,6 +218,18 @@
 	return leastLoaded(cands, req, rng)
 }
 
+// allFull says whether the candidates together have as many requests as they can
+// begin in time. Then none is better than the others for having room, and the
+// load bound alone spreads them.
+func allFull(cands []Candidate, req Request) bool {
+	running, slots := 0, 0
+	for _, c := range cands {
+		running += c.Running
+		slots += c.Slots
+	}
+	return req.full(running, slots)
+}
+
 // nearWeight is how much likelier a copy in the node's own failure domain is
 // taken than another with the same room: bytes between domains have a price.
 const nearWeight = 3
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -309,3 +309,23 @@
 	_, ok := Pick(cands, Request{Key: 7}, DefaultPolicy(), rng())
 	is.True(ok)
 }
+
+// A target that has as many requests as slots makes a new one wait, so that the
+// prompt's parts are better read again, or fetched, elsewhere.
+func TestFullTargetGetsNoKeyWhileOthersHaveRoom(t *testing.T) {
+	is, cands := is.New(t), pool(6)
+	for i := range cands {
+		cands[i].Running = 5
+	}
+	keep(&cands[2], 1000)
+	cands[2].Running = 8
+	req := Request{Key: 7, Shared: 1000}
+	is.True(pick(t, cands, req).Target != cands[2].Target)
+	req.Waiting = 0.5
+	is.Equal(pick(t, cands, req).Target, cands[2].Target)
+	req.Waiting = 0
+	for i := range cands {
+		cands[i].Running = 8
+	}
+	is.Equal(pick(t, cands, req).Target, cands[2].Target) // all are full
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -17,9 +17,6 @@
 	// startRetryAfter is for callers of a node that has just begun: it usually
 	// has the configuration within a few round trips to the store.
 	startRetryAfter = 300 * time.Millisecond
-	// targetRetryAfter is for callers whose targets could not take them: it
-	// lets suspensions take effect and requests end.
-	targetRetryAfter = 250 * time.Millisecond
 	// timeoutSlack lets a target's own answer at the deadline arrive.
 	timeoutSlack = 40 * time.Millisecond
 	// stalledCaller is how much longer than the request's deadline a caller may
@@ -77,7 +74,7 @@
 	defer r.inFlight.Add(-1)
 	defer r.metrics.inFlight.Dec()
 	x := &exchange{router: r, w: w, req: req, start: r.now()}
-	if r.draining.Load() {
+	if r.draining.Load() || r.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.prepare()
@@ -237,7 +234,8 @@
 func (x *exchange) logFields() []any {
 	fields := []any{
 		"request", x.call.ID, "ms", x.router.now().Sub(x.start).Milliseconds(),
-		"service", x.service, "workspace", x.workspace, "revision", x.revision,
+		"deadline_ms", x.call.Deadline.Milliseconds(), "service", x.service, "workspace", x.workspace,
+		"revision", x.revision,
 		"tries", x.tries, "runs", x.runs, "target", x.done.target,
 		"running", x.done.running, "limit", x.done.limit, "kept", x.done.kept,
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/health"
+	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/upstream"
@@ -38,9 +39,14 @@
 	// held is the target's own failure answer, delivered if nothing better
 	// comes; nil for none.
 	held *heldAnswer
+	// retryAfter is when the caller should come back, 0 to have it worked out.
+	retryAfter time.Duration
 	// stale means that a kept connection turned out to be closed before
 	// anything was sent; the target itself is not to blame.
 	stale bool
+	// local means that the node itself lacked what the attempt needed, so that
+	// no other target is of use.
+	local bool
 }
 
 // forward tries targets until one answers or no further attempt is allowed.
@@ -53,9 +59,9 @@
 		if _, expired := x.remaining(); expired {
 			return x.giveUp(ctx, &failure{reason: problem.DeadlineExceeded, cause: context.DeadlineExceeded})
 		}
-		l, ok := x.router.pool.acquire(x.service, x.parts(), x.tried)
+		l, admission, ok := x.router.pool.acquire(x.want())
 		if !ok {
-			return x.giveUp(ctx, &failure{reason: problem.NoTarget, cause: errNoTarget})
+			return x.giveUp(ctx, noPlace(admission))
 		}
 		fail := x.attempt(ctx, l)
 		if fail == nil {
@@ -74,6 +80,31 @@
 
 var errNoTarget = errors.New("no target of the service is left")
 
+// noPlace is for a request that no target may get now.
+func noPlace(d overload.Decision) *failure {
+	f := &failure{reason: problem.NoTarget, cause: errNoTarget, retryAfter: d.RetryAfter}
+	switch d.Reason {
+	case overload.Full:
+		f.reason = problem.Saturated
+	case overload.Surging:
+		f.reason = problem.WorkspaceLimit
+	case overload.None:
+		return f
+	}
+	f.cause = errors.Newf("%.2f of the places are taken, limit %.2f", d.Utilization, d.Limit)
+	return f
+}
+
+func (x *exchange) want() want {
+	return want{
+		service: x.service, parts: x.parts(), tried: x.tried,
+		request: overload.Request{
+			Class: x.route.Name, Workspace: x.workspace, Priority: x.priority,
+			TargetLatency: x.route.TargetLatency, Remaining: x.call.Deadline,
+		},
+	}
+}
+
 // parts returns the prompt parts that placement goes by.
 func (x *exchange) parts() []affinity.Part {
 	if !x.route.PromptRouting {
@@ -93,7 +124,7 @@
 	if ctx.Err() != nil {
 		return retry.DeadlineNear
 	}
-	if x.tries >= maxTries {
+	if fail.local || x.tries >= maxTries {
 		return retry.AttemptsUsed
 	}
 	left := retry.NoDeadline
@@ -142,11 +173,19 @@
 	}
 	p := problem.New(reason, ran, f.cause.Error())
 	if ran == problem.RanNo {
-		p.After(targetRetryAfter)
+		p.After(x.retryAfter(f))
 	}
 	return p
 }
 
+func (x *exchange) retryAfter(f *failure) time.Duration {
+	if f.retryAfter > 0 {
+		return f.retryAfter
+	}
+	left, _ := x.remaining()
+	return x.router.pool.retryAfter(x.service, left)
+}
+
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, l lease) *failure {
 	defer x.router.pool.release(l)
@@ -190,6 +229,8 @@
 		if x.req.Context().Err() == nil {
 			x.router.pool.observe(l.member, health.Failed)
 		}
+	case upstream.IsLocal(err):
+		f.local, f.reason = true, problem.Saturated
 	case upstream.IsDial(err) || isTimeout(err):
 		x.router.pool.observe(l.member, health.Unreachable)
 	case p == retry.NotSent:
--- a/router/pool.go
+++ b/router/pool.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
@@ -83,6 +84,7 @@
 	services map[string][]*member
 	rng      *rand.Rand
 	parts    *affinity.Table
+	gates    map[string]*overload.Gate // by service
 	// uses are to be told to the other nodes, oldest first.
 	uses []toldUse
 }
@@ -101,6 +103,7 @@
 		members: make(map[string]*member), services: make(map[string][]*member),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		parts: affinity.NewTable(affinity.DefaultConfig()),
+		gates: make(map[string]*overload.Gate),
 	}
 }
 
@@ -138,33 +141,83 @@
 
 // lease is one request's use of a target.
 type lease struct {
-	member *member
-	choice placement.Choice
-	target *roster.Target
+	member  *member
+	choice  placement.Choice
+	target  *roster.Target
+	service string
+	since   time.Time
+}
+
+// want is what a request asks of the pool.
+type want struct {
+	service string
+	// parts are the shared ones of the request's prompt.
+	parts []affinity.Part
+	// tried are the targets to leave out.
+	tried []string
+	// request is what decides whether the request is turned away when the
+	// service is full.
+	request overload.Request
 }
 
-// acquire picks a target of a service and counts a request there. parts are
-// the shared ones of the request's prompt, tried the targets to leave out.
-func (p *pool) acquire(service string, parts []affinity.Part, tried []string) (lease, bool) {
+// acquire picks a target of a service and counts a request there. A request for
+// which there is no place gets the decision that turned it away, one for which
+// there is no target an empty lease.
+func (p *pool) acquire(w want) (l lease, d overload.Decision, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	cands := p.candidates(p.services[service], parts, tried, now)
-	req := placement.Request{FailureDomain: p.domain}
-	if len(parts) > 0 {
-		req.Key = parts[len(parts)-1].Hash
+	cands := p.candidates(p.services[w.service], w.parts, w.tried, now)
+	if d = p.gate(w.service).Admit(w.request, p.loadOf(cands), now); !d.Admitted() {
+		return lease{}, d, false
 	}
-	for _, part := range parts {
+	req := placement.Request{FailureDomain: p.domain, Waiting: d.Waiting}
+	if len(w.parts) > 0 {
+		req.Key = w.parts[len(w.parts)-1].Hash
+	}
+	for _, part := range w.parts {
 		req.Shared += part.Tokens
 	}
 	c, ok := placement.Pick(cands, req, placement.PolicyFor(p.fleet.Interval()), p.rng)
 	if !ok {
-		return lease{}, false
+		return lease{}, d, false
 	}
 	m := p.members[c.Target.ID]
 	m.running++
-	p.noteUses(parts, c.Target, now)
-	return lease{member: m, choice: c, target: c.Target}, true
+	p.noteUses(w.parts, c.Target, now)
+	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now}, d, true
+}
+
+// gate is called with the lock held.
+func (p *pool) gate(service string) *overload.Gate {
+	g, ok := p.gates[service]
+	if !ok {
+		g = overload.NewGate(overload.DefaultConfig(), p.rng)
+		p.gates[service] = g
+	}
+	return g
+}
+
+// retryAfter returns when a caller that found no target should come back.
+func (p *pool) retryAfter(service string, remaining time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate(service).RetryAfter(remaining, p.now())
+}
+
+// loadOf sums up the targets that may get work. It is called with the lock held.
+func (p *pool) loadOf(cands []placement.Candidate) overload.Load {
+	// A count is as old as its report, which is sent once an interval.
+	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.Interval() / 2}
+	for _, c := range cands {
+		if c.Draining || c.Fallback || c.Suspended || c.Unreachable {
+			continue
+		}
+		l.Running += c.Running
+		l.Own += p.members[c.ID].running
+		l.Slots += c.Slots
+	}
+	return l
 }
 
 // noteUses is called with the lock held.
@@ -219,12 +272,13 @@
 	for i, m := range members {
 		holding := kept[uint32(m.target.Hash)]
 		cands[i] = placement.Candidate{
-			Target:    m.target,
-			Running:   m.load(sums[i], now),
-			Suspended: m.state.Suspended(now) || sums[i].Unreachable >= quorum,
-			Excluded:  slices.Contains(tried, m.target.ID),
-			Kept:      holding.Tokens,
-			Settled:   holding.Settled,
+			Target:      m.target,
+			Running:     m.load(sums[i], now),
+			Suspended:   m.state.Suspended(now) || sums[i].Unreachable >= quorum,
+			Unreachable: m.state.Unreachable(),
+			Excluded:    slices.Contains(tried, m.target.ID),
+			Kept:        holding.Tokens,
+			Settled:     holding.Settled,
 		}
 	}
 	return cands
@@ -272,6 +326,10 @@
 	err := p.try(m.target.Addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if upstream.IsLocal(err) {
+		p.log.Warn("trial not made; the node has no descriptor left", "target", m.target.ID, "err", err)
+		return
+	}
 	if err != nil {
 		m.state.Observe(p.healthConfig, health.Unreachable, p.now())
 		return
@@ -293,6 +351,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.member.running--
+	p.gate(l.service).Released(p.now().Sub(l.since))
 	if l.member.gone && l.member.running == 0 {
 		l.member.client.CloseIdle()
 	}
