Set the load limit by the nodes' counts, not by the targets' own words

In the log of seed 1 targets held 28 to 34 at a mean of 9 to 15, and the limit that let them was up to 33 where the bound was 32: the mean was taken of the higher of the counts and the targets' own words, which hold for a second and are too high while the load falls. TestLimitGoesByCounts fails without it. The tests' Pick now gives the counts that the candidates run; no test was changed otherwise.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,8 +19,10 @@
 // Candidate is a target with what the node believes of it.
 type Candidate struct {
 	*roster.Target
-	// Running is the number of requests in progress there, by all nodes.
-	Running int
+	// Running is the number of requests in progress there, by all nodes: the
+	// higher of Counted, the sum of the nodes' counts, and the target's own word,
+	// which may be a second old.
+	Running, Counted int
 	// Suspended targets get work only when most of their service is suspended.
 	Suspended bool
 	// Unreachable targets could not be connected to when they were tried last.
@@ -181,10 +183,12 @@
 	return out, left
 }
 
+// loadLimit goes by the nodes' counts alone: while the load falls, the targets'
+// own words make the mean look larger than it is, and a limit over the bound.
 func loadLimit(cands []Candidate, p Policy) int {
 	total := 0
 	for _, c := range cands {
-		total += c.Running
+		total += c.Counted
 	}
 	mean := float64(total) / float64(len(cands))
 	return int(p.LoadFactor*mean + p.LoadSlack)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -24,9 +24,26 @@
 
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
+// pickCounted is Pick where the nodes' counts are what the targets run, unless a
+// test says otherwise.
+func pickCounted(cands []Candidate, req Request, p Policy, rng *rand.Rand) (Choice, bool) {
+	for i := range cands {
+		if cands[i].Counted <= 0 {
+			cands[i].Counted = cands[i].Running
+		}
+	}
+	c, ok := Pick(cands, req, p, rng)
+	for i := range cands {
+		if cands[i].Counted == cands[i].Running {
+			cands[i].Counted = 0
+		}
+	}
+	return c, ok
+}
+
 func pick(t *testing.T, cands []Candidate, req Request) Choice {
 	t.Helper()
-	c, ok := Pick(cands, req, DefaultPolicy(), rng())
+	c, ok := pickCounted(cands, req, DefaultPolicy(), rng())
 	if !ok {
 		t.Fatal("no target")
 	}
@@ -63,7 +80,7 @@
 		req.FailureDomain = domain
 		taken, rng := 0, rng()
 		for range 1000 {
-			c, _ := Pick(cands, req, DefaultPolicy(), rng)
+			c, _ := pickCounted(cands, req, DefaultPolicy(), rng)
 			is.True(c.Target == cands[0].Target || c.Target == copied.Target)
 			if c.Target.ID == near {
 				taken++
@@ -192,7 +209,7 @@
 func TestNoTarget(t *testing.T) {
 	is, cands := is.New(t), pool(1)
 	cands[0].Excluded = true
-	_, ok := Pick(cands, Request{}, DefaultPolicy(), rng())
+	_, ok := pickCounted(cands, Request{}, DefaultPolicy(), rng())
 	is.True(!ok)
 	_, ok = Pick(nil, Request{}, DefaultPolicy(), rng())
 	is.True(!ok)
@@ -237,7 +254,7 @@
 		for i := range cands {
 			cands[i].Running = meanOf(history[max(0, tick+1-interval):], i)
 		}
-		c, _ := Pick(cands, Request{Key: 7, Shared: 1000}, DefaultPolicy(), rng)
+		c, _ := pickCounted(cands, Request{Key: 7, Shared: 1000}, DefaultPolicy(), rng)
 		at := slices.IndexFunc(cands, func(o Candidate) bool { return o.Target == c.Target })
 		if actual[at]*targets > 2*sumOf(actual)+3*targets {
 			over++
@@ -283,7 +300,7 @@
 	cands[2].Running = 0
 	rng, got := rng(), make(map[string]int)
 	for range 1000 {
-		c, _ := Pick(cands, Request{}, PolicyFor(time.Second), rng)
+		c, _ := pickCounted(cands, Request{}, PolicyFor(time.Second), rng)
 		got[c.Target.ID]++
 	}
 	for id, n := range got {
@@ -306,7 +323,7 @@
 	for i := range cands {
 		cands[i].Unreachable = true
 	}
-	_, ok := Pick(cands, Request{Key: 7}, DefaultPolicy(), rng())
+	_, ok := pickCounted(cands, Request{Key: 7}, DefaultPolicy(), rng())
 	is.True(ok)
 }
 
@@ -329,3 +346,14 @@
 	}
 	is.Equal(pick(t, cands, req).Target, cands[2].Target) // all are full
 }
+
+// While the load falls, what the targets said a moment ago is more than they run
+// now. A limit by that would let a target get over the bound.
+func TestLimitGoesByCounts(t *testing.T) {
+	is, cands := is.New(t), pool(6)
+	for i := range cands {
+		cands[i].Running, cands[i].Counted = 14, 7
+	}
+	c := pick(t, cands, Request{Key: 7})
+	is.True(c.Limit <= 2*7+3)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -271,9 +271,11 @@
 	cands := make([]placement.Candidate, len(members))
 	for i, m := range members {
 		holding := kept[uint32(m.target.Hash)]
+		counted := m.running + sums[i].Running
 		cands[i] = placement.Candidate{
 			Target:      m.target,
-			Running:     m.load(sums[i], now),
+			Running:     max(counted, m.reportedLoad(now)),
+			Counted:     counted,
 			Suspended:   m.state.Suspended(now) || sums[i].Unreachable >= quorum,
 			Unreachable: m.state.Unreachable(),
 			Excluded:    slices.Contains(tried, m.target.ID),
@@ -313,12 +315,12 @@
 	return sums
 }
 
-func (m *member) load(s heartbeat.Sum, now time.Time) int {
-	sum := m.running + s.Running
+// reportedLoad is the target's own word of its load, 0 if that is old.
+func (m *member) reportedLoad(now time.Time) int {
 	if now.Sub(m.reportedAt) < loadFresh {
-		return max(sum, m.reported)
+		return m.reported
 	}
-	return sum
+	return 0
 }
 
 // trial opens a connection to an unreachable target, and closes it.
