Judge targets by all answers; judge a service's room by the targets in use

Cause 1: nodes leave a target out of their reports unless they run something there or saw it fail, so at 73 nodes a target's answers were mostly missing and its failures not: 6 failed of 16 where about 6 of 100 had. Health now shares out the answers that only the service's sum has. Cause 3: a node of a large fleet begins a few requests a second in clumps, which says little of the other 72; their rate is now taken from their counts as far as that is so.

--- /dev/null
+++ b/health/fleet_test.go
@@ -0,0 +1,99 @@
+package health
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// seen is what a node has seen of each target within the window.
+type seen [][]Counts
+
+// sums returns what all nodes tell together: of each target what those nodes saw
+// that saw it fail, and of the service all.
+func (s seen) sums(targets int) (each []Counts, service Counts) {
+	each = make([]Counts, targets)
+	for _, node := range s {
+		for i, c := range node {
+			service = service.Plus(c)
+			if c.Failed > 0 {
+				each[i] = each[i].Plus(c)
+			}
+		}
+	}
+	return each, service
+}
+
+// draw has each of the nodes send requests to targets at random, which fail at
+// the given rates.
+func draw(rng *rand.Rand, nodes, requests int, rates []float64) seen {
+	out := make(seen, nodes)
+	for n := range out {
+		out[n] = make([]Counts, len(rates))
+	}
+	for range requests {
+		at := rng.IntN(len(rates))
+		c := &out[rng.IntN(nodes)][at]
+		if rng.Float64() < rates[at] {
+			c.Failed++
+		} else {
+			c.Answered++
+		}
+	}
+	return out
+}
+
+// suspended returns how many of the targets are suspended in the given number of
+// windows.
+func suspended(windows, nodes, requests int, rates []float64) []int {
+	rng, cfg, now := rand.New(rand.NewPCG(1, 2)), DefaultConfig(), time.Unix(1000, 0)
+	out := make([]int, len(rates))
+	for range windows {
+		each, service := draw(rng, nodes, requests, rates).sums(len(rates))
+		Attribute(each, service)
+		for i, c := range each {
+			if (&State{}).Judge(cfg, c, service, now) {
+				out[i]++
+			}
+		}
+	}
+	return out
+}
+
+func total(v []int) int {
+	n := 0
+	for _, x := range v {
+		n += x
+	}
+	return n
+}
+
+// A service of which one request in twenty fails by its nature, before 73 nodes of
+// which each sends a target one request in two windows: nobody is suspended.
+func TestChanceFailuresSeenByManyNodes(t *testing.T) {
+	rates := []float64{0.05, 0.05, 0.05, 0.05, 0.05, 0.05}
+	is.New(t).True(total(suspended(1000, 73, 570, rates)) <= 3)
+}
+
+// One target that fails two in five requests stands out all the same.
+func TestBadTargetStandsOutForManyNodes(t *testing.T) {
+	rates := []float64{0.05, 0.05, 0.4, 0.05, 0.05, 0.05}
+	got := suspended(200, 73, 570, rates)
+	is.New(t).True(got[2] >= 198)
+	is.New(t).True(total(got)-got[2] <= 3)
+}
+
+// With few nodes or large shares nothing is left to attribute.
+func TestAttribute(t *testing.T) {
+	is := is.New(t)
+	each := []Counts{{Answered: 10}, {Answered: 4, Failed: 2}}
+	Attribute(each, Counts{Answered: 14, Failed: 2})
+	is.Equal(each, []Counts{{Answered: 10}, {Answered: 4, Failed: 2}})
+	Attribute(each, Counts{Answered: 24, Failed: 2})
+	is.Equal(each, []Counts{{Answered: 15}, {Answered: 9, Failed: 2}})
+	Attribute(each, Counts{}) // reports of different moments
+	is.Equal(each[0].Answered, 15)
+	Attribute(nil, Counts{Answered: 3})
+}
--- a/health/health.go
+++ b/health/health.go
@@ -74,6 +74,23 @@
 	return float64(c.Failed) / float64(c.Answered+c.Failed)
 }
 
+// Attribute shares out the answers of a service that no target's counts have: nodes
+// tell of a target only if they run something there or saw it fail, and of the
+// service as a whole otherwise. Without their share, a target that failed a few
+// requests of many nodes would seem to have failed most of what it got.
+func Attribute(targets []Counts, service Counts) {
+	rest := service.Answered
+	for _, c := range targets {
+		rest -= c.Answered
+	}
+	if rest <= 0 || len(targets) == 0 {
+		return
+	}
+	for i := range targets {
+		targets[i].Answered += rest / len(targets)
+	}
+}
+
 // State is the health of one target as one node sees it. The zero State is
 // healthy.
 type State struct {
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -63,6 +63,9 @@
 	// Utilization is the part of the places taken, and Limit the part from
 	// which requests like this one are turned away.
 	Utilization, Limit float64
+	// Load is what the service ran by the counts, Estimate what it runs now.
+	Load     Load
+	Estimate float64
 	// Late says that the caller has come back too late to be answered on time.
 	Late bool
 	// Waiting is how many requests like this one may wait at a target, in parts
@@ -96,6 +99,9 @@
 	// StarvedPart: classes and workspaces that are admitted less than StarvedPart
 	// times as often as all go before any priority.
 	StarvedPart float64
+	// RateSamples is the number of requests within half a second at which the
+	// node's own rate says as much of the others' as their counts do.
+	RateSamples float64
 	// MinSamples is the least number of requests of a class or a workspace in
 	// the window that says anything.
 	MinSamples int
@@ -113,13 +119,14 @@
 // several times the error of counts that are 0.2 s old, which is 1 to 2 in 100 of
 // the places of a full service, and keep each limit above half of the slots:
 // below that, refusals are never right. StarvedPart is well above the quarter
-// below which users call a class or workspace starved.
+// below which users call a class or workspace starved. 15 samples have an error of
+// about a quarter.
 func DefaultConfig() Config {
 	return Config{
 		QueuePart: 0.35, MaxQueue: 2,
 		PriorityStep: 0.05, LowestRank: 4, LateStep: 0.12, LatePart: 0.5,
 		SurgeStep: 0.2, SurgeFactor: 2,
-		StarvedPart: 0.45, MinSamples: 8,
+		RateSamples: 15, StarvedPart: 0.45, MinSamples: 8,
 		MinRetryAfter: 150 * time.Millisecond, MaxRetryAfter: 10 * time.Second,
 		MaxRetryPart: 1.0 / 3, FullPressure: 0.3, RetrySpread: 0.4,
 	}
@@ -159,8 +166,9 @@
 func (g *Gate) Admit(r Request, l Load, now time.Time) Decision {
 	kind, workspace := g.tallies(r, now)
 	d := Decision{Waiting: g.queue(r.TargetLatency)}
+	d.Load, d.Estimate = l, g.running(l, now)
 	if l.Slots > 0 {
-		d.Utilization = g.running(l, now) / (float64(l.Slots) * (1 + d.Waiting))
+		d.Utilization = d.Estimate / (float64(l.Slots) * (1 + d.Waiting))
 	}
 	surging := g.surges(workspace)
 	d.Late = kind.isLate(r, g.cfg.LatePart)
@@ -205,20 +213,34 @@
 
 // running estimates what all nodes run now from counts of the others that are
 // some time old. Since then a part of what they ran has ended, and they have begun
-// about as many requests a second as this node. Without that, a node would go on
-// admitting for as long as the counts are old, and then turn away as long: at
-// twice the capacity and counts as old as a tenth of what a request lasts, a
-// fifth of the places would be taken and given back in waves.
+// new requests. Without that, a node would go on admitting for as long as the
+// counts are old, and then turn away as long: at twice the capacity and counts as
+// old as a tenth of what a request lasts, a fifth of the places would be taken and
+// given back in waves.
 func (g *Gate) running(l Load, now time.Time) float64 {
 	others := float64(l.Running - l.Own)
 	if g.held.samples == 0 || g.held.mean <= 0 {
 		return float64(l.Own) + others
 	}
 	left := math.Exp(-l.Age.Seconds() / g.held.mean)
-	begun := float64(max(l.Nodes-1, 0)) * g.begun.perSecond(now)
-	return float64(l.Own) + others*left + begun*g.held.mean*(1-left)
+	return float64(l.Own) + others*left + g.othersBegin(l, others, now)*g.held.mean*(1-left)
 }
 
+// othersBegin estimates how many requests a second the other nodes begin: as many
+// each as this one, as far as it has begun enough lately to say so, else as many as
+// keep the others at what they ran.
+func (g *Gate) othersBegin(l Load, others float64, now time.Time) float64 {
+	seen := g.begun.decayed(now)
+	weight := seen / (seen + g.cfg.RateSamples)
+	alike := float64(max(l.Nodes-1, 0)) * g.begun.perSecond(now)
+	steady := others / g.held.mean
+	return weight*alike + (1-weight)*steady
+}
+
+// unknownQueue is the queue of a gate that has seen no request end yet, as after
+// a start: as many as there are slots.
+const unknownQueue = 1
+
 // queue returns how many requests may wait at a target, in parts of its slots.
 // One that comes behind as many as the target has slots waits for about the mean
 // time that a request takes its place. The shortest target latency of the service
@@ -229,7 +251,7 @@
 		g.shortest = target
 	}
 	if g.held.samples == 0 {
-		return 0
+		return unknownQueue
 	}
 	return min(g.cfg.QueuePart*g.shortest.Seconds()/g.held.mean, g.cfg.MaxQueue)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -107,6 +107,9 @@
 	Limit, Running, Kept int
 }
 
+// Eligible returns the candidates that may get work now, whatever the request.
+func Eligible(cands []Candidate, p Policy) []Candidate { return filter(cands, p) }
+
 // Pick chooses among the candidates of one service. ok is false if no
 // candidate may get the request.
 func Pick(cands []Candidate, req Request, p Policy, rng *rand.Rand) (c Choice, ok bool) {
--- a/router/forward.go
+++ b/router/forward.go
@@ -91,7 +91,8 @@
 	case overload.None:
 		return f
 	}
-	f.cause = errors.Newf("%.2f of the places are taken, limit %.2f", d.Utilization, d.Limit)
+	f.cause = errors.Newf("%.2f of the places are taken, limit %.2f: running %.0f, counted %d, own %d, slots %d, may wait %.2f a slot",
+		d.Utilization, d.Limit, d.Estimate, d.Load.Running, d.Load.Own, d.Load.Slots, d.Waiting)
 	return f
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -168,7 +168,9 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	cands := p.candidates(p.services[w.service], w.parts, w.tried, now)
-	if d = p.gate(w.service).Admit(w.request, p.loadOf(cands), now); !d.Admitted() {
+	policy := placement.PolicyFor(p.fleet.Interval())
+	load := p.loadOf(placement.Eligible(cands, policy))
+	if d = p.gate(w.service).Admit(w.request, load, now); !d.Admitted() {
 		return lease{}, d, false
 	}
 	req := placement.Request{FailureDomain: p.domain, Waiting: d.Waiting}
@@ -178,7 +180,7 @@
 	for _, part := range w.parts {
 		req.Shared += part.Tokens
 	}
-	c, ok := placement.Pick(cands, req, placement.PolicyFor(p.fleet.Interval()), p.rng)
+	c, ok := placement.Pick(cands, req, policy, p.rng)
 	if !ok {
 		return lease{}, d, false
 	}
@@ -206,13 +208,10 @@
 }
 
 // loadOf sums up the targets that may get work. It is called with the lock held.
-func (p *pool) loadOf(cands []placement.Candidate) overload.Load {
+func (p *pool) loadOf(eligible []placement.Candidate) overload.Load {
 	// A count is as old as its report, which is sent once an interval.
 	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.Interval() / 2}
-	for _, c := range cands {
-		if c.Draining || c.Fallback || c.Suspended || c.Unreachable {
-			continue
-		}
+	for _, c := range eligible {
 		l.Running += c.Running
 		l.Own += p.members[c.ID].running
 		l.Slots += c.Slots
@@ -303,6 +302,7 @@
 		all[i] = own.Plus(sums[i].Counts)
 		service = service.Plus(own)
 	}
+	health.Attribute(all, service)
 	for i, m := range members {
 		if m.state.Judge(p.healthConfig, all[i], service, now) {
 			p.log.Warn("target suspended", "target", m.target.ID, "answered", all[i].Answered,
