--- a/placement/placement.go
+++ b/placement/placement.go
@@ -107,24 +107,36 @@
 	Limit, Running, Kept int
 }
 
-// Eligible returns the candidates that may get work now, whatever the request.
-func Eligible(cands []Candidate, p Policy) []Candidate { return filter(cands, p) }
-
-// Pick chooses among the candidates of one service. ok is false if no
-// candidate may get the request.
-func Pick(cands []Candidate, req Request, p Policy, rng *rand.Rand) (c Choice, ok bool) {
-	eligible := filter(cands, p)
-	if len(eligible) == 0 {
+// Service is the candidates of one service.
+type Service struct {
+	policy Policy
+	all    []Candidate
+	// eligible are those that may get work now, whatever the request.
+	eligible []Candidate
+}
+
+// NewService sorts out which candidates of a service may get work.
+func NewService(cands []Candidate, p Policy) Service {
+	return Service{policy: p, all: cands, eligible: filter(cands, p)}
+}
+
+// Eligible returns the candidates that may get work now. The caller must not
+// change them.
+func (s Service) Eligible() []Candidate { return s.eligible }
+
+// Pick chooses a target. ok is false if no candidate may get the request.
+func (s Service) Pick(req Request, rng *rand.Rand) (c Choice, ok bool) {
+	if len(s.eligible) == 0 {
 		return Choice{}, false
 	}
-	limit := loadLimit(eligible, p)
+	limit := loadLimit(s.eligible, s.policy)
 	if req.Key == 0 {
-		chosen := unkeyed(eligible, req, p, rng)
+		chosen := unkeyed(s.eligible, req, s.policy, rng)
 		return Choice{Target: chosen.Target, Limit: limit, Running: chosen.Running}, true
 	}
-	chosen := keyed(eligible, req, limit, rng)
+	chosen := keyed(s.eligible, req, limit, rng)
 	return Choice{
-		Target: chosen.Target, FetchFrom: holder(cands, chosen),
+		Target: chosen.Target, FetchFrom: holder(s.all, chosen),
 		Limit: limit, Running: chosen.Running, Kept: chosen.Kept,
 	}, true
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -24,7 +24,7 @@
 
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
-// pickCounted is Pick where the nodes' counts are what the targets run, unless a
+// pickCounted picks where the nodes' counts are what the targets run, unless a
 // test says otherwise.
 func pickCounted(cands []Candidate, req Request, p Policy, rng *rand.Rand) (Choice, bool) {
 	for i := range cands {
@@ -32,7 +32,7 @@
 			cands[i].Counted = cands[i].Running
 		}
 	}
-	c, ok := Pick(cands, req, p, rng)
+	c, ok := NewService(cands, p).Pick(req, rng)
 	for i := range cands {
 		if cands[i].Counted == cands[i].Running {
 			cands[i].Counted = 0
@@ -211,7 +211,7 @@
 	cands[0].Excluded = true
 	_, ok := pickCounted(cands, Request{}, DefaultPolicy(), rng())
 	is.True(!ok)
-	_, ok = Pick(nil, Request{}, DefaultPolicy(), rng())
+	_, ok = NewService(nil, DefaultPolicy()).Pick(Request{}, rng())
 	is.True(!ok)
 }
 
--- /dev/null
+++ b/router/lease.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/affinity"
+	"github.com/knapweedgw/knapweedgw/overload"
+	"github.com/knapweedgw/knapweedgw/placement"
+	"github.com/knapweedgw/knapweedgw/roster"
+)
+
+// lease is one request's use of a target.
+type lease struct {
+	member  *member
+	choice  placement.Choice
+	target  *roster.Target
+	service string
+	since   time.Time
+}
+
+// want is what a request asks of the pool.
+type want struct {
+	service string
+	// parts are the shared ones of the request's prompt.
+	parts []affinity.Part
+	// tried are the targets to leave out.
+	tried []string
+	// request is what decides whether the request is turned away when the
+	// service is full.
+	request overload.Request
+}
+
+// acquire picks a target of a service and counts a request there. A request for
+// which there is no place gets the decision that turned it away, one for which
+// there is no target an empty lease.
+func (p *pool) acquire(w want) (l lease, d overload.Decision, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	cands := p.candidates(p.services[w.service], w.parts, w.tried, now)
+	service := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval()))
+	if d = p.gate(w.service).Admit(w.request, p.loadOf(service), now); !d.Admitted() {
+		return lease{}, d, false
+	}
+	req := placement.Request{FailureDomain: p.domain, Waiting: d.Waiting}
+	if len(w.parts) > 0 {
+		req.Key = w.parts[len(w.parts)-1].Hash
+	}
+	for _, part := range w.parts {
+		req.Shared += part.Tokens
+	}
+	c, ok := service.Pick(req, p.rng)
+	if !ok {
+		return lease{}, d, false
+	}
+	m := p.members[c.Target.ID]
+	m.running++
+	p.noteUses(w.parts, c.Target, now)
+	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now}, d, true
+}
+
+// gate is called with the lock held.
+func (p *pool) gate(service string) *overload.Gate {
+	g, ok := p.gates[service]
+	if !ok {
+		g = overload.NewGate(overload.DefaultConfig(), p.rng)
+		p.gates[service] = g
+	}
+	return g
+}
+
+// retryAfter returns when a caller that found no target should come back.
+func (p *pool) retryAfter(service string, remaining time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate(service).RetryAfter(remaining, p.now())
+}
+
+// loadOf sums up the targets that may get work. It is called with the lock held.
+func (p *pool) loadOf(s placement.Service) overload.Load {
+	// A count is as old as its report, which is sent once an interval.
+	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.Interval() / 2}
+	for _, c := range s.Eligible() {
+		l.Running += c.Running
+		l.Own += p.members[c.ID].running
+		l.Slots += c.Slots
+	}
+	return l
+}
+
+// release ends a request's use of a target.
+func (p *pool) release(l lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.member.running--
+	p.gate(l.service).Released(p.now().Sub(l.since))
+	if l.member.gone && l.member.running == 0 {
+		l.member.client.CloseIdle()
+	}
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -139,86 +139,6 @@
 	}
 }
 
-// lease is one request's use of a target.
-type lease struct {
-	member  *member
-	choice  placement.Choice
-	target  *roster.Target
-	service string
-	since   time.Time
-}
-
-// want is what a request asks of the pool.
-type want struct {
-	service string
-	// parts are the shared ones of the request's prompt.
-	parts []affinity.Part
-	// tried are the targets to leave out.
-	tried []string
-	// request is what decides whether the request is turned away when the
-	// service is full.
-	request overload.Request
-}
-
-// acquire picks a target of a service and counts a request there. A request for
-// which there is no place gets the decision that turned it away, one for which
-// there is no target an empty lease.
-func (p *pool) acquire(w want) (l lease, d overload.Decision, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	cands := p.candidates(p.services[w.service], w.parts, w.tried, now)
-	policy := placement.PolicyFor(p.fleet.Interval())
-	load := p.loadOf(placement.Eligible(cands, policy))
-	if d = p.gate(w.service).Admit(w.request, load, now); !d.Admitted() {
-		return lease{}, d, false
-	}
-	req := placement.Request{FailureDomain: p.domain, Waiting: d.Waiting}
-	if len(w.parts) > 0 {
-		req.Key = w.parts[len(w.parts)-1].Hash
-	}
-	for _, part := range w.parts {
-		req.Shared += part.Tokens
-	}
-	c, ok := placement.Pick(cands, req, policy, p.rng)
-	if !ok {
-		return lease{}, d, false
-	}
-	m := p.members[c.Target.ID]
-	m.running++
-	p.noteUses(w.parts, c.Target, now)
-	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now}, d, true
-}
-
-// gate is called with the lock held.
-func (p *pool) gate(service string) *overload.Gate {
-	g, ok := p.gates[service]
-	if !ok {
-		g = overload.NewGate(overload.DefaultConfig(), p.rng)
-		p.gates[service] = g
-	}
-	return g
-}
-
-// retryAfter returns when a caller that found no target should come back.
-func (p *pool) retryAfter(service string, remaining time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.gate(service).RetryAfter(remaining, p.now())
-}
-
-// loadOf sums up the targets that may get work. It is called with the lock held.
-func (p *pool) loadOf(eligible []placement.Candidate) overload.Load {
-	// A count is as old as its report, which is sent once an interval.
-	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.Interval() / 2}
-	for _, c := range eligible {
-		l.Running += c.Running
-		l.Own += p.members[c.ID].running
-		l.Slots += c.Slots
-	}
-	return l
-}
-
 // noteUses is called with the lock held.
 func (p *pool) noteUses(parts []affinity.Part, t *roster.Target, now time.Time) {
 	for _, part := range parts {
@@ -348,17 +268,6 @@
 	return conn.Close()
 }
 
-// release ends a request's use of a target.
-func (p *pool) release(l lease) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.member.running--
-	p.gate(l.service).Released(p.now().Sub(l.since))
-	if l.member.gone && l.member.running == 0 {
-		l.member.client.CloseIdle()
-	}
-}
-
 // observe records what a request showed of a target.
 func (p *pool) observe(m *member, o health.Outcome) {
 	p.mu.Lock()
--- /dev/null
+++ b/router/refusal.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/overload"
+	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/retry"
+)
+
+var errNoTarget = errors.New("no target of the service is left")
+
+// noPlace is for a request that no target may get now.
+func noPlace(d overload.Decision) *failure {
+	f := &failure{reason: problem.NoTarget, cause: errNoTarget, retryAfter: d.RetryAfter}
+	switch d.Reason {
+	case overload.Full:
+		f.reason = problem.Saturated
+	case overload.Surging:
+		f.reason = problem.WorkspaceLimit
+	case overload.None:
+		return f
+	}
+	f.cause = errors.Newf("%.2f of the places are taken, limit %.2f: running %.0f, counted %d, own %d, slots %d, may wait %.2f a slot",
+		d.Utilization, d.Limit, d.Estimate, d.Load.Running, d.Load.Own, d.Load.Slots, d.Waiting)
+	return f
+}
+
+// conclude ends a request whose last attempt failed: with the target's own
+// failure if it gave one, else with a refusal.
+func (x *exchange) conclude(ctx context.Context, fail *failure, v retry.Verdict) error {
+	if fail.held != nil && !x.begun {
+		x.deliver(fail.held)
+		return nil
+	}
+	if v == retry.BudgetEmpty && fail.progress <= retry.Refused {
+		fail = &failure{progress: fail.progress, reason: problem.RetryBudget, cause: fail.cause}
+	}
+	return x.giveUp(ctx, fail)
+}
+
+// giveUp returns the refusal for a failure. It says "not run" only if no
+// target may have run the request.
+func (x *exchange) giveUp(ctx context.Context, f *failure) error {
+	ran := problem.RanUnknown
+	if x.runs == 0 {
+		ran = problem.RanNo
+	}
+	reason := f.reason
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = problem.DeadlineExceeded
+	case reason == problem.TargetFailed && ran == problem.RanNo:
+		reason = problem.TargetRefused
+	case ran != problem.RanNo && reason != problem.DeadlineExceeded:
+		reason = problem.TargetFailed
+	}
+	p := problem.New(reason, ran, f.cause.Error())
+	if ran == problem.RanNo {
+		p.After(x.retryAfter(f))
+	}
+	return p
+}
+
+func (x *exchange) retryAfter(f *failure) time.Duration {
+	if f.retryAfter > 0 {
+		return f.retryAfter
+	}
+	left, _ := x.remaining()
+	return x.router.pool.retryAfter(x.service, left)
+}
