Learn how long a place is taken from answered requests only

Cause: read in the code: failed connections end within milliseconds and counted as requests, so that a crash of many engines made the queue look three times as long as the slots; and a stream that goes on at another target could be turned away midway. TestLimits has the row for begun streams.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -27,6 +27,9 @@
 	TargetLatency time.Duration
 	// Remaining is the time until the caller gives up, 0 for never.
 	Remaining time.Duration
+	// Begun says that the answer has begun and goes on at another target. It is
+	// never turned away, which would cut it off.
+	Begun bool
 }
 
 // Load is what all nodes together run at the targets of a service that may get
@@ -164,6 +167,9 @@
 
 // Admit decides whether a request may go to a target now.
 func (g *Gate) Admit(r Request, l Load, now time.Time) Decision {
+	if r.Begun {
+		return Decision{Waiting: g.queue(r.TargetLatency)}
+	}
 	kind, workspace := g.tallies(r, now)
 	d := Decision{Waiting: g.queue(r.TargetLatency)}
 	d.Load, d.Estimate = l, g.running(l, now)
@@ -190,8 +196,8 @@
 	return d
 }
 
-// Released records that a request gave its place back after held.
-func (g *Gate) Released(held time.Duration) { g.held.observe(held.Seconds()) }
+// Answered records that a request was answered and took its place for held.
+func (g *Gate) Answered(held time.Duration) { g.held.observe(held.Seconds()) }
 
 // tallies returns those of the request's class and workspace, up to date.
 func (g *Gate) tallies(r Request, now time.Time) (*class, *usage) {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -146,12 +146,13 @@
 		{"nearly full, urgent", Request{}, Load{Running: 96, Slots: 100}, true},
 		{"nearly full, less urgent", Request{Priority: 1}, Load{Running: 96, Slots: 100}, false},
 		{"the lowest rank keeps most", Request{Priority: 9}, Load{Running: 79, Slots: 100}, true},
+		{"begun elsewhere", Request{Begun: true}, Load{Running: 99, Slots: 10}, true},
 		{"priority below zero", Request{Priority: -1}, Load{Running: 99, Slots: 100}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
-			g.Released(time.Second)
+			g.Answered(time.Second)
 			is.New(t).Equal(g.Admit(tt.r, tt.l, now).Admitted(), tt.admitted)
 		})
 	}
@@ -162,7 +163,7 @@
 func TestLateCallersGoAfterOthers(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
-	g.Released(time.Hour) // next to nothing may wait
+	g.Answered(time.Hour) // next to nothing may wait
 	now := time.Unix(1000, 0)
 	r := Request{Class: "a", TargetLatency: 400 * time.Millisecond, Remaining: 10 * time.Second}
 	crowded, room := Load{Running: 89, Slots: 100}, Load{Running: 70, Slots: 100}
@@ -183,7 +184,7 @@
 	is := is.New(t)
 	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
 	for range 100 {
-		g.Released(100 * time.Millisecond)
+		g.Answered(100 * time.Millisecond)
 	}
 	now, r := time.Unix(1000, 0), Request{TargetLatency: 300 * time.Millisecond}
 	fresh := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
--- a/router/forward.go
+++ b/router/forward.go
@@ -83,7 +83,7 @@
 		service: x.service, parts: x.parts(), tried: x.tried,
 		request: overload.Request{
 			Class: x.route.Name, Workspace: x.workspace, Priority: x.priority,
-			TargetLatency: x.route.TargetLatency, Remaining: x.call.Deadline,
+			TargetLatency: x.route.TargetLatency, Remaining: x.call.Deadline, Begun: x.begun,
 		},
 	}
 }
@@ -126,8 +126,8 @@
 }
 
 // attempt sends the request to one target and relays the answer.
-func (x *exchange) attempt(ctx context.Context, l lease) *failure {
-	defer x.router.pool.release(l)
+func (x *exchange) attempt(ctx context.Context, l lease) (fail *failure) {
+	defer func() { x.router.pool.release(l, fail == nil) }()
 	x.tries++
 	x.sentAt = x.router.now()
 	x.done.target, x.done.running, x.done.limit = l.target.ID, l.choice.Running, l.choice.Limit
--- a/router/lease.go
+++ b/router/lease.go
@@ -88,12 +88,15 @@
 	return l
 }
 
-// release ends a request's use of a target.
-func (p *pool) release(l lease) {
+// release ends a request's use of a target. Only those that were answered show how
+// long a request takes its place: failed connections would make it look short.
+func (p *pool) release(l lease, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.member.running--
-	p.gate(l.service).Released(p.now().Sub(l.since))
+	if answered {
+		p.gate(l.service).Answered(p.now().Sub(l.since))
+	}
 	if l.member.gone && l.member.running == 0 {
 		l.member.client.CloseIdle()
 	}
