Begin a surging workspace's ramp where the slots are full; measure work without the wait

And the queue of the plain service was worked out from times that include the wait: it shrank as the queue grew. TestSurgingWorkspaceIsServedWhileThereIsRoom fails without it.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -76,6 +76,9 @@
 	Waiting float64
 }
 
+// Queued says whether a request that is admitted has to wait for a slot.
+func (d Decision) Queued() bool { return d.Estimate >= float64(d.Load.Slots) }
+
 // Admitted says whether the request may go on.
 func (d Decision) Admitted() bool { return d.Reason == None }
 
@@ -149,8 +152,9 @@
 	workspaces map[string]*usage
 	// begun is how many requests a second this node begins.
 	begun rate
-	// held is the mean time that a request takes its place.
-	held average
+	// held is the mean time that a request takes its place, work that of those
+	// that found a free slot.
+	held, work average
 	// active is the number of workspaces with requests in the window, as of the
 	// bucket activeSlot.
 	active     int
@@ -172,12 +176,11 @@
 
 // Admit decides whether a request may go to a target now.
 func (g *Gate) Admit(r Request, l Load, now time.Time) Decision {
+	d := Decision{Load: l, Estimate: g.running(l, now), Waiting: g.queue(r.TargetLatency)}
 	if r.Begun {
-		return Decision{Waiting: g.queue(r.TargetLatency)}
+		return d
 	}
 	kind, workspace := g.tallies(r, now)
-	d := Decision{Waiting: g.queue(r.TargetLatency)}
-	d.Load, d.Estimate = l, g.running(l, now)
 	if l.Slots > 0 {
 		d.Utilization = d.Estimate / (float64(l.Slots) * (1 + d.Waiting))
 	}
@@ -186,7 +189,7 @@
 	d.Limit = g.limit(r, d.Late, surging, &kind.tally, &workspace.tally)
 	admitted := d.Utilization < d.Limit
 	if surging {
-		admitted = g.rng.Float64()*g.ramp(l) < d.Limit-d.Utilization
+		admitted = g.rng.Float64()*g.ramp(l, d) < d.Limit-d.Utilization
 	}
 	for _, t := range []*tally{&g.all, &kind.tally, &workspace.tally} {
 		t.count(admitted)
@@ -204,8 +207,14 @@
 	return d
 }
 
-// Answered records that a request was answered and took its place for held.
-func (g *Gate) Answered(held time.Duration) { g.held.observe(held.Seconds()) }
+// Answered records that a request was answered and took its place for held. queued
+// says that it had to wait for a slot.
+func (g *Gate) Answered(held time.Duration, queued bool) {
+	g.held.observe(held.Seconds())
+	if !queued {
+		g.work.observe(held.Seconds())
+	}
+}
 
 // tallies returns those of the request's class and workspace, up to date.
 func (g *Gate) tallies(r Request, now time.Time) (*class, *usage) {
@@ -251,14 +260,20 @@
 	return weight*alike + (1-weight)*steady
 }
 
+// roomy is the part of the slots below which nobody is turned away: above the half
+// below which refusals are never right, by the error of old counts.
+const roomy = 0.7
+
 // ramp returns the width of a surging workspace's ramp. Such a workspace alone
 // could fill the service before the counts show it: at a hard limit it would be
-// admitted and turned away in waves that take the others' places too.
-func (g *Gate) ramp(l Load) float64 {
+// admitted and turned away in waves that take the others' places too. The ramp
+// begins where the slots are full, not before.
+func (g *Gate) ramp(l Load, d Decision) float64 {
 	if g.held.mean <= 0 {
 		return 0
 	}
-	return g.cfg.MaxRamp * min(l.Age.Seconds()/g.held.mean, 1)
+	width := g.cfg.MaxRamp * min(l.Age.Seconds()/g.held.mean, 1)
+	return max(min(width, d.Limit-roomy/(1+d.Waiting)), 0)
 }
 
 // unknownQueue is the queue of a gate that has seen no request end yet, as after
@@ -267,17 +282,21 @@
 
 // queue returns how many requests may wait at a target, in parts of its slots.
 // One that comes behind as many as the target has slots waits for about the mean
-// time that a request takes its place. The shortest target latency of the service
+// time that a request is worked on. The shortest target latency of the service
 // counts, for all alike: otherwise a class with a longer one would find room where
 // a more urgent one doesn't.
 func (g *Gate) queue(target time.Duration) float64 {
 	if target > 0 && (g.shortest == 0 || target < g.shortest) {
 		g.shortest = target
 	}
-	if g.held.samples == 0 {
+	work := g.work.mean
+	if g.work.samples == 0 {
+		work = g.held.mean
+	}
+	if work <= 0 {
 		return unknownQueue
 	}
-	return min(g.cfg.QueuePart*g.shortest.Seconds()/g.held.mean, g.cfg.MaxQueue)
+	return min(g.cfg.QueuePart*g.shortest.Seconds()/work, g.cfg.MaxQueue)
 }
 
 // limit returns the utilization from which a request is turned away.
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// A surging workspace is not turned away while there is room, however old the
+// counts are.
+func TestSurgingWorkspaceIsServedWhileThereIsRoom(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := fleet()
+		w.nodes, w.slots, w.lag = 73, 1000, 600
+		w.surge = between(surgeFrom, surgeTo, 10, 44)
+		w.senders[3].part = between(surgeFrom, surgeTo, 1, 30)
+		got := w.run(seed, 0, surgeTo)[""]
+		t.Logf("seed %d: refused %d of %d", seed, got.refused, got.asked)
+		is.New(t).True(got.refused*1000 < got.asked)
+	}
+}
+
 // Nine tenths of the slots die: what is left is used for answers in time.
 func TestDeadTargetsLeaveARest(t *testing.T) {
 	for seed := range uint64(seeds) {
@@ -175,7 +189,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
-			g.Answered(time.Second)
+			g.Answered(time.Second, false)
 			is.New(t).Equal(g.Admit(tt.r, tt.l, now).Admitted(), tt.admitted)
 		})
 	}
@@ -186,7 +200,7 @@
 func TestLateCallersGoAfterOthers(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
-	g.Answered(time.Hour) // next to nothing may wait
+	g.Answered(time.Hour, false) // next to nothing may wait
 	now := time.Unix(1000, 0)
 	r := Request{Class: "a", TargetLatency: 400 * time.Millisecond, Remaining: 10 * time.Second}
 	crowded, room := Load{Running: 89, Slots: 100}, Load{Running: 70, Slots: 100}
@@ -207,7 +221,7 @@
 	is := is.New(t)
 	g := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
 	for range 100 {
-		g.Answered(100 * time.Millisecond)
+		g.Answered(100*time.Millisecond, false)
 	}
 	now, r := time.Unix(1000, 0), Request{TargetLatency: 300 * time.Millisecond}
 	fresh := NewGate(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
--- a/overload/sim_test.go
+++ b/overload/sim_test.go
@@ -55,6 +55,7 @@
 	kind    kind
 	sender  string
 	node    int
+	queued  bool
 }
 
 // run plays ticks milliseconds and counts the requests that arrive after from.
@@ -73,7 +74,7 @@
 	for tick := range ticks {
 		now := start.Add(time.Duration(tick) * time.Millisecond)
 		for _, r := range ends[tick] {
-			gates[r.node].Answered(time.Duration(tick-r.arrived) * time.Millisecond)
+			gates[r.node].Answered(time.Duration(tick-r.arrived)*time.Millisecond, r.queued)
 			inFlight[r.node]--
 			running = slices.Delete(running, 0, 1)
 		}
@@ -88,10 +89,12 @@
 				Running: sumOf(old) - old[r.node] + inFlight[r.node], Own: inFlight[r.node], Slots: slots,
 				Nodes: w.nodes, Age: time.Duration(w.lag) * time.Millisecond,
 			}
-			admitted := !w.gated || gates[r.node].Admit(Request{
+			d := gates[r.node].Admit(Request{
 				Class: r.kind.class, Workspace: r.sender, Priority: r.kind.priority,
 				TargetLatency: simTarget, Remaining: simLeft,
-			}, load, now).Admitted()
+			}, load, now)
+			admitted := !w.gated || d.Admitted()
+			r.queued = d.Queued()
 			if admitted {
 				queue = append(queue, r)
 				inFlight[r.node]++
--- a/router/lease.go
+++ b/router/lease.go
@@ -16,6 +16,8 @@
 	target  *roster.Target
 	service string
 	since   time.Time
+	// queued says that the request probably waits for a slot.
+	queued bool
 }
 
 // want is what a request asks of the pool.
@@ -56,7 +58,7 @@
 	m := p.members[c.Target.ID]
 	m.running++
 	p.noteUses(w.parts, c.Target, now)
-	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now}, d, true
+	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
 
 // gate is called with the lock held.
@@ -95,7 +97,7 @@
 	defer p.mu.Unlock()
 	l.member.running--
 	if answered {
-		p.gate(l.service).Answered(p.now().Sub(l.since))
+		p.gate(l.service).Answered(p.now().Sub(l.since), l.queued)
 	}
 	if l.member.gone && l.member.running == 0 {
 		l.member.client.CloseIdle()
