--- a/replica/audit.go
+++ b/replica/audit.go
@@ -16,9 +16,13 @@
 	// is below the shortest time in which a change must be in force, 2 s.
 	auditAfter  = 600 * time.Millisecond
 	auditSpread = 500 * time.Millisecond
-	// othersAfter is added for nodes that don't watch: they ask when the
-	// watchers, who ask first, have got no answer.
-	othersAfter = 500 * time.Millisecond
+	// deputiesAfter is added for the next few nodes that don't watch: they ask when
+	// the watchers, who ask first, have got no answer. It is added again for all
+	// others. What a watcher learnt takes up to half a second to reach all of a
+	// fleet of 66, and with 63 nodes that would ask, one of them always did: three
+	// of four audits were theirs.
+	deputiesAfter = 500 * time.Millisecond
+	deputies      = 5
 	// auditTimeout is short for a store that answers in milliseconds: another
 	// node asks next.
 	auditTimeout = 400 * time.Millisecond
@@ -43,10 +47,7 @@
 	if other := r.peers.Confirmed(r.state.revision); other.After(known) {
 		known = other
 	}
-	due := known.Add(auditAfter + time.Duration(r.rng.Int64N(int64(auditSpread))))
-	if !r.watching {
-		due = due.Add(othersAfter)
-	}
+	due := known.Add(auditAfter + time.Duration(r.rng.Int64N(int64(auditSpread))) + auditDelay(r.rank, r.watching))
 	if r.state.revision == 0 || now.Before(due) || now.Before(r.auditAt) {
 		return false
 	}
@@ -54,6 +55,18 @@
 	return true
 }
 
+// auditDelay is how much longer than the watchers a node waits, which has the given
+// rank among those that could watch.
+func auditDelay(rank int, watching bool) time.Duration {
+	switch {
+	case watching:
+		return 0
+	case rank < watchers+deputies:
+		return deputiesAfter
+	}
+	return 2 * deputiesAfter
+}
+
 // recheckDue says whether a node that found itself behind is to ask again. One
 // that has caught up with what it was told is not. It is called with the lock
 // held.
--- a/replica/audit_test.go
+++ b/replica/audit_test.go
@@ -116,3 +116,58 @@
 	r.events(store.Batch{Revision: 8})
 	is.Equal(len(r.announce), 1)
 }
+
+// Watchers ask first, a few deputies next and all others last, so that the number
+// of audits doesn't grow with the fleet. The last still ask within 2.1 s of what
+// was known, whoever is gone.
+func TestAuditsAreAskedByRank(t *testing.T) {
+	is := is.New(t)
+	is.Equal(auditDelay(2, true), time.Duration(0))
+	is.Equal(auditDelay(watchers+keepWatching-1, true), time.Duration(0))
+	is.Equal(auditDelay(watchers, false), deputiesAfter)
+	is.Equal(auditDelay(watchers+deputies-1, false), deputiesAfter)
+	is.Equal(auditDelay(watchers+deputies, false), 2*deputiesAfter)
+	is.True(auditAfter+auditSpread+auditDelay(300, false) <= 2100*time.Millisecond)
+}
+
+// A fleet of 66 whose knowledge takes half a second to spread: a few nodes ask, not
+// each that has not heard yet.
+func TestLateNewsBringsFewAudits(t *testing.T) {
+	is := is.New(t)
+	const nodes, spread, length = 66, 500 * time.Millisecond, time.Minute
+	var replicas []*Replica
+	news := &lateNews{delay: spread}
+	for rank := range nodes {
+		r, _, _ := fakeReplica(&fakeSource{revision: 7})
+		r.peers, r.rank, r.watching = news, rank, rank < watchers
+		r.now = func() time.Time { return news.now }
+		replicas = append(replicas, r)
+	}
+	audits := 0
+	for news.now = start; news.now.Before(start.Add(length)); news.now = news.now.Add(checkInterval) {
+		for _, r := range replicas {
+			if auditIfDue(r) {
+				audits++
+				news.told = append(news.told, news.now)
+			}
+		}
+	}
+	is.True(audits < 5*int(length/time.Second)) // 214 to 240; 813 to 1,113 if all others are deputies
+}
+
+// lateNews tells each node what any learnt, a while later.
+type lateNews struct {
+	silentPeers
+	now   time.Time
+	delay time.Duration
+	told  []time.Time
+}
+
+func (l *lateNews) Confirmed(int64) time.Time {
+	for i := len(l.told) - 1; i >= 0; i-- {
+		if !l.told[i].After(l.now.Add(-l.delay)) {
+			return l.told[i]
+		}
+	}
+	return time.Time{}
+}
