--- a/admission/metrics.go
+++ b/admission/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -54,45 +53,28 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := promauto.With(reg)
-	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-		}, labels)
-	}
+	f := telemetry.NewMeters(reg, subsystem)
 	return &metrics{
-		requests:  counters("requests_total", "Places asked for, by outcome.", "outcome"),
-		fallbacks: counters("fallbacks_total", "Places decided by the local estimate, by reason.", "reason"),
-		redirects: counters("redirects_total", "Further owners asked, by reason.", "reason"),
-		givenUp: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "asks_given_up_total",
-			Help: "Asks without an answer in time; a late grant is released.",
-		}),
-		resyncs: counters("resyncs_total", "Accounts of places sent to owners, by cause and result.", "cause", "result"),
-		takeovers: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "takeovers_total",
-			Help: "Cells that this node became the owner of.",
-		}),
-		suspensions: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "suspensions_total",
-			Help: "Pauses of targets of owned cells that failed several requests in a row.",
-		}),
-		roundTrip: f.NewHistogram(prometheus.HistogramOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "owner_round_trip_seconds",
-			Help:    "Time until another node that owns a cell answered.",
-			Buckets: prometheus.ExponentialBuckets(0.0001, 1.6, 18),
-		}),
-		bytes: counters("bytes_total", "Parameters and results exchanged with other nodes, by method.", "direction", "method"),
+		requests:  f.Counters("requests_total", "Places asked for, by outcome.", "outcome"),
+		fallbacks: f.Counters("fallbacks_total", "Places decided by the local estimate, by reason.", "reason"),
+		redirects: f.Counters("redirects_total", "Further owners asked, by reason.", "reason"),
+		givenUp: f.Counter("asks_given_up_total",
+			"Asks without an answer in time; a late grant is released."),
+		resyncs:   f.Counters("resyncs_total", "Accounts of places sent to owners, by cause and result.", "cause", "result"),
+		takeovers: f.Counter("takeovers_total", "Cells that this node became the owner of."),
+		suspensions: f.Counter("suspensions_total",
+			"Pauses of targets of owned cells that failed several requests in a row."),
+		roundTrip: f.Histogram("owner_round_trip_seconds", "Time until another node that owns a cell answered.",
+			prometheus.ExponentialBuckets(0.0001, 1.6, 18)),
+		bytes: f.Counters("bytes_total", "Parameters and results exchanged with other nodes, by method.", "direction", "method"),
 	}
 }
 
 // observeState publishes gauges of the service's state.
 func observeState(reg prometheus.Registerer, s *Service) {
-	f := promauto.With(reg)
+	f := telemetry.NewMeters(reg, subsystem)
 	gauge := func(name, help string, value func() int) {
-		f.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-		}, func() float64 { return float64(value()) })
+		f.GaugeFunc(name, help, func() float64 { return float64(value()) })
 	}
 	gauge("places_held", "Places that this node's requests hold.", s.table.Len)
 	gauge("cells_owned", "Cells that this node owns.", s.owned.len)
--- a/claims/metrics.go
+++ b/claims/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/claims/core"
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -43,38 +42,23 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	const subsystem = "claims"
-	f := promauto.With(reg)
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-		}, labels)
-	}
+	f := telemetry.NewMeters(reg, "claims")
 	return &metrics{
-		verdicts:  counter("verdicts_total", "Claims asked for, by the state found.", "state"),
-		refusals:  counter("refusals_total", "Claims refused as not run, by reason.", "reason"),
-		retries:   counter("retries_total", "Calls repeated at another owner or later, by call and reason.", "call", "reason"),
-		abandoned: counter("abandoned_total", "Attempts refused whose record may be in the log, so that it must be ended.").WithLabelValues(),
-		ends:      counter("ends_total", "Outcomes of attempts, by what became of them.", "result"),
-		pending: f.NewGauge(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "ends_pending",
-			Help: "Outcomes that are not yet recorded.",
-		}),
-		answers:   counter("answers_total", "Answers looked up for repeated keys, by where they were found.", "found"),
-		handed:    counter("answers_handed_total", "Kept answers to hand over when this node stops, by result.", "result"),
-		inherited: counter("answers_inherited_total", "Answers offered by nodes that stop, by result.", "result"),
-		evicted:   counter("answers_evicted_total", "Kept answers dropped early for want of room, by origin.", "origin"),
-		seconds: f.NewHistogram(prometheus.HistogramOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "claim_seconds",
-			Help:    "Time to the verdict or refusal of a claim.",
-			Buckets: []float64{.005, .01, .025, .05, .1, .15, .2, .25, .5, 1, 2},
-		}),
-		store:  counter("store_calls_total", "Calls to the platform's store as an owner, by call.", "call"),
-		events: counter("owner_events_total", "Events as an owner of shards, by event.", "event"),
-		keys: f.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "owned_keys",
-			Help: "Keys held in memory as an owner, by shard.",
-		}, []string{"shard"}),
+		verdicts:  f.Counters("verdicts_total", "Claims asked for, by the state found.", "state"),
+		refusals:  f.Counters("refusals_total", "Claims refused as not run, by reason.", "reason"),
+		retries:   f.Counters("retries_total", "Calls repeated at another owner or later, by call and reason.", "call", "reason"),
+		abandoned: f.Counters("abandoned_total", "Attempts refused whose record may be in the log, so that it must be ended.").WithLabelValues(),
+		ends:      f.Counters("ends_total", "Outcomes of attempts, by what became of them.", "result"),
+		pending:   f.Gauge("ends_pending", "Outcomes that are not yet recorded."),
+		answers:   f.Counters("answers_total", "Answers looked up for repeated keys, by where they were found.", "found"),
+		handed:    f.Counters("answers_handed_total", "Kept answers to hand over when this node stops, by result.", "result"),
+		inherited: f.Counters("answers_inherited_total", "Answers offered by nodes that stop, by result.", "result"),
+		evicted:   f.Counters("answers_evicted_total", "Kept answers dropped early for want of room, by origin.", "origin"),
+		seconds: f.Histogram("claim_seconds", "Time to the verdict or refusal of a claim.",
+			[]float64{.005, .01, .025, .05, .1, .15, .2, .25, .5, 1, 2}),
+		store:  f.Counters("store_calls_total", "Calls to the platform's store as an owner, by call.", "call"),
+		events: f.Counters("owner_events_total", "Events as an owner of shards, by event.", "event"),
+		keys:   f.Gauges("owned_keys", "Keys held in memory as an owner, by shard.", "shard"),
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -34,40 +33,20 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := promauto.With(reg)
+	f := telemetry.NewMeters(reg, "")
 	m := &metrics{
-		requests: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "requests_total",
-			Help: "Requests answered, by kind and outcome.",
-		}, []string{"kind", "outcome"}),
-		refusals: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "refusals_total",
-			Help: "Requests refused, by reason.",
-		}, []string{"reason"}),
-		retries: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "retries_total",
-			Help: "Attempts repeated on another target, by reason.",
-		}, []string{"reason"}),
-		resumes: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "stream_resumes_total",
-			Help: "Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.",
-		}, []string{"by"}),
-		cancels: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "streams_canceled_total",
-			Help: "Generations canceled because their caller went away.",
-		}),
-		replays: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "replayed_answers_total",
-			Help: "Kept answers given again for a repeated Idempotency-Key.",
-		}),
-		panics: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Name: "panics_total",
-			Help: "Requests whose handling panicked.",
-		}),
-		inFlight: f.NewGauge(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Name: "requests_in_flight",
-			Help: "Requests in progress.",
-		}),
+		requests: f.Counters("requests_total", "Requests answered, by kind and outcome.", "kind", "outcome"),
+		refusals: f.Counters("refusals_total", "Requests refused, by reason.", "reason"),
+		retries: f.Counters("retries_total",
+			"Attempts repeated on another target, by reason.", "reason"),
+		resumes: f.Counters("stream_resumes_total",
+			"Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.", "by"),
+		cancels: f.Counter("streams_canceled_total",
+			"Generations canceled because their caller went away."),
+		replays: f.Counter("replayed_answers_total",
+			"Kept answers given again for a repeated Idempotency-Key."),
+		panics:   f.Counter("panics_total", "Requests whose handling panicked."),
+		inFlight: f.Gauge("requests_in_flight", "Requests in progress."),
 	}
 	for _, r := range problem.Reasons() {
 		m.refusals.WithLabelValues(string(r))
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -69,20 +69,13 @@
 		view: NewView(cfg, self), alive: make(map[string]bool),
 		last: Report{Node: self, Incarnation: time.Now().UnixNano()},
 	}
-	e.sent = counter(reg, "sent_total", "reports sent to other nodes")
-	e.received = counter(reg, "received_total", "reports received from other nodes")
-	e.bytes = counter(reg, "sent_bytes_total", "bytes of reports sent to other nodes, without packet headers")
+	f := telemetry.NewMeters(reg, "heartbeat")
+	e.sent = f.Counter("sent_total", "reports sent to other nodes")
+	e.received = f.Counter("received_total", "reports received from other nodes")
+	e.bytes = f.Counter("sent_bytes_total", "bytes of reports sent to other nodes, without packet headers")
 	return e
 }
 
-func counter(reg prometheus.Registerer, name, help string) prometheus.Counter {
-	c := prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: telemetry.Namespace, Subsystem: "heartbeat", Name: name, Help: help,
-	})
-	reg.MustRegister(c)
-	return c
-}
-
 // ID implements kernel.Service.
 func (e *Exchange) ID() kernel.ID { return ServiceID }
 
--- a/lease/metrics.go
+++ b/lease/metrics.go
@@ -24,23 +24,14 @@
 
 // NewMetrics registers the lease metrics.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "calls_total",
-			Help: "Calls to the store for leases, by call and outcome.",
-		}, []string{"call", "outcome"}),
-		lost: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "lost_total",
-			Help: "Terms that ended, by reason.",
-		}, []string{"reason"}),
-		held: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "held",
-			Help: "1 for each duty that this node holds.",
-		}, []string{"duty"}),
+	f := telemetry.NewMeters(reg, subsystem)
+	return &Metrics{
+		calls: f.Counters("calls_total",
+			"Calls to the store for leases, by call and outcome.", "call", "outcome"),
+		lost:    f.Counters("lost_total", "Terms that ended, by reason.", "reason"),
+		held:    f.Gauges("held", "1 for each duty that this node holds.", "duty"),
 		holding: make(map[string]bool),
 	}
-	reg.MustRegister(m.calls, m.lost, m.held)
-	return m
 }
 
 func (m *Metrics) call(c Call, err error) {
--- a/membership/metrics.go
+++ b/membership/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -15,11 +14,9 @@
 }
 
 func newMetrics(reg prometheus.Registerer, counts func() Counts) *metrics {
-	f := promauto.With(reg)
+	f := telemetry.NewMeters(reg, subsystem)
 	counter := func(name, help string, value func(Counts) int64) {
-		f.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-		}, func() float64 { return float64(value(counts())) })
+		f.CounterFunc(name, help, func() float64 { return float64(value(counts())) })
 	}
 	counter("suspicions_total", "Nodes that did not answer this node's probe.",
 		func(c Counts) int64 { return c.Suspicions })
@@ -32,14 +29,9 @@
 	counter("reconnects_total", "Probes of nodes held for dead.",
 		func(c Counts) int64 { return c.Reconnects })
 	return &metrics{
-		nodes: f.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "nodes",
-			Help: "Nodes in the view, by region and state.",
-		}, []string{"region", "state"}),
-		dropped: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "dropped_total",
-			Help: "Messages not sent because too many were being sent.",
-		}),
+		nodes: f.Gauges("nodes", "Nodes in the view, by region and state.", "region", "state"),
+		dropped: f.Counter("dropped_total",
+			"Messages not sent because too many were being sent."),
 	}
 }
 
--- a/orders/metrics.go
+++ b/orders/metrics.go
@@ -23,25 +23,17 @@
 
 // NewMetrics registers the metrics of orders.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-		}, labels)
+	f := telemetry.NewMeters(reg, subsystem)
+	return &Metrics{
+		sent:    f.Counters("sent_total", "Orders to engines, by outcome.", "outcome"),
+		reads:   f.Counters("reads_total", "Reads of engines' states, by outcome.", "outcome"),
+		waits:   f.Counters("waits_total", "Times an issuer began to wait with orders, by reason.", "reason"),
+		retries: f.Counters("retries_total", "Orders to be repeated, by reason.", "reason"),
+		records: f.Counters("records_total", "Reads and writes of records in the store, by call and outcome.", "call", "outcome"),
+		skipped: f.Counters("pools_skipped_total", "Pools left without an issuer, by reason.", "reason"),
+		engines: f.Gauges("engines",
+			"Engines of the pools that this node issues orders to, by state.", "pool", "state"),
 	}
-	m := &Metrics{
-		sent:    counter("sent_total", "Orders to engines, by outcome.", "outcome"),
-		reads:   counter("reads_total", "Reads of engines' states, by outcome.", "outcome"),
-		waits:   counter("waits_total", "Times an issuer began to wait with orders, by reason.", "reason"),
-		retries: counter("retries_total", "Orders to be repeated, by reason.", "reason"),
-		records: counter("records_total", "Reads and writes of records in the store, by call and outcome.", "call", "outcome"),
-		skipped: counter("pools_skipped_total", "Pools left without an issuer, by reason.", "reason"),
-		engines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "engines",
-			Help: "Engines of the pools that this node issues orders to, by state.",
-		}, []string{"pool", "state"}),
-	}
-	reg.MustRegister(m.sent, m.reads, m.waits, m.retries, m.records, m.skipped, m.engines)
-	return m
 }
 
 func (m *Metrics) progress(pool string, p Progress) {
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -21,24 +20,16 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := promauto.With(reg)
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "peer", Name: name, Help: help,
-		}, labels)
-	}
+	f := telemetry.NewMeters(reg, "peer")
 	return &metrics{
-		bytes: counter("bytes_total",
+		bytes: f.Counters("bytes_total",
 			"Bytes exchanged with other nodes, framing included.", "direction"),
-		messages: counter("messages_total",
+		messages: f.Counters("messages_total",
 			"Calls and notifications sent to and received from other nodes, by method.", "direction", "method"),
-		dials:    counter("dials_total", "Connections tried, by result.", "result"),
-		refusals: counter("refusals_total", "Connections and messages of other nodes refused, by reason.", "reason"),
-		failures: counter("failures_total", "Calls and notifications that failed, by reason.", "reason"),
-		connections: f.NewGauge(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: "peer", Name: "inbound_connections",
-			Help: "Connections accepted from other nodes.",
-		}),
+		dials:       f.Counters("dials_total", "Connections tried, by result.", "result"),
+		refusals:    f.Counters("refusals_total", "Connections and messages of other nodes refused, by reason.", "reason"),
+		failures:    f.Counters("failures_total", "Calls and notifications that failed, by reason.", "reason"),
+		connections: f.Gauge("inbound_connections", "Connections accepted from other nodes."),
 	}
 }
 
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -21,24 +21,13 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	m := &metrics{
-		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "replica", Name: "changes_total",
-			Help: "changes taken into the node's copy",
-		}, []string{"what", "source"}),
-		audits: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "replica", Name: "audits_total",
-			Help: "questions for the store's revision, by result",
-		}, []string{"result"}),
-		storeErrors: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "replica", Name: "store_errors_total",
-			Help: "reads and watches of the store that failed",
-		}),
-		invalid: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "replica", Name: "invalid_values_total",
-			Help: "values of the store that could not be used",
-		}),
+	f := telemetry.NewMeters(reg, "replica")
+	return &metrics{
+		changes: f.Counters("changes_total", "changes taken into the node's copy", "what", "source"),
+		audits:  f.Counters("audits_total", "questions for the store's revision, by result", "result"),
+		storeErrors: f.Counter("store_errors_total",
+			"reads and watches of the store that failed"),
+		invalid: f.Counter("invalid_values_total",
+			"values of the store that could not be used"),
 	}
-	reg.MustRegister(m.changes, m.audits, m.storeErrors, m.invalid)
-	return m
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -29,32 +28,22 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := promauto.With(reg)
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "router", Name: name, Help: help,
-		}, labels)
-	}
+	f := telemetry.NewMeters(reg, "router")
 	histogram := func(name, help string) *prometheus.HistogramVec {
-		return f.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: telemetry.Namespace, Subsystem: "router", Name: name, Help: help, Buckets: latencyBuckets,
-		}, []string{"service"})
+		return f.Histograms(name, help, latencyBuckets, "service")
 	}
 	return &metrics{
-		answers:  counter("answers_total", "Answers of targets relayed whole, by service and class of status.", "service", "status"),
-		refusals: counter("refusals_total", "Requests that this node refused or gave up, by reason.", "reason"),
-		retries:  counter("retries_total", "Requests sent to another target, by the reason.", "reason"),
-		cuts:     counter("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
-		connections: counter("connections_ended_total",
+		answers:  f.Counters("answers_total", "Answers of targets relayed whole, by service and class of status.", "service", "status"),
+		refusals: f.Counters("refusals_total", "Requests that this node refused or gave up, by reason.", "reason"),
+		retries:  f.Counters("retries_total", "Requests sent to another target, by the reason.", "reason"),
+		cuts:     f.Counters("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
+		connections: f.Counters("connections_ended_total",
 			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
-		parts: counter("part_tokens_total",
+		parts: f.Counters("part_tokens_total",
 			"Tokens of shared parts that the chosen target lacked, by how it got them and by the reason of the choice.", "how", "reason"),
 		firstByte: histogram("first_byte_seconds", "Time from a request to the header of its answer."),
 		whole:     histogram("answer_seconds", "Time from a request to the end of its answer."),
-		inFlight: f.NewGauge(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: "router", Name: "in_flight",
-			Help: "Callers' requests in progress.",
-		}),
+		inFlight:  f.Gauge("in_flight", "Callers' requests in progress."),
 	}
 }
 
--- a/settings/acceptor/metrics.go
+++ b/settings/acceptor/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -22,20 +21,12 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	const subsystem = "settings"
-	f := promauto.With(reg)
+	f := telemetry.NewMeters(reg, "settings")
 	return &metrics{
-		accepted: f.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "accepted_documents_total",
-			Help: "Documents that this node accepted.",
-		}),
-		refused: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "refused_documents_total",
-			Help: "Faults for which this node refused a document, by reason.",
-		}, []string{"reason"}),
-		commits: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "acceptor_commits_total",
-			Help: "Transactions of the acceptor, by result.",
-		}, []string{"result"}),
+		accepted: f.Counter("accepted_documents_total", "Documents that this node accepted."),
+		refused: f.Counters("refused_documents_total",
+			"Faults for which this node refused a document, by reason.", "reason"),
+		commits: f.Counters("acceptor_commits_total",
+			"Transactions of the acceptor, by result.", "result"),
 	}
 }
--- a/targets/metrics.go
+++ b/targets/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -22,25 +21,15 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := promauto.With(reg)
-	const subsystem = "targets"
+	f := telemetry.NewMeters(reg, "targets")
 	return &metrics{
-		reads: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "list_reads_total",
-			Help: "Reads of the VM list, by result: new, same, stale (older than known) or failed.",
-		}, []string{"result"}),
-		words: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "leaving_words_total",
-			Help: "Targets first heard to be leaving, by source: list, answer or peer.",
-		}, []string{"source"}),
-		version: f.NewGauge(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "list_version",
-			Help: "Version of the VM list in force.",
-		}),
-		count: f.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "known",
-			Help: "Targets in the snapshot, by state: live, or leaving (which includes those held down).",
-		}, []string{"state"}),
+		reads: f.Counters("list_reads_total",
+			"Reads of the VM list, by result: new, same, stale (older than known) or failed.", "result"),
+		words: f.Counters("leaving_words_total",
+			"Targets first heard to be leaving, by source: list, answer or peer.", "source"),
+		version: f.Gauge("list_version", "Version of the VM list in force."),
+		count: f.Gauges("known",
+			"Targets in the snapshot, by state: live, or leaving (which includes those held down).", "state"),
 	}
 }
 
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -35,12 +35,9 @@
 func NewAsyncWriter(out io.Writer, reg prometheus.Registerer) *AsyncWriter {
 	w := &AsyncWriter{
 		out: out, wake: make(chan struct{}, 1),
-		dropped: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: Namespace, Subsystem: "log", Name: "dropped_lines_total",
-			Help: "Log lines dropped since the output did not keep up.",
-		}),
+		dropped: NewMeters(reg, "log").Counter("dropped_lines_total",
+			"Log lines dropped since the output did not keep up."),
 	}
-	reg.MustRegister(w.dropped)
 	go w.run()
 	return w
 }
