Let sites of the stand-in run side by side

Cause: all nodes of a site in tests took port 17340 for each other, so that two test processes at once failed with "address already in use" (TestWholePath, TestHeadersOfARequest with two processes; once the package's run beside another checkout's). Ruled out: the nodes' own start, which is the same alone. Each site takes a free port. Before: 2 of 4 tests failed with two processes; after: the whole package passes twice at once.

--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,6 +53,9 @@
 	Plain   []*Engine
 	Nodes   []*Node
 	version int
+	// peerPort is the port of all nodes for each other, the same on all of them
+	// as on the platform. Sites of test processes that run side by side differ.
+	peerPort int
 }
 
 // Node is a router node of the site.
@@ -84,7 +88,7 @@
 
 // NewSite starts a store and engines, without nodes.
 func NewSite(t Owner) *Site {
-	s := &Site{T: t, Store: NewStore(t), Journal: NewJournal()}
+	s := &Site{T: t, Store: NewStore(t), Journal: NewJournal(), peerPort: FreePort(t)}
 	for i := range 3 {
 		zone := fmt.Sprint("zone-", i)
 		s.Model = append(s.Model, NewEngine(t, fmt.Sprint("i-model-", i), ModelPool, zone, s.Journal))
@@ -165,7 +169,7 @@
 func (s *Site) startNode(i, n int) *Node {
 	peers := make([]string, n)
 	for j := range peers {
-		peers[j] = fmt.Sprintf("127.0.0.%d:%d", j+2, peerPort)
+		peers[j] = fmt.Sprintf("127.0.0.%d:%d", j+2, s.peerPort)
 	}
 	ip := fmt.Sprintf("127.0.0.%d", i+2)
 	cfg := &config.Router{
@@ -198,9 +202,20 @@
 	return out
 }
 
-// peerPort is the same on all nodes, as on the platform.
-const peerPort = 17340
+// FreePort returns a port that is free on all addresses of this machine.
+func FreePort(t Owner) int {
+	_, port, err := net.SplitHostPort(FreeAddr(t, "0.0.0.0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
 
+// FreeAddr returns a free ip:port of an IP.
 func FreeAddr(t Owner, ip string) string {
 	ln, err := net.Listen("tcp", ip+":0")
 	if err != nil {
