Show each connection that is closed without an answer

Cause: of eight places that close a caller's connection, four left no line or counter that names the request or tells them apart: failed writes, the end of a stop, panics, and answers that had begun without a byte of them delivered. Now: counter unanswered_total by cause, a line for each, first_event_ms and delivered in the lines of a request. An answer that is whole is flushed by the handler, so that a failed write is seen; it is the same write as before. No decision changes.

--- a/router/drain.go
+++ b/router/drain.go
@@ -45,6 +45,7 @@
 		}
 		pause.Sleep(ctx, stopPoll)
 	}
+	r.stopped.Store(true)
 	r.log.Info("router stops", "in_flight", r.inFlight.Load(), "connections", r.conns.count())
 	_ = r.ready.Close() // a readiness check that fails now is what it asks
 	return errors.CombineErrors(err, r.front.Close())
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,10 @@
 	kept      int
 	reason    placement.Reason
 	firstByte time.Duration
+	// firstEvent is when the first bytes of the answer's body were handed to the
+	// caller's connection, and delivered how many were in all.
+	firstEvent time.Duration
+	delivered  int
 }
 
 // serve handles one request of a caller.
@@ -76,6 +81,7 @@
 	defer r.inFlight.Add(-1)
 	defer r.metrics.inFlight.Dec()
 	x := &exchange{router: r, w: w, req: req, start: r.now()}
+	defer x.recoverPanic()
 	if r.draining.Load() || r.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -209,13 +215,71 @@
 	x.logRefused(p)
 	if x.begun {
 		x.router.metrics.cuts.WithLabelValues(string(p.Reason)).Inc()
-		panic(http.ErrAbortHandler)
+		x.abort(string(p.Reason))
 	}
 	x.router.metrics.refusals.WithLabelValues(string(p.Reason)).Inc()
 	if p.Reason == problem.CallerGone {
-		panic(http.ErrAbortHandler)
+		x.abort(string(p.Reason))
 	}
 	x.router.dialect.WriteRefusal(x.w, p)
+	x.flush()
+}
+
+// abort closes the caller's connection, which shows the caller that its answer
+// is not whole.
+func (x *exchange) abort(cause string) {
+	if x.done.delivered == 0 {
+		x.noteUnanswered(cause)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// noteUnanswered counts a request that was read whole and whose connection ends
+// without a byte of an answer.
+func (x *exchange) noteUnanswered(cause string) {
+	if x.router.stopped.Load() {
+		cause = causeStopped
+	}
+	x.router.metrics.unanswered.WithLabelValues(cause).Inc()
+	x.router.log.Warn("connection closed without an answer", "request", x.call.ID, "cause", cause,
+		"runs", x.runs, "begun", x.begun, "ms", x.router.now().Sub(x.start).Milliseconds())
+}
+
+// Causes of a connection closed without an answer, besides the reasons of refusals.
+const (
+	// causeStopped: the grace time of a stop was over.
+	causeStopped = "stopped"
+	// causeWrite: the answer could not be written.
+	causeWrite = "write_failed"
+	// causePanic: the program has a fault.
+	causePanic = "panic"
+)
+
+// flush hands an answer that is whole to the connection, so that a failure to
+// write it is seen.
+func (x *exchange) flush() {
+	err := http.NewResponseController(x.w).Flush()
+	if err == nil || errors.Is(err, http.ErrNotSupported) {
+		return
+	}
+	x.router.log.Warn("answer not written", "request", x.call.ID, "err", err)
+	if x.req.Context().Err() == nil || isTimeout(err) {
+		x.noteUnanswered(causeWrite)
+	}
+}
+
+// recoverPanic is for faults of the program. Without it the line of net/http
+// would not name the request.
+func (x *exchange) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it so
+		x.router.log.Error("handler panicked", "request", x.call.ID, "panic", v, "stack", string(debug.Stack()))
+		x.noteUnanswered(causePanic)
+	}
+	panic(v)
 }
 
 func (x *exchange) logDone() {
@@ -223,12 +287,14 @@
 	x.router.metrics.answers.WithLabelValues(x.service, statusClass(x.done.status)).Inc()
 	x.router.metrics.whole.WithLabelValues(x.service).Observe(since(x.start, now))
 	x.router.log.Info("answered", append(x.logFields(),
-		"status", x.done.status, "first_byte_ms", x.done.firstByte.Milliseconds())...)
+		"status", x.done.status, "first_byte_ms", x.done.firstByte.Milliseconds(),
+		"first_event_ms", x.done.firstEvent.Milliseconds(), "delivered", x.done.delivered)...)
 }
 
 func (x *exchange) logRefused(p *problem.Problem) {
 	x.router.log.Warn("refused", append(x.logFields(),
 		"reason", p.Reason, "ran", p.Ran, "detail", p.Detail, "begun", x.begun,
+		"delivered", x.done.delivered, "first_byte_ms", x.done.firstByte.Milliseconds(),
 		"retry_after_ms", p.RetryAfter.Milliseconds())...)
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -18,6 +18,8 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	cuts     *prometheus.CounterVec
+	// unanswered counts requests whose connection ended without a byte of an answer.
+	unanswered *prometheus.CounterVec
 	// connections counts callers' connections that the node ended.
 	connections *prometheus.CounterVec
 	// parts counts the tokens of shared parts that a target had to get.
@@ -37,6 +39,8 @@
 		refusals: f.Counters("refusals_total", "Requests that this node refused or gave up, by reason.", "reason"),
 		retries:  f.Counters("retries_total", "Requests sent to another target, by the reason.", "reason"),
 		cuts:     f.Counters("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
+		unanswered: f.Counters("unanswered_total",
+			"Requests whose connection was closed with no byte of an answer, by the cause.", "cause"),
 		connections: f.Counters("connections_ended_total",
 			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
 		parts: f.Counters("part_tokens_total",
--- a/router/relay.go
+++ b/router/relay.go
@@ -56,9 +56,18 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.status)
-	if _, err := x.w.Write(a.body); err != nil {
-		x.router.log.Debug("answer not taken by its caller", "request", x.call.ID, "err", err)
+	_ = x.write(a.body) // flush sees the failure
+	x.flush()
+}
+
+// write hands a part of the answer to the server's buffer.
+func (x *exchange) write(p []byte) error {
+	n, err := x.w.Write(p)
+	if n > 0 && x.done.delivered == 0 {
+		x.done.firstEvent = x.router.now().Sub(x.start)
 	}
+	x.done.delivered += n
+	return err
 }
 
 func (x *exchange) begin(status int, header http.Header) {
@@ -70,7 +79,7 @@
 func (x *exchange) relayLarge(ctx context.Context, l lease, resp *http.Response, head []byte) *failure {
 	x.begin(resp.StatusCode, resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
-	if _, err := x.w.Write(head); err != nil {
+	if err := x.write(head); err != nil {
 		return x.callerLost(err)
 	}
 	return x.copyRest(ctx, l, resp)
@@ -115,7 +124,7 @@
 }
 
 func (x *exchange) writeNow(rc *http.ResponseController, p []byte) error {
-	if _, err := x.w.Write(p); err != nil {
+	if err := x.write(p); err != nil {
 		return err
 	}
 	return rc.Flush()
--- a/router/router.go
+++ b/router/router.go
@@ -75,7 +75,9 @@
 	frontListener net.Listener
 	conns         *connTracker
 	draining      atomic.Bool
-	inFlight      atomic.Int64
+	// stopped says that the grace time of a stop is over.
+	stopped  atomic.Bool
+	inFlight atomic.Int64
 }
 
 // New returns a router that will listen on the addresses of cfg.
