--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/pause"
 )
 
 // Fault is what an engine does wrong.
@@ -35,6 +38,11 @@
 	Unsigned
 	// Unframed ends its answer with the connection.
 	Unframed
+	// HeaderOnly sends the header of its answer and nothing more.
+	HeaderOnly
+	// Stall waits for the engine's StallFor: before the answer of a plain request,
+	// and between the header and the first event of a stream.
+	Stall
 )
 
 // Faults are all that an engine may do wrong.
@@ -118,6 +126,8 @@
 	// Events is the number of events of a stream, Pace the pause between two.
 	Events int
 	Pace   time.Duration
+	// StallFor is how long the fault Stall lasts.
+	StallFor time.Duration
 	// Public is the address in the engine's entry; its own one if empty.
 	Public string
 
@@ -225,6 +235,21 @@
 		panic(http.ErrAbortHandler)
 	case Drop:
 		panic(http.ErrAbortHandler)
+	case HeaderOnly:
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		e.journal.cancel(run)
+		panic(http.ErrAbortHandler)
+	case Stall:
+		if r.Header.Get("Model") != "" {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+		}
+		if !e.stall(r.Context()) {
+			e.journal.cancel(run)
+			panic(http.ErrAbortHandler)
+		}
 	case WrongID:
 		h.Set("Request-Id", "0000000000000000")
 	case Unsigned:
@@ -237,6 +262,12 @@
 	e.stream(w, r, run, fault, id)
 }
 
+// stall returns false if the caller leaves meanwhile.
+func (e *Engine) stall(ctx context.Context) bool {
+	pause.Sleep(ctx, e.StallFor)
+	return ctx.Err() == nil
+}
+
 func (e *Engine) plain(w http.ResponseWriter, fault Fault, id string) {
 	body := "whole answer to " + id
 	if fault == Unframed {
--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/node"
 	"github.com/knapweedgw/knapweedgw/platform"
+	"github.com/knapweedgw/knapweedgw/router"
 )
 
 // Names of the site's configuration.
@@ -52,6 +53,11 @@
 	Model   []*Engine
 	Plain   []*Engine
 	Nodes   []*Node
+	// Adjust changes the settings of each node that starts, Wrap its way of
+	// speaking to callers and engines; nil for none.
+	Adjust func(*config.Router)
+	Wrap   func(router.Dialect) router.Dialect
+
 	version int
 	// peerPort is the port of all nodes for each other, the same on all of them
 	// as on the platform. Sites of test processes that run side by side differ.
@@ -177,12 +183,18 @@
 		Listen: FreeAddr(s.T, ip), ReadyListen: FreeAddr(s.T, ip), PeerListen: peers[i], Seeds: peers,
 		StoreAddr: s.Store.Addr(), Grace: Grace, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 	}
+	if s.Adjust != nil {
+		s.Adjust(cfg)
+	}
 	if err := cfg.Validate(); err != nil {
 		s.T.Fatal(err)
 	}
 	logs := &Logs{}
 	p := platform.NewAdapter("", cfg).Platform(cfg)
 	p.Store = platform.NewStoreFrom(cfg.StoreAddr, ip)
+	if s.Wrap != nil {
+		p.Dialect = s.Wrap(p.Dialect)
+	}
 	k, err := node.NewRouter(cfg, p, logs, prometheus.NewRegistry())
 	if err != nil {
 		s.T.Fatal(err)
