Give each write to a caller its own time

Cause: the connection's write deadline was the request's end plus 140 ms. A node that was later than that, by its processor or a full link, could not write the 504 or the late answer that it had, and closed the connection in its place. Ruled out: that the next request on the connection inherits the deadline (net/http takes it back, TestKeptConnectionOutlivesItsRequests). Before: three cases of TestPassedOnRequestIsAnswered, with a node 600 ms late to write, got a closed connection; after: 504, 200 and 200. The gateway's own interface already bounds each write by itself.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -21,9 +21,11 @@
 	startRetryAfter = 300 * time.Millisecond
 	// timeoutSlack lets a target's own answer at the deadline arrive.
 	timeoutSlack = 40 * time.Millisecond
-	// stalledCaller is how much longer than the request's deadline a caller may
-	// take to read what was written.
-	stalledCaller = 100 * time.Millisecond
+	// callerStall is how long a write may wait for its caller to read: as long as
+	// callers wait for the next event of a stream before they leave. It begins
+	// with the write and not with the request's deadline: a node that is late for
+	// want of its processor has an answer to give all the same.
+	callerStall = 2 * time.Second
 )
 
 // exchange is one caller's request in progress.
@@ -193,11 +195,14 @@
 	if x.deadline.IsZero() {
 		return context.WithCancel(x.req.Context())
 	}
-	end := x.deadline.Add(timeoutSlack)
-	// A caller that doesn't read must not hold the node's buffers for longer.
+	return context.WithDeadline(x.req.Context(), x.deadline.Add(timeoutSlack))
+}
+
+// limitWrite bounds the write that follows: a caller that doesn't read must not
+// hold the node's buffers.
+func (x *exchange) limitWrite() {
 	// A writer without deadlines only waits for the caller's own end.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(stalledCaller))
-	return context.WithDeadline(x.req.Context(), end)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.router.now().Add(callerStall))
 }
 
 // finish answers a request that failed with err and writes its log line.
@@ -259,6 +264,7 @@
 // flush hands an answer that is whole to the connection, so that a failure to
 // write it is seen.
 func (x *exchange) flush() {
+	x.limitWrite()
 	err := http.NewResponseController(x.w).Flush()
 	if err == nil || errors.Is(err, http.ErrNotSupported) {
 		return
--- a/router/relay.go
+++ b/router/relay.go
@@ -62,6 +62,7 @@
 
 // write hands a part of the answer to the server's buffer.
 func (x *exchange) write(p []byte) error {
+	x.limitWrite()
 	n, err := x.w.Write(p)
 	if n > 0 && x.done.delivered == 0 {
 		x.done.firstEvent = x.router.now().Sub(x.start)
