Take no request that outlasts a stop, and refuse what waits at its end

Cause: answers ask their callers to close the connection only if their request began after SIGTERM. The connection of an answer under way stayed open; the next request on it, seconds later, was taken, passed on and cut by the last Close. That Close also cut requests of which nothing was delivered, whose targets were silent.

--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,7 @@
 	ClaimDone          Reason = "idempotency_done"
 	ClaimsUnavailable  Reason = "claims_unavailable"
 	StreamNotResumable Reason = "stream_not_resumable"
+	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
 
@@ -90,6 +91,7 @@
 	ClaimDone:          {http.StatusConflict, "The request was run and its answer is no longer held", "Ask the service for the result; use a new key only for a new request."},
 	ClaimsUnavailable:  {http.StatusServiceUnavailable, "Idempotency keys can't be recorded now", "Send the request again with the same key after Retry-After."},
 	StreamNotResumable: {http.StatusGone, "The stream is no longer held", "Send the whole request again without Last-Event-ID."},
+	Stopping:           {http.StatusServiceUnavailable, "This node is stopping", "Send the request again on a new connection."},
 	Internal:           {http.StatusInternalServerError, "The node failed", "Report the request ID to the operator."},
 }
 
--- a/router/conns.go
+++ b/router/conns.go
@@ -46,7 +46,7 @@
 	mu    sync.Mutex
 	conns map[net.Conn]http.ConnState
 	idle  map[net.Conn]struct{}
-	// closing means that idle connections were ended.
+	// closing says that the node takes no further request.
 	closing bool
 }
 
@@ -72,6 +72,12 @@
 	case http.StateNew:
 		t.makeRoom(c)
 	case http.StateIdle:
+		if t.closing {
+			// Its answer is written and nothing of a next request was read. Left
+			// open, it would carry one that outlasts the stop.
+			_ = c.Close()
+			return
+		}
 		t.idle[c] = struct{}{}
 	case http.StateActive:
 		// closeIdle or makeRoom may have come between the request's first byte
@@ -110,10 +116,10 @@
 	return len(t.conns)
 }
 
-// closeIdle ends the connections that are between requests. It ends their wait
-// for a next request and does not close them itself: a request whose first byte
-// was read a moment ago is served.
-func (t *connTracker) closeIdle() {
+// close has each connection end with the answer in progress, and those between
+// requests at once. It ends their wait for a next request and does not close them
+// itself: one whose first byte was read a moment ago gets an answer.
+func (t *connTracker) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closing = true
@@ -124,4 +130,11 @@
 	}
 }
 
+// closes says whether the node takes no further request.
+func (t *connTracker) closes() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closing
+}
+
 var longAgo = time.Unix(1, 0)
--- a/router/conns_test.go
+++ b/router/conns_test.go
@@ -74,3 +74,22 @@
 	tracker.change(&idle, http.StateActive)
 	is.True(!idle.ended)
 }
+
+// A connection whose answer ends when no further request is taken is closed with
+// it, since its caller was not asked to close it.
+func TestBusyConnectionEndsWithItsAnswer(t *testing.T) {
+	is := is.New(t)
+	tracker := newConnTracker(0, newMetrics(prometheus.NewRegistry()))
+	var busy, idle fakeConn
+	for _, c := range []*fakeConn{&busy, &idle} {
+		tracker.change(c, http.StateNew)
+		tracker.change(c, http.StateActive)
+	}
+	tracker.change(&idle, http.StateIdle)
+	tracker.close()
+	is.True(tracker.closes())
+	is.True(idle.ended && !idle.closed) // a first byte may have been read
+	is.True(!busy.ended && !busy.closed)
+	tracker.change(&busy, http.StateIdle)
+	is.True(busy.closed)
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -85,9 +85,6 @@
 	defer r.metrics.inFlight.Dec()
 	x := &exchange{router: r, w: w, req: req, start: r.now()}
 	defer x.recoverPanic()
-	if r.draining.Load() || r.conns.crowded() {
-		w.Header().Set("Connection", "close")
-	}
 	err := x.prepare()
 	if err == nil {
 		err = x.forward()
@@ -107,6 +104,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if x.router.conns.closes() {
+		return problem.New(problem.Stopping, problem.RanNo, "").After(stopRetryAfter)
+	}
 	x.catalog = x.router.beliefs.Catalog()
 	_, x.revision = x.router.beliefs.Versions()
 	if err := x.matchRoute(); err != nil {
@@ -215,7 +215,7 @@
 	if !errors.As(err, &p) {
 		p = problem.New(problem.Internal, problem.RanUnknown, err.Error())
 	}
-	if x.req.Context().Err() != nil {
+	if x.callerGone() {
 		p = problem.New(problem.CallerGone, p.Ran, p.Detail)
 	}
 	x.logRefused(p)
@@ -227,10 +227,26 @@
 	if p.Reason == problem.CallerGone {
 		x.abort(string(p.Reason))
 	}
+	x.limitConnection()
 	x.router.dialect.WriteRefusal(x.w, p)
 	x.flush()
 }
 
+// callerGone says whether the caller's connection has ended.
+func (x *exchange) callerGone() bool {
+	ctx := x.req.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopping)
+}
+
+// limitConnection asks the caller to close its connection after this answer where
+// the node stops or has too many. It goes by the moment at which the header is
+// written, so that a stop also reaches connections whose requests it found waiting.
+func (x *exchange) limitConnection() {
+	if x.router.draining.Load() || x.router.conns.crowded() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // abort closes the caller's connection, which shows the caller that its answer
 // is not whole.
 func (x *exchange) abort(cause string) {
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -49,16 +49,21 @@
 	if x.runs == 0 {
 		ran = problem.RanNo
 	}
-	reason := f.reason
+	reason, cause := f.reason, f.cause
+	if errors.Is(context.Cause(ctx), errStopping) {
+		cause = errStopping
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = problem.DeadlineExceeded
+	case errors.Is(cause, errStopping) && ran == problem.RanNo:
+		reason = problem.Stopping
 	case reason == problem.TargetFailed && ran == problem.RanNo:
 		reason = problem.TargetRefused
 	case ran != problem.RanNo && reason != problem.DeadlineExceeded:
 		reason = problem.TargetFailed
 	}
-	p := problem.New(reason, ran, f.cause.Error())
+	p := problem.New(reason, ran, cause.Error())
 	if ran == problem.RanNo {
 		p.After(x.retryAfter(f))
 	}
--- a/router/relay.go
+++ b/router/relay.go
@@ -75,6 +75,7 @@
 	x.begun = true
 	x.done.status = status
 	x.router.dialect.EncodeAnswer(x.w.Header(), header)
+	x.limitConnection()
 }
 
 // beginStream writes the header of a stream's first target.
--- a/router/router.go
+++ b/router/router.go
@@ -78,6 +78,8 @@
 	// stopped says that the grace time of a stop is over.
 	stopped  atomic.Bool
 	inFlight atomic.Int64
+	// endWork ends all requests in progress with a cause.
+	endWork context.CancelCauseFunc
 }
 
 // New returns a router that will listen on the addresses of cfg.
@@ -119,8 +121,11 @@
 // Start implements kernel.Starter: it listens before it returns.
 func (r *Router) Start(ctx context.Context) error {
 	go r.keepNotes(ctx)
+	work, endWork := context.WithCancelCause(context.WithoutCancel(ctx))
+	r.endWork = endWork
 	r.front = &http.Server{
-		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+		BaseContext: func(net.Listener) context.Context { return work },
+		Handler:     http.HandlerFunc(r.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: r.conns.change, ErrorLog: r.log.StandardLog(),
 	}
 	r.ready = &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: headerTimeout}
