Give an attempt up only when another is allowed

Cause: an attempt without a first byte, or a stream that paused, was ended when its time was over; only then the retry budget was asked and another target sought. In a surge the budget is used up and the other targets refuse: a stream of a sound target, with or without events delivered, was cut, and plain requests got a 502 while their answer was on its way. Ruled out: the target's silence as a reason by itself; nothing is known against a target that may be reading a long prompt. Now the watch reserves the retry and looks for a target with a free slot before it ends the attempt, else looks again after the same wait. A counter says what became of overdue attempts.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,9 @@
 	sentAt        time.Time
 	attemptCancel context.CancelFunc
 
+	// reserved says that the retry budget has already paid for the next attempt.
+	reserved atomic.Bool
+
 	tried []string
 	// tries counts the targets tried, runs those that may have run the request.
 	tries, runs int
--- a/router/forward.go
+++ b/router/forward.go
@@ -118,7 +118,7 @@
 		retry.Attempt{Number: x.runs, Progress: fail.progress, Repeatable: x.route.Repeatable(), Remaining: left},
 		retry.Limits{MaxAttempts: max(x.route.MaxAttempts, 1), MinRemaining: minRemaining},
 	)
-	if verdict == retry.Again && retry.Charged(fail.progress) &&
+	if verdict == retry.Again && retry.Charged(fail.progress) && !x.reserved.Swap(false) &&
 		!x.router.window(x.service).Take(x.router.now(), x.router.fleet.Lives()) {
 		return retry.BudgetEmpty
 	}
--- a/router/lease.go
+++ b/router/lease.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
@@ -61,6 +62,18 @@
 	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
 
+// hasRoom says whether a target that wasn't tried may get a request and has a slot
+// free by the counts.
+func (p *pool) hasRoom(service string, tried []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cands := p.candidates(p.services[service], nil, tried, p.now())
+	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval())).Eligible()
+	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool {
+		return !c.Excluded && !c.Unreachable && (c.Slots <= 0 || c.Running < c.Slots)
+	})
+}
+
 // gate is called with the lock held.
 func (p *pool) gate(service string) *overload.Gate {
 	g, ok := p.gates[service]
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -20,6 +20,8 @@
 	cuts     *prometheus.CounterVec
 	// unanswered counts requests whose connection ended without a byte of an answer.
 	unanswered *prometheus.CounterVec
+	// overdue counts attempts that got nothing from their target for too long.
+	overdue *prometheus.CounterVec
 	// connections counts callers' connections that the node ended.
 	connections *prometheus.CounterVec
 	// parts counts the tokens of shared parts that a target had to get.
@@ -41,6 +43,8 @@
 		cuts:     f.Counters("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
 		unanswered: f.Counters("unanswered_total",
 			"Requests whose connection was closed with no byte of an answer, by the cause.", "cause"),
+		overdue: f.Counters("overdue_total",
+			"Times that an attempt which may go elsewhere was overdue, by whether it went and why not.", "outcome"),
 		connections: f.Counters("connections_ended_total",
 			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
 		parts: f.Counters("part_tokens_total",
--- a/router/patience.go
+++ b/router/patience.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,79 +101,119 @@
 	x.router.replies.observe(x.route, x.router.now().Sub(x.sentAt))
 }
 
-// replyWatch ends an attempt that gets no answer in time, if the request may go
-// elsewhere, and else notes that the target is overdue.
-type replyWatch struct {
+// overdueWatch ends an attempt whose target is overdue, once another attempt is
+// sure to be allowed. The zero overdueWatch ends nothing.
+type overdueWatch struct {
 	timer *time.Timer
-	fired atomic.Bool
+	wait  time.Duration
+	// reserve takes what another attempt needs; false lets this one go on.
+	reserve func() bool
+	cancel  context.CancelFunc
+
+	fired, stopped atomic.Bool
 }
 
-func (x *exchange) watchReply(l lease, cancel context.CancelFunc) *replyWatch {
-	w := &replyWatch{}
-	if x.route.TargetLatency <= 0 {
-		return w
+func newOverdueWatch(wait time.Duration, reserve func() bool, cancel context.CancelFunc) *overdueWatch {
+	w := &overdueWatch{wait: wait, reserve: reserve, cancel: cancel}
+	w.timer = time.AfterFunc(math.MaxInt64, w.overdue)
+	w.timer.Reset(wait)
+	return w
+}
+
+// overdue is called by the timer.
+func (w *overdueWatch) overdue() {
+	if w.stopped.Load() {
+		return
 	}
-	wait := x.router.replies.patience(x.route)
-	if x.mayMove() {
-		w.timer = time.AfterFunc(wait, func() {
-			w.fired.Store(true)
-			cancel()
-		})
-		return w
+	if !w.reserve() {
+		w.timer.Reset(w.wait)
+		return
 	}
-	w.timer = time.AfterFunc(time.Duration(overdueFactor*float64(x.route.TargetLatency)), func() {
-		x.router.pool.observe(l.member, health.Failed)
-	})
-	return w
+	w.fired.Store(true)
+	w.cancel()
 }
 
-// mayMove says whether the request could go to another target after the one in
-// progress.
-func (x *exchange) mayMove() bool {
-	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts
+// event says that the target showed a sign of life.
+func (w *overdueWatch) event() {
+	if w.timer != nil && !w.fired.Load() {
+		w.timer.Reset(w.wait)
+	}
 }
 
-func (w *replyWatch) stop() {
+func (w *overdueWatch) stop() {
+	w.stopped.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-func (w *replyWatch) ended() bool { return w.fired.Load() }
+// ended says whether the watch ended the attempt.
+func (w *overdueWatch) ended() bool { return w.fired.Load() }
 
-// gapWatch ends the attempt of a stream that pauses too long, if the stream may
-// go on elsewhere.
-type gapWatch struct {
-	timer *time.Timer
-	gap   time.Duration
-	fired atomic.Bool
+// watchReply watches for the first byte of an answer. Where the request may not go
+// elsewhere it only notes that the target is overdue.
+func (x *exchange) watchReply(l lease, cancel context.CancelFunc) *overdueWatch {
+	if x.route.TargetLatency <= 0 {
+		return &overdueWatch{}
+	}
+	if x.mayMove() {
+		return newOverdueWatch(x.router.replies.patience(x.route), x.reserveFor(l), cancel)
+	}
+	late := time.Duration(overdueFactor * float64(x.route.TargetLatency))
+	return &overdueWatch{timer: time.AfterFunc(late, func() { x.router.pool.observe(l.member, health.Failed) })}
+}
+
+// mayMove says whether the request could go to another target after the one in
+// progress.
+func (x *exchange) mayMove() bool {
+	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts
 }
 
-func (x *exchange) watchGaps() *gapWatch {
-	w := &gapWatch{}
+// watchGaps watches for the events of a stream that may go on elsewhere.
+func (x *exchange) watchGaps(l lease) *overdueWatch {
 	if !x.mayMoveOn() || x.route.MaxGap <= 0 {
-		return w
+		return &overdueWatch{}
 	}
-	w.gap = time.Duration(gapPart * float64(x.route.MaxGap))
-	cancel := x.attemptCancel
-	w.timer = time.AfterFunc(w.gap, func() {
-		w.fired.Store(true)
-		cancel()
-	})
-	return w
+	wait := time.Duration(gapPart * float64(x.route.MaxGap))
+	return newOverdueWatch(wait, x.reserveFor(l), x.attemptCancel)
 }
 
 // mayMoveOn is mayMove for a request whose attempt in progress is counted.
 func (x *exchange) mayMoveOn() bool { return x.route.Repeatable() && x.runs < x.route.MaxAttempts }
 
-func (w *gapWatch) event() {
-	if w.timer != nil && !w.fired.Load() {
-		w.timer.Reset(w.gap)
+// Outcomes of an attempt that is overdue.
+const (
+	overdueMoves    = "moves"
+	overdueNoTime   = "no_time"
+	overdueNoRoom   = "no_room"
+	overdueNoBudget = "no_budget"
+)
+
+// reserveFor returns what decides whether the attempt in progress may be ended for
+// another one. An attempt that is ended first and finds no other allowed would lose
+// the answer of a target that is only busy, as all are in a surge: there the retry
+// budget is soon used up, and the other targets refuse. The returned function is
+// called by a timer while the attempt is in progress.
+func (x *exchange) reserveFor(l lease) func() bool {
+	tried := append(slices.Clone(x.tried), l.target.ID)
+	last := x.tries >= maxTries
+	return func() bool {
+		outcome := x.reserve(tried, last)
+		x.router.metrics.overdue.WithLabelValues(outcome).Inc()
+		return outcome == overdueMoves
 	}
 }
 
-func (w *gapWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+func (x *exchange) reserve(tried []string, last bool) string {
+	left, _ := x.remaining()
+	switch {
+	case last || (!x.deadline.IsZero() && left < minRemaining):
+		return overdueNoTime
+	case !x.router.pool.hasRoom(x.service, tried):
+		return overdueNoRoom
+	case !x.router.window(x.service).Take(x.router.now(), x.router.fleet.Lives()):
+		return overdueNoBudget
 	}
+	x.reserved.Store(true)
+	return overdueMoves
 }
--- a/router/relay.go
+++ b/router/relay.go
@@ -148,7 +148,7 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	rc := http.NewResponseController(x.w)
-	gaps := x.watchGaps()
+	gaps := x.watchGaps(l)
 	defer gaps.stop()
 	var pending []byte
 	for {
@@ -168,7 +168,7 @@
 		if errors.Is(err, io.EOF) {
 			return x.endEvents(l, resp, pending)
 		}
-		if gaps.fired.Load() {
+		if gaps.ended() {
 			return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errGap}
 		}
 		if err != nil {
