Refuse the next request of a connection that outlived its answer

Cause: a stopping node closed each busy connection in the moment its answer was written. Ruled out: that these requests had been passed on; none is, the node refuses what it still reads.

--- a/router/conns.go
+++ b/router/conns.go
@@ -72,12 +72,6 @@
 	case http.StateNew:
 		t.makeRoom(c)
 	case http.StateIdle:
-		if t.closing {
-			// Its answer is written and nothing of a next request was read. Left
-			// open, it would carry one that outlasts the stop.
-			_ = c.Close()
-			return
-		}
 		t.idle[c] = struct{}{}
 	case http.StateActive:
 		// closeIdle or makeRoom may have come between the request's first byte
@@ -116,9 +110,11 @@
 	return len(t.conns)
 }
 
-// close has each connection end with the answer in progress, and those between
-// requests at once. It ends their wait for a next request and does not close them
-// itself: one whose first byte was read a moment ago gets an answer.
+// close says that the node takes no further request, and ends the connections that
+// are between requests. It ends their wait for a next request and does not close them
+// itself: one whose first byte was read a moment ago gets an answer. Busy connections
+// are ended by a later call, once their answers are written; a caller that goes on at
+// once gets a refusal there, which tells it more than a request that crossed a close.
 func (t *connTracker) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/drain.go
+++ b/router/drain.go
@@ -35,8 +35,9 @@
 }
 
 // Stop implements kernel.Stopper. Requests are served until the balancer has
-// surely noticed; then the listener and the idle connections are closed, and busy
-// ones with their answers, so that what comes now goes to other nodes. What is in
+// surely noticed; then the listener and the idle connections are closed, busy ones
+// after their answers, and what still comes on those is refused, so that it goes to
+// other nodes. What is in
 // progress has the rest of the grace time. A node that serves new requests to the
 // end of its grace time would cut the long ones off, where the balancer uses unready
 // nodes because few others are ready, and on connections that its callers go on
