Give the signals of a stop and of a reload a channel each

Cause: one channel of two held SIGTERM, SIGINT and SIGHUP, and a full channel drops what comes. Two hangups during a reload cost the stop: the node stayed ready until SIGKILL, which cuts all that is in progress. A hangup before the node asked for signals ended the process. Ruled out: that the reload itself fails; it only has to take long enough. How often a fleet met it is not known; it would show as a start without a line "stops" before it.

--- a/cmd/knapweedgw/route.go
+++ b/cmd/knapweedgw/route.go
@@ -50,6 +50,8 @@
 	cmd.Flags().BoolVar(&check, "check", false, "validate the settings and exit")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of /metrics on the node's own address; 0 for none")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		// First of all: a hangup ends a process that doesn't ask for it.
+		signals := notifySignals()
 		if err := config.ApplyEnv(cmd.Flags()); err != nil {
 			return err
 		}
@@ -69,12 +71,23 @@
 			host, _, _ := net.SplitHostPort(cfg.Listen) // validated above
 			cfg.MetricsListen = net.JoinHostPort(host, strconv.Itoa(metricsPort))
 		}
-		return route(cmd.Context(), path, cfg)
+		return route(cmd.Context(), path, cfg, signals)
 	}
 	return cmd
 }
 
-func route(ctx context.Context, path string, cfg *config.Router) error {
+// nodeSignals are the signals of a running node. Each kind has a channel of its own:
+// a full one drops what comes, and hangups must not cost a stop.
+type nodeSignals struct{ stop, reload chan os.Signal }
+
+func notifySignals() nodeSignals {
+	s := nodeSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func route(ctx context.Context, path string, cfg *config.Router, signals nodeSignals) error {
 	if cfg.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryLimit)))
 	}
@@ -91,8 +104,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	logger.Info("starts", "version", version, "domain", cfg.FailureDomain, "listen", cfg.Listen,
 		"peer_listen", cfg.PeerListen, "store", cfg.StoreAddr, "seeds", cfg.Seeds)
 	if err := k.Start(ctx); err != nil {
@@ -102,18 +113,16 @@
 }
 
 // runUntilTerm reloads the settings until a signal ends the node.
-func runUntilTerm(k *kernel.Kernel, a *platform.Adapter, l *log.Logger, signals <-chan os.Signal) error {
+func runUntilTerm(k *kernel.Kernel, a *platform.Adapter, l *log.Logger, signals nodeSignals) error {
 	tick := time.NewTicker(settingsInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
 			reload(a, l, "interval")
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				reload(a, l, "signal")
-				continue
-			}
+		case <-signals.reload:
+			reload(a, l, "signal")
+		case s := <-signals.stop:
 			l.Info("stops", "signal", s.String())
 			err := k.Stop(context.Background())
 			l.Info("stopped", "err", err)
