Take the nodes' port in tests on their own addresses

Cause: the port was bound on all addresses at once, which failed twice with "address already in use" beside 8,816 connections in TIME_WAIT (seen by the review; the cause in the kernel was not traced). Now the port is looked for on the addresses of the nodes, with 20 tries. After: the packages of lab/standin and lab/soak pass; the failure itself was not brought about again.

--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -94,7 +94,7 @@
 
 // NewSite starts a store and engines, without nodes.
 func NewSite(t Owner) *Site {
-	s := &Site{T: t, Store: NewStore(t), Journal: NewJournal(), peerPort: FreePort(t)}
+	s := &Site{T: t, Store: NewStore(t), Journal: NewJournal()}
 	for i := range 3 {
 		zone := fmt.Sprint("zone-", i)
 		s.Model = append(s.Model, NewEngine(t, fmt.Sprint("i-model-", i), ModelPool, zone, s.Journal))
@@ -161,6 +161,7 @@
 // Start starts n nodes and waits until they are ready. Node i has the IP
 // 127.0.0.(i+2).
 func (s *Site) Start(n int) {
+	s.peerPort = freePort(s.T, n)
 	for i := range n {
 		s.Nodes = append(s.Nodes, s.startNode(i, n))
 	}
@@ -175,9 +176,9 @@
 func (s *Site) startNode(i, n int) *Node {
 	peers := make([]string, n)
 	for j := range peers {
-		peers[j] = fmt.Sprintf("127.0.0.%d:%d", j+2, s.peerPort)
+		peers[j] = net.JoinHostPort(nodeIP(j), strconv.Itoa(s.peerPort))
 	}
-	ip := fmt.Sprintf("127.0.0.%d", i+2)
+	ip := nodeIP(i)
 	cfg := &config.Router{
 		NodeID: fmt.Sprint("node-", i), Region: "region", FailureDomain: fmt.Sprint("zone-", i%3),
 		Listen: FreeAddr(s.T, ip), ReadyListen: FreeAddr(s.T, ip), PeerListen: peers[i], Seeds: peers,
@@ -214,19 +215,36 @@
 	return out
 }
 
-// FreePort returns a port that is free on all addresses of this machine.
-func FreePort(t Owner) int {
-	_, port, err := net.SplitHostPort(FreeAddr(t, "0.0.0.0"))
-	if err != nil {
-		t.Fatal(err)
+// portTries is how many ports freePort tries; each is free on most addresses.
+const portTries = 20
+
+// freePort returns a port that is free on the addresses of n nodes.
+func freePort(t Owner, n int) int {
+	for range portTries {
+		_, port, _ := net.SplitHostPort(FreeAddr(t, nodeIP(0))) // an address of net's own
+		if p, err := strconv.Atoi(port); err == nil && freeOn(p, n) {
+			return p
+		}
 	}
-	n, err := strconv.Atoi(port)
-	if err != nil {
-		t.Fatal(err)
+	t.Fatalf("no port is free on %d addresses", n)
+	return 0
+}
+
+// freeOn says whether a port is free on the addresses of n nodes.
+func freeOn(port, n int) bool {
+	for i := range n {
+		ln, err := net.Listen("tcp", net.JoinHostPort(nodeIP(i), strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
 	}
-	return n
+	return true
 }
 
+// nodeIP is the IP of a node of a site.
+func nodeIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+2) }
+
 // FreeAddr returns a free ip:port of an IP.
 func FreeAddr(t Owner, ip string) string {
 	ln, err := net.Listen("tcp", ip+":0")
