Let room play no part in giving up an attempt

Hypothesis: an attempt should stay where the other targets have no room. What stays: there must be another target, and the budget must allow it.

--- a/router/lease.go
+++ b/router/lease.go
@@ -72,22 +72,13 @@
 	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
 
-// roomFactor times its slots is how many requests a target has when it counts as
-// having no room for an attempt that is overdue elsewhere. Targets refuse when
-// several times their slots wait; at once its slots, attempts at targets that hang
-// were kept too long in a surge (0.03 of worth on one of two deployments, three seeds).
-const roomFactor = 2
-
-// hasRoom says whether a target that wasn't tried may get a request and would, by
-// the counts, not refuse it.
-func (p *pool) hasRoom(service string, tried []string) bool {
+// hasOther says whether a target that wasn't tried may get a request.
+func (p *pool) hasOther(service string, tried []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cands := p.candidates(p.services[service], want{tried: tried}, p.now())
 	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval())).Eligible()
-	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool {
-		return !c.Unreachable && (c.Slots <= 0 || c.Running < roomFactor*c.Slots)
-	})
+	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
 }
 
 // gate is called with the lock held.
--- a/router/patience.go
+++ b/router/patience.go
@@ -100,9 +100,8 @@
 	x.router.replies.observe(x.route, x.router.now().Sub(x.sentAt))
 }
 
-// overdueWatch ends an attempt whose target is overdue, once another attempt is
-// allowed by the retry budget and by the room that the counts show. The zero
-// overdueWatch ends nothing.
+// overdueWatch ends an attempt whose target is overdue, once the retry budget allows
+// another one and there is a target for it. The zero overdueWatch ends nothing.
 type overdueWatch struct {
 	timer *time.Timer
 	wait  time.Duration
@@ -221,7 +220,7 @@
 	// overdueNoTime: another attempt could not be waited for, or there were too
 	// many already.
 	overdueNoTime   = "no_time"
-	overdueNoRoom   = "no_room"
+	overdueNoTarget = "no_target"
 	overdueNoBudget = "no_budget"
 )
 
@@ -246,8 +245,8 @@
 	switch {
 	case last || (!x.deadline.IsZero() && left < max(wait, minRemaining)):
 		return overdueNoTime
-	case !x.router.pool.hasRoom(x.service, tried):
-		return overdueNoRoom
+	case !x.router.pool.hasOther(x.service, tried):
+		return overdueNoTarget
 	case !x.router.window(x.service).Take(x.router.now(), x.router.fleet.Lives()):
 		return overdueNoBudget
 	}
