Bound each write of a gateway's stream by its own time

Cause, found by looking for the router's fault in the product's own interface: the time limit of a write was set only before a flush. After a pause longer than that limit, a burst that fills the server's buffer, or the event that says why a stream ends, met the old limit and the connection was closed. Before: both cases of TestStreamGoesOnAfterALongPause failed (EOF); after: they pass. TestStalledCaller holds. Left as it is: a service's event stream has its header delivered ahead of its first event, since its callers wait for the header; a target that breaks off in between shows as a closed connection there.

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -89,6 +89,9 @@
 // is ended with an error event.
 func (g *Gateway) finish(c *call, err error) {
 	if err == nil {
+		if c.w.streaming {
+			g.limitWrite(c) // the server writes the end of a stream after this
+		}
 		g.metrics.requests.WithLabelValues(c.kind, outcomeAnswered).Inc()
 		return
 	}
@@ -105,6 +108,7 @@
 		c.w.wroteProblem = true
 		p.Write(c.w)
 	case c.w.streaming:
+		g.limitWrite(c)
 		_, _ = c.w.Write(p.Event())
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -238,14 +238,24 @@
 	return s.flush()
 }
 
+// write may already reach the connection, when the server's buffer is full.
 func (s *stream) write(p []byte) {
 	s.c.captured.add(p)
+	s.g.limitWrite(s.c)
 	_, _ = s.c.w.Write(p)
 }
 
-// flush sends what was written. A failed write shows here. net/http lifts the
-// deadline before the connection's next request.
+// flush sends what was written. A failed write shows here.
 func (s *stream) flush() error {
-	_ = s.rc.SetWriteDeadline(time.Now().Add(s.g.stall))
+	s.g.limitWrite(s.c)
 	return s.rc.Flush()
 }
+
+// limitWrite bounds the write that follows. The limit of the one before may be over:
+// a stream may pause for longer, and would then lose its next burst of events, or
+// the event that says why it ends. net/http lifts the limit before the connection's
+// next request.
+func (g *Gateway) limitWrite(c *call) {
+	// A writer without deadlines only waits for the caller's own end.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(g.stall))
+}
