--- a/router/conns.go
+++ b/router/conns.go
@@ -74,7 +74,7 @@
 	case http.StateIdle:
 		t.idle[c] = struct{}{}
 	case http.StateActive:
-		// closeIdle or makeRoom may have come between the request's first byte
+		// close or makeRoom may have come between the request's first byte
 		// and this.
 		_ = c.SetReadDeadline(time.Time{})
 	}
