Tell the runs of a target apart by the time of its start

Cause: a target's ID was taken for one run for ever. An engine that starts again under its ID was believed to keep the parts that the run before had read, to run its requests and to be as healthy, and copies of memory were fetched from it.

A target is now an ID and a start. The newer start gets a new member in the pool: no load, no health, no connections. Reports, uses of parts and the note name the hash of the run, so that what a node that is behind tells is asked for by nobody. An older start, in a change or a list, changes nothing and is not passed on.

Ruled out: the start in each report, since nodes of the release before can't decode a report of another length; one hash for reports and placement, since nodes that know different runs would send a new key to different targets. Answers carry no start, and no count of an engine is compared with an earlier one, so neither needed a change.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -53,8 +53,9 @@
 	told   time.Time // when this node told the others, or heard it
 }
 
-// Table says which targets keep which parts. Parts and targets are named by
-// the lower halves of their hashes; a collision costs one wrong guess.
+// Table says which targets keep which parts. Parts and the runs of targets are
+// named by the lower halves of their hashes; a collision costs one wrong guess. A
+// target that starts again has a new hash, so that nothing is known of its memory.
 type Table struct {
 	cfg   Config
 	parts map[uint32][]holder
--- a/heartbeat/view.go
+++ b/heartbeat/view.go
@@ -45,8 +45,8 @@
 // anything to tell are left out.
 type TargetReport struct {
 	_ struct{} `cbor:",toarray"`
-	// Target is the lower half of the target's placement hash, or of a hash of
-	// a service for the sums of its targets.
+	// Target is the lower half of the hash of the target's run, or of a hash of a
+	// service for the sums of its targets.
 	Target  uint32
 	Running uint16
 	// Answered and Failed are the outcomes within the health window.
@@ -195,7 +195,7 @@
 	}
 }
 
-// Target returns what the others say of the target with the given hash.
+// Target returns what the others say of the target's run with the given hash.
 func (v *View) Target(hash uint64) Sum { return v.sums[uint32(hash)] }
 
 // Lives returns the number of live nodes, this one included.
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -46,6 +46,8 @@
 // Run is one run of a request, as an engine saw it.
 type Run struct {
 	Engine string
+	// Born is the start of that engine, in Unix milliseconds.
+	Born   int64
 	Method string
 	Path   string
 	Header http.Header
@@ -122,43 +124,27 @@
 	Public string
 
 	journal *Journal
-	server  *http.Server
-	addr    string
+	owner   Owner
 
-	mu    sync.Mutex
-	fault Fault
-	left  int // requests for which the fault holds, -1 for all
+	mu       sync.Mutex
+	listener net.Listener
+	server   *http.Server
+	addr     string
+	born     int64 // Unix milliseconds
+	fault    Fault
+	left     int // requests for which the fault holds, -1 for all
 }
 
-// NewEngine starts an engine on a loopback address.
-func NewEngine(t Owner, id, service, zone string, j *Journal) *Engine {
-	e := &Engine{ID: id, Service: service, Zone: zone, Events: DefaultEvents, journal: j}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e.addr = ln.Addr().String()
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
-	go func() { _ = e.server.Serve(ln) }() // ends with Close
-	t.Cleanup(func() { _ = e.server.Close() })
-	return e
-}
-
-// Addr is the ip:port of the engine.
-func (e *Engine) Addr() string { return e.addr }
-
-// Crash ends the engine with all its connections.
-func (e *Engine) Crash() { _ = e.server.Close() }
-
 // Entry is what the engine writes to the store.
 func (e *Engine) Entry(state string) map[string]any {
 	address := e.Public
 	if address == "" {
-		address = e.addr
+		address = e.Addr()
 	}
 	return map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1",
 		"slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+		"born": e.Born(),
 	}
 }
 
@@ -199,7 +185,7 @@
 	}
 	body, _ := io.ReadAll(r.Body) // a short body shows in the journal
 	run := &Run{
-		Engine: e.ID, Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
+		Engine: e.ID, Born: e.Born(), Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.begin(run, id)
 	e.answer(w, r, run, fault, id)
--- a/replica/state.go
+++ b/replica/state.go
@@ -107,6 +107,7 @@
 	}
 	c.revision = revision
 	c.recent, c.recentFrom = nil, revision
+	before := c.targets
 	c.targets = make(map[string]Entry, len(entries))
 	list := make([]roster.Target, 0, len(entries))
 	var out changes
@@ -120,8 +121,11 @@
 				c.problems(e.Key, e.Revision, err)
 				continue
 			}
-			c.targets[e.Key] = e
 			list = append(list, t)
+			if last, ok := before[e.Key]; ok && c.keeper.IsOver(t) {
+				e = last // other nodes are told of the newer run
+			}
+			c.targets[e.Key] = e
 		}
 	}
 	out.targets = c.keeper.Reset(list, now)
@@ -149,6 +153,9 @@
 		c.problems(e.Key, e.Revision, err)
 		return changes{}
 	}
+	if c.keeper.IsOver(t) {
+		return changes{}
+	}
 	c.targets[e.Key] = e
 	return changes{targets: c.keeper.Put(t, now)}
 }
--- a/roster/diff.go
+++ b/roster/diff.go
@@ -5,11 +5,12 @@
 
 // The changes.
 const (
-	Joined   Change = "joined"
-	Drains   Change = "drains"
-	Lapses   Change = "lapses" // its entry is gone; it is a last resort
-	Gone     Change = "gone"
-	Modified Change = "modified"
+	Joined    Change = "joined"
+	Restarted Change = "restarted" // a later run under the same ID
+	Drains    Change = "drains"
+	Lapses    Change = "lapses" // its entry is gone; it is a last resort
+	Gone      Change = "gone"
+	Modified  Change = "modified"
 )
 
 // Difference is one target's change.
@@ -42,6 +43,8 @@
 
 func changeBetween(old, now *Target) Change {
 	switch {
+	case !now.Started.Equal(old.Started):
+		return Restarted
 	case now.Fallback && !old.Fallback:
 		return Lapses
 	case now.Draining && !old.Draining:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,12 +8,19 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/routing"
 )
 
-// Target is one incarnation of an engine or of a plain service's server. A
-// restart gives it a new ID; its address may go to another target later.
+// Target is one run of an engine or of a plain service's server: its ID and the
+// time of its start. What nodes learn of a run ends with it: a later run under the
+// same ID is a new target, which keeps and counts nothing of before. Its address
+// may go to another target.
 type Target struct {
-	ID            string
+	ID string
+	// Started is when the run began, zero if its entry doesn't say so. Runs under
+	// one ID are told apart only by it.
+	Started       time.Time
 	Addr          string
 	FailureDomain string
 	Service       string
@@ -22,13 +29,25 @@
 	// Fallback targets have lost their entry a moment ago. They are used only
 	// if a service has no other target left.
 	Fallback bool
-	// Hash is the key of the target in placement.
+	// Hash is the key of the target's ID in placement. A later run has the same,
+	// so that nodes which don't know of it yet rank the targets alike.
 	Hash uint64
 	// Joined is when this node learnt of the target, zero if it was there
 	// when the node began.
 	Joined time.Time
 }
 
+// RunHash names the run among the nodes: in their reports, in the uses of prompt
+// parts and in the note of them. A node that is behind and tells of an earlier run
+// names a hash that nobody asks for any more. A target whose start is not known
+// has the hash of its ID.
+func (t *Target) RunHash() uint64 {
+	if t.Started.IsZero() {
+		return t.Hash
+	}
+	return routing.Rank(uint64(t.Started.UnixMilli()), t.Hash)
+}
+
 // Snapshot is an immutable view of the targets.
 type Snapshot struct {
 	byService map[string][]*Target
@@ -98,12 +117,23 @@
 	}
 }
 
-// Put adds or changes a target. It returns true if that changes the view.
+// IsOver says whether a later run under the target's ID is known, so that the
+// target's entry is an old one: written late, or read from a copy that is behind.
+func (k *Keeper) IsOver(t Target) bool {
+	known, ok := k.targets[t.ID]
+	return ok && t.Started.Before(known.Started)
+}
+
+// Put adds or changes a target. It returns true if that changes the view. A run
+// that is over changes nothing.
 func (k *Keeper) Put(t Target, now time.Time) bool {
+	if k.IsOver(t) {
+		return false
+	}
 	_, wasMissing := k.missing[t.ID]
 	delete(k.missing, t.ID)
 	old, known := k.targets[t.ID]
-	if known {
+	if known && old.Started.Equal(t.Started) {
 		t.Joined = old.Joined
 	} else if len(k.targets) > 0 {
 		t.Joined = now
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -124,3 +124,63 @@
 	}
 	is.Equal(got["b"], Gone)
 }
+
+func run(id string, second int64) Target {
+	t := engine(id)
+	t.Started = time.Unix(second, 0)
+	return t
+}
+
+// A later run under the same ID takes over nothing of the earlier one, the word
+// that it drains and the grace of its entry included.
+func TestLaterRunTakesOverNothing(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	leaving := run("a", 10)
+	leaving.Draining = true
+	k.Reset([]Target{leaving, run("b", 10)}, start)
+	k.Remove("a", start)
+	before := k.Snapshot()
+	later := start.Add(time.Millisecond)
+	is.True(k.Put(run("a", 11), later))
+	got := k.Snapshot().Pool("s")[0]
+	is.True(!got.Draining && !got.Fallback)
+	is.Equal(got.Joined, later)
+	is.True(!k.Expire(start.Add(time.Hour)))
+	changed := Diff(before, k.Snapshot())
+	is.Equal(len(changed), 1)
+	is.Equal(changed[0].Change, Restarted)
+}
+
+// What tells of an earlier run than the one known is old: it changes nothing,
+// neither a late write, nor a list, nor an entry without a start.
+func TestEarlierRunChangesNothing(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10)}, start)
+	earlier := run("a", 9)
+	earlier.Draining, earlier.Addr = true, "10.0.0.9:80"
+	is.True(!k.Put(earlier, start))
+	is.True(!k.Reset([]Target{earlier}, start))
+	is.True(!k.Put(engine("a"), start))
+	is.Equal(*k.Snapshot().Pool("s")[0], run("a", 10))
+	k.Remove("a", start)
+	is.True(!k.Put(earlier, start)) // nor does it end the grace of the later one
+	is.True(k.Expire(start.Add(FallbackGrace)))
+	is.Equal(ids(k), []string{})
+}
+
+// A start that becomes known is a new run: nothing is known of the one before.
+func TestStartThatBecomesKnown(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{engine("a")}, start)
+	is.True(k.Put(run("a", 10), start))
+	is.Equal(k.Snapshot().Pool("s")[0].Started, time.Unix(10, 0))
+}
+
+func TestRunsAreNamedApart(t *testing.T) {
+	is := is.New(t)
+	plain, first, second := engine("a"), run("a", 10), run("a", 11)
+	plain.Hash, first.Hash, second.Hash = 7, 7, 7
+	is.Equal(plain.RunHash(), uint64(7)) // as nodes without starts name it
+	is.True(uint32(first.RunHash()) != uint32(second.RunHash()))
+	is.True(uint32(first.RunHash()) != 7)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -58,7 +58,8 @@
 	Interval() time.Duration
 }
 
-// member is a target with this node's connections to it and its view of it.
+// member is one run of a target with this node's connections to it and its view
+// of it.
 type member struct {
 	target *roster.Target
 	client *upstream.Client
@@ -124,6 +125,12 @@
 	for t := range s.All() {
 		present[t.ID] = true
 		m, ok := p.members[t.ID]
+		if ok && !m.target.Started.Equal(t.Started) {
+			// What this node knows of the earlier run, its connections included,
+			// is of no use for the new one.
+			m.leave()
+			ok = false
+		}
 		if !ok {
 			m = newMember(t)
 			p.members[t.ID] = m
@@ -133,18 +140,25 @@
 	}
 	for id, m := range p.members {
 		if !present[id] {
-			m.gone = true
-			m.client.CloseIdle()
+			m.leave()
 			delete(p.members, id)
 		}
 	}
 }
 
+// leave ends the use of a target that is gone. Its requests in progress end as they
+// may; release closes their connections. It is called with the pool's lock held.
+func (m *member) leave() {
+	m.gone = true
+	m.client.CloseIdle()
+}
+
 // noteUses is called with the lock held.
 func (p *pool) noteUses(parts []affinity.Part, t *roster.Target, now time.Time) {
+	run := uint32(t.RunHash())
 	for _, part := range parts {
-		if p.parts.Sent(part.Hash, uint32(t.Hash), now) && len(p.uses) < maxUses {
-			p.uses = append(p.uses, toldUse{affinity.Use{Part: uint32(part.Hash), Target: uint32(t.Hash)}, now})
+		if p.parts.Sent(part.Hash, run, now) && len(p.uses) < maxUses {
+			p.uses = append(p.uses, toldUse{affinity.Use{Part: uint32(part.Hash), Target: run}, now})
 		}
 	}
 }
@@ -190,7 +204,7 @@
 	kept := p.parts.Kept(parts, now)
 	cands := make([]placement.Candidate, len(members))
 	for i, m := range members {
-		holding := kept[uint32(m.target.Hash)]
+		holding := kept[uint32(m.target.RunHash())]
 		counted := m.running + sums[i].Running
 		cands[i] = placement.Candidate{
 			Target:      m.target,
@@ -212,7 +226,7 @@
 	sums := make([]heartbeat.Sum, len(members)+1)
 	hashes := make([]uint64, len(members)+1)
 	for i, m := range members {
-		hashes[i] = m.target.Hash
+		hashes[i] = m.target.RunHash()
 		hashes[len(members)] = serviceHash(m.target.Service)
 	}
 	p.fleet.Targets(hashes, func(i int, s heartbeat.Sum) { sums[i] = s })
@@ -305,7 +319,7 @@
 				continue
 			}
 			r.Targets = append(r.Targets, heartbeat.TargetReport{
-				Target: uint32(m.target.Hash), Running: uint16(m.running),
+				Target: uint32(m.target.RunHash()), Running: uint16(m.running),
 				Answered: uint16(c.Answered), Failed: uint16(c.Failed), Unreachable: m.state.Unreachable(),
 			})
 		}
