Use no target whose entry another writer left

Cause: any state but draining counted as ready, fields of another type or left out were taken as they came, and a target whose good entry was overwritten went on getting work. An entry with a list, a null or a wrong-case name could pass for a target's own.

Whatever fails that names no target and costs no other entry of its page, watch or copy; a target that the key named before is withdrawn: what it runs ends normally, nothing new is sent. Changes are counted by fault and logged within 20 lines in 10 s. The value of an unusable entry is neither kept nor passed on. A watch whose answer is larger than a node takes is read as a list, in pages; the same watch would have brought the same answer. The operator's configuration is as strict as before.

Ruled out: the last good entry stays in force, since the key says of no target that it is there; a withdrawn target as a draining one, which others may fetch copies from.

The tests of the old entries' form, which lacked most fields, are replaced by ones with all of them. newCopyState takes a second notice; the tests only pass it on.

--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -201,12 +201,27 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > s.pageSize
+	n := s.pageLength(items)
 	writeJSON(w, map[string]any{
-		"items": items[:min(len(items), s.pageSize)], "more_pages": more, "current_rev": s.revision,
+		"items": items[:n], "more_pages": n < len(items), "current_rev": s.revision,
 	})
 }
 
+// pageBytes is about how many bytes of values a page has at most.
+const pageBytes = 1 << 20
+
+// pageLength returns how many items go on one page, one at least.
+func (s *Store) pageLength(items []Item) int {
+	n, size := 0, 0
+	for n < min(len(items), s.pageSize) {
+		if size += len(items[n].Value); n > 0 && size > pageBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -18,6 +18,8 @@
 	audits      *prometheus.CounterVec
 	storeErrors prometheus.Counter
 	invalid     prometheus.Counter
+	// unusable counts the changes of entries that name no target to use.
+	unusable *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -28,6 +30,8 @@
 		storeErrors: f.Counter("store_errors_total",
 			"reads and watches of the store that failed"),
 		invalid: f.Counter("invalid_values_total",
-			"values of the store that could not be used"),
+			"configurations of the store that could not be used"),
+		unusable: f.Counters("unusable_entries_total",
+			"changes of entries that name no target to use, by what is wrong with them", "fault"),
 	}
 }
--- a/replica/packed_test.go
+++ b/replica/packed_test.go
@@ -31,7 +31,7 @@
 	is := is.New(t)
 	const size, versions = 1 << 20, 20
 	problems := func(key string, _ int64, err error) { t.Fatal(key, err) }
-	first, second := newCopyState(padded{}, problems), newCopyState(padded{}, problems)
+	first, second := newCopyState(padded{}, problems, problems), newCopyState(padded{}, problems, problems)
 	for v := range int64(versions) {
 		is.True(first.putCatalog(largeConfig(v+1, size)))
 		passed, err := json.Marshal(first.newer(Want{CatalogRevision: second.catalogEntry.Revision}))
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var seen error
-			c := newCopyState(padded{}, func(_ string, _ int64, err error) { seen = err })
+			c := newCopyState(padded{}, func(_ string, _ int64, err error) { seen = err }, nil)
 			is.True(c.putCatalog(config(1, 1)))
 			is.True(!c.putCatalog(Entry{Key: "config", Value: value, Packed: true, Revision: 2}))
 			is.True(errors.Is(seen, errUnpack))
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -94,6 +94,7 @@
 	began    time.Time
 	onNote   []func([]byte)
 	noteRead bool
+	lines    lineBudget
 
 	elected  chan struct{}
 	announce chan struct{}
@@ -107,7 +108,7 @@
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		elected: make(chan struct{}, 1), announce: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
-	r.state = newCopyState(s, r.problem)
+	r.state = newCopyState(s, r.problem, r.unusable)
 	r.roster.Store(r.state.keeper.Snapshot())
 	n.Handle(method, r.serveCopy)
 	return r
--- a/replica/runs_test.go
+++ b/replica/runs_test.go
@@ -21,7 +21,8 @@
 }
 
 func startsState(t *testing.T) *copyState {
-	return newCopyState(starts{}, func(key string, _ int64, err error) { t.Error(key, err) })
+	notice := func(key string, _ int64, err error) { t.Error(key, err) }
+	return newCopyState(starts{}, notice, notice)
 }
 
 func address(c *copyState) string { return c.keeper.Snapshot().Pool("s")[0].Addr }
--- a/replica/state.go
+++ b/replica/state.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"strings"
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/catalog"
@@ -35,6 +34,9 @@
 	Removed bool `json:"removed,omitempty"`
 	// Packed values are compressed by DEFLATE. Only configurations are.
 	Packed bool `json:"packed,omitempty"`
+	// Fault says why the entry names no target to use, empty if it does. Such an
+	// entry is passed on without its value.
+	Fault roster.EntryFault `json:"fault,omitempty"`
 }
 
 // maxRecent is the number of changes of targets that a node keeps for others,
@@ -51,18 +53,24 @@
 	catalogEntry Entry
 	// revision is the store's up to which the copy is whole.
 	revision int64
-	targets  map[string]Entry
+	targets  map[string]heldEntry
 	keeper   *roster.Keeper
 	// recent are the last changes of targets, all of those since recentFrom.
 	recent     []Entry
 	recentFrom int64
-	// problems takes values that can't be used; the last good one stays.
-	problems func(key string, revision int64, err error)
+	// problems takes configurations that can't be used; the last good one stays.
+	problems noticeFunc
+	// unusable takes entries that name no target to use, each change once.
+	unusable noticeFunc
 }
 
-func newCopyState(s Schema, problems func(string, int64, error)) *copyState {
+// noticeFunc takes a value that can't be used.
+type noticeFunc func(key string, revision int64, err error)
+
+func newCopyState(s Schema, problems, unusable noticeFunc) *copyState {
 	return &copyState{
-		schema: s, targets: make(map[string]Entry), keeper: roster.NewKeeper(), problems: problems,
+		schema: s, targets: make(map[string]heldEntry), keeper: roster.NewKeeper(),
+		problems: problems, unusable: unusable,
 	}
 }
 
@@ -107,33 +115,20 @@
 	}
 	c.revision = revision
 	c.recent, c.recentFrom = nil, revision
-	before := c.targets
-	c.targets = make(map[string]Entry, len(entries))
-	list := make([]roster.Target, 0, len(entries))
 	var out changes
+	var targets []Entry
 	for _, e := range entries {
 		switch {
 		case e.Key == c.schema.CatalogKey():
 			out.catalog = c.putCatalog(e)
 		case c.isTarget(e.Key):
-			t, err := c.schema.DecodeTarget(e.Key, e.Value)
-			if err != nil {
-				c.problems(e.Key, e.Revision, err)
-				continue
-			}
-			list = append(list, t)
-			if last, ok := before[e.Key]; ok && c.keeper.IsOver(t) {
-				e = last // other nodes are told of the newer run
-			}
-			c.targets[e.Key] = e
+			targets = append(targets, e)
 		}
 	}
-	out.targets = c.keeper.Reset(list, now)
+	out.targets = c.putTargets(targets, now)
 	return out
 }
 
-func (c *copyState) isTarget(key string) bool { return strings.HasPrefix(key, c.schema.TargetPrefix()) }
-
 // change takes one change. The copy is whole up to the change before it.
 func (c *copyState) change(e Entry, now time.Time) changes {
 	switch {
@@ -144,42 +139,7 @@
 	case !c.isTarget(e.Key):
 		return changes{}
 	}
-	c.remember(e)
-	if e.Removed {
-		return changes{targets: c.removeTarget(e.Key, now)}
-	}
-	t, err := c.schema.DecodeTarget(e.Key, e.Value)
-	if err != nil {
-		c.problems(e.Key, e.Revision, err)
-		return changes{}
-	}
-	if c.keeper.IsOver(t) {
-		return changes{}
-	}
-	c.targets[e.Key] = e
-	return changes{targets: c.keeper.Put(t, now)}
-}
-
-func (c *copyState) remember(e Entry) {
-	c.recent = append(c.recent, e)
-	if extra := len(c.recent) - maxRecent; extra > 0 {
-		c.recentFrom = c.recent[extra-1].Revision
-		c.recent = append(c.recent[:0], c.recent[extra:]...)
-	}
-}
-
-func (c *copyState) removeTarget(key string, now time.Time) bool {
-	old, ok := c.targets[key]
-	if !ok {
-		return false
-	}
-	delete(c.targets, key)
-	t, err := c.schema.DecodeTarget(key, old.Value)
-	if err != nil {
-		c.problems(key, old.Revision, err)
-		return false
-	}
-	return c.keeper.Remove(t.ID, now)
+	return changes{targets: c.changeTarget(e, now)}
 }
 
 // advance records that all changes up to revision are in the copy.
@@ -227,7 +187,7 @@
 	}
 	out.Whole = true
 	for _, e := range c.targets {
-		out.Entries = append(out.Entries, e)
+		out.Entries = append(out.Entries, e.Entry)
 	}
 	return out
 }
--- a/replica/state_test.go
+++ b/replica/state_test.go
@@ -41,7 +41,8 @@
 }
 
 func newState(t interface{ Log(...any) }) *copyState {
-	return newCopyState(plain{}, func(key string, _ int64, err error) { t.Log(key, err) })
+	notice := func(key string, _ int64, err error) { t.Log(key, err) }
+	return newCopyState(plain{}, notice, notice)
 }
 
 func config(version int64, revision int64) Entry {
@@ -106,23 +107,35 @@
 		return config(revision, revision)
 	}
 	e := target(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "target")), fmt.Sprint(revision), revision)
-	e.Removed = rapid.Bool().Draw(t, "removed")
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		e.Value = nil // unusable
+	case 1, 2:
+		e.Removed = true
+	}
 	return e
 }
 
 func entries(c *copyState) []Entry {
 	var out []Entry
 	for _, e := range c.targets {
-		out = append(out, e)
+		out = append(out, e.Entry)
 	}
 	return out
 }
 
-// targetsOf returns the live targets' addresses by key, as printing sorts them.
+// targetsOf returns the live targets' addresses by key, or what is wrong with their
+// entries, and by ID the addresses of those that may get work, as printing sorts
+// them.
 func targetsOf(c *copyState) map[string]string {
 	out := make(map[string]string)
 	for key, e := range c.targets {
-		out[key] = string(e.Value)
+		out[key] = string(e.Value) + string(e.Fault)
+	}
+	for _, t := range c.keeper.Snapshot().Pool("s") {
+		if !t.Fallback {
+			out["usable "+t.ID] = t.Addr
+		}
 	}
 	return out
 }
--- a/roster/diff.go
+++ b/roster/diff.go
@@ -8,7 +8,8 @@
 	Joined    Change = "joined"
 	Restarted Change = "restarted" // a later run under the same ID
 	Drains    Change = "drains"
-	Lapses    Change = "lapses" // its entry is gone; it is a last resort
+	Lapses    Change = "lapses"    // its entry is gone; it is a last resort
+	Withdrawn Change = "withdrawn" // its entry is unusable
 	Gone      Change = "gone"
 	Modified  Change = "modified"
 )
@@ -45,6 +46,8 @@
 	switch {
 	case !now.Started.Equal(old.Started):
 		return Restarted
+	case now.Withdrawn && !old.Withdrawn:
+		return Withdrawn
 	case now.Fallback && !old.Fallback:
 		return Lapses
 	case now.Draining && !old.Draining:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,6 +29,9 @@
 	// Fallback targets have lost their entry a moment ago. They are used only
 	// if a service has no other target left.
 	Fallback bool
+	// Withdrawn targets have an entry that is unusable now. Requests in progress
+	// there end as they may; nothing else goes there.
+	Withdrawn bool
 	// Hash is the key of the target's ID in placement. A later run has the same,
 	// so that nodes which don't know of it yet rank the targets alike.
 	Hash uint64
@@ -51,15 +54,21 @@
 // Snapshot is an immutable view of the targets.
 type Snapshot struct {
 	byService map[string][]*Target
+	withdrawn []*Target
 }
 
 // Pool returns the targets of a service, ordered by ID, the draining ones
-// included.
+// included, the withdrawn ones not.
 func (s *Snapshot) Pool(service string) []*Target { return s.byService[service] }
 
-// All yields every target.
+// All yields every target, the withdrawn ones included.
 func (s *Snapshot) All() iter.Seq[*Target] {
 	return func(yield func(*Target) bool) {
+		for _, t := range s.withdrawn {
+			if !yield(t) {
+				return
+			}
+		}
 		for _, pool := range s.byService {
 			for _, t := range pool {
 				if !yield(t) {
@@ -70,7 +79,7 @@
 	}
 }
 
-// Count returns the number of targets.
+// Count returns the number of targets, without the withdrawn ones.
 func (s *Snapshot) Count() int {
 	n := 0
 	for _, pool := range s.byService {
@@ -124,6 +133,18 @@
 	return ok && t.Started.Before(known.Started)
 }
 
+// Withdrawn returns the target with the given ID as it is when its entry becomes
+// unusable; ok is false if there is none.
+func (k *Keeper) Withdrawn(id string) (t Target, ok bool) {
+	known, ok := k.targets[id]
+	if !ok {
+		return Target{}, false
+	}
+	t = *known
+	t.Withdrawn = true
+	return t, true
+}
+
 // Put adds or changes a target. It returns true if that changes the view. A run
 // that is over changes nothing.
 func (k *Keeper) Put(t Target, now time.Time) bool {
@@ -147,12 +168,16 @@
 
 // Remove takes a target's entry away. Right after an outage of the store the
 // target stays as it was until LapseGrace has passed; otherwise it is a
-// fallback for FallbackGrace.
+// fallback for FallbackGrace. A withdrawn target is gone at once.
 func (k *Keeper) Remove(id string, now time.Time) bool {
 	t, known := k.targets[id]
 	if _, already := k.missing[id]; !known || already {
 		return false
 	}
+	if t.Withdrawn {
+		delete(k.targets, id)
+		return true
+	}
 	if now.Before(k.disturbedUntil) && !t.Draining {
 		k.missing[id] = k.disturbedUntil
 		return false
@@ -214,6 +239,10 @@
 func (k *Keeper) Snapshot() *Snapshot {
 	s := &Snapshot{byService: make(map[string][]*Target)}
 	for _, t := range k.targets {
+		if t.Withdrawn {
+			s.withdrawn = append(s.withdrawn, t)
+			continue
+		}
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
 	for _, pool := range s.byService {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -184,3 +184,25 @@
 	is.True(uint32(first.RunHash()) != uint32(second.RunHash()))
 	is.True(uint32(first.RunHash()) != 7)
 }
+
+// A target whose entry is unusable is in no pool, gets no grace and comes back as it
+// was.
+func TestWithdrawnTarget(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
+	before := k.Snapshot()
+	withdrawn, ok := k.Withdrawn("a")
+	is.True(ok)
+	is.True(k.Put(withdrawn, start))
+	is.True(!k.Put(withdrawn, start))
+	is.Equal(ids(k), []string{"b"})
+	is.Equal(Diff(before, k.Snapshot())[0].Change, Withdrawn)
+	is.True(k.Put(run("a", 10), start))
+	is.Equal(ids(k), []string{"a", "b"})
+	is.True(k.Put(withdrawn, start))
+	k.Disturbed(start)
+	is.True(k.Remove("a", start))
+	is.Equal(ids(k), []string{"b"})
+	_, ok = k.Withdrawn("a")
+	is.True(!ok)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -136,6 +136,9 @@
 			p.members[t.ID] = m
 		}
 		m.target = t
+		if t.Withdrawn {
+			continue
+		}
 		p.services[t.Service] = append(p.services[t.Service], m)
 	}
 	for id, m := range p.members {
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -226,3 +226,44 @@
 	is.Equal(kept, 900)
 	is.Equal(running, 1)
 }
+
+// A target whose entry is unusable gets nothing new and nothing is fetched from it;
+// a request in progress there ends normally and is counted when it is back.
+func TestWithdrawnTargetGetsNothingNew(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10), run("b", 10))
+	l := p.take(t)
+	p.settle()
+	id := l.target.ID
+	withdrawn, _ := p.keeper.Withdrawn(id)
+	p.put(withdrawn)
+	for range 20 {
+		other := p.take(t)
+		is.True(other.target.ID != id)
+		is.Equal(other.choice.FetchFrom, nil)
+		p.release(other, true)
+	}
+	p.put(run(id, 10))
+	kept, running, _ := p.believed(id)
+	is.Equal(kept, 900)
+	is.Equal(running, 1)
+	p.release(l, true)
+	_, running, _ = p.believed(id)
+	is.Equal(running, 0)
+}
+
+// A target of a service that no configuration names harms no other.
+func TestTargetOfAnUnknownService(t *testing.T) {
+	is := is.New(t)
+	stray := run("c", 10)
+	stray.Service = "nobody's"
+	p := newTestPool(run("a", 10), stray)
+	for range 20 {
+		l := p.take(t)
+		is.Equal(l.target.ID, "a")
+		p.release(l, true)
+	}
+	p.take(t)
+	var r heartbeat.Report
+	p.fillReport(&r, p.now())
+	is.Equal(len(r.Targets), 1) // nothing is told of the stray one
+}
