Test what becomes of requests on a run that is over

Cause: that they follow the usual rules was argued and not tested. A resumable stream goes on elsewhere with each event once, a request that may not be repeated runs nowhere else and its fate is told as unknown.

--- a/lab/standin/restart_test.go
+++ b/lab/standin/restart_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -186,3 +187,43 @@
 	is.True(keptNothing(s.Nodes[0], e))
 	is.Equal(s.Journal.Turned(), 0)
 }
+
+// What runs on an engine that starts again follows the usual rules: a stream that
+// may be resumed goes on elsewhere, each event once; the fate of a request that may
+// not be repeated stays unknown, and it runs nowhere else.
+func TestRequestsOfARunThatIsOver(t *testing.T) {
+	for _, tt := range []struct {
+		path   string
+		status int
+		runs   int
+	}{
+		{ResumePath, http.StatusOK, 2},
+		{UnsafePath, http.StatusBadGateway, 1},
+	} {
+		t.Run(tt.path, func(t *testing.T) {
+			is, s := is.New(t), start(t, 1)
+			for _, e := range s.Engines() {
+				e.Events, e.Pace = 20, 20*time.Millisecond
+			}
+			for _, e := range s.Plain {
+				e.SetFault(Hang, 1)
+			}
+			id, answers := NewID(), make(chan Answer, 1)
+			go func() { answers <- s.Nodes[0].Do(Request{Path: tt.path, Body: "x", ID: id}) }()
+			s.Eventually("the request runs", func() bool { return len(s.Journal.Runs(id)) == 1 })
+			for _, e := range s.Engines() {
+				if e.ID == s.Journal.Runs(id)[0].Engine {
+					e.Restart()
+					s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+				}
+			}
+			a := <-answers
+			is.Equal(a.Status, tt.status)
+			is.NoErr(a.Err)
+			if tt.path == ResumePath {
+				is.Equal(a.Body, WholeStream(id, 20))
+			}
+			is.Equal(len(s.Journal.Runs(id)), tt.runs)
+		})
+	}
+}
