--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -124,3 +124,117 @@
 	}
 	is.Equal(got["b"], Gone)
 }
+
+func run(id string, second int64) Target {
+	t := engine(id)
+	t.Started = time.Unix(second, 0)
+	return t
+}
+
+// A later run under the same ID takes over nothing of the earlier one, the word
+// that it drains and the grace of its entry included.
+func TestLaterRunTakesOverNothing(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	leaving := run("a", 10)
+	leaving.Draining = true
+	k.Reset([]Target{leaving, run("b", 10)}, start)
+	k.Remove("a", start)
+	before := k.Snapshot()
+	later := start.Add(time.Millisecond)
+	is.True(k.Put(run("a", 11), later))
+	got := k.Snapshot().Pool("s")[0]
+	is.True(!got.Draining && !got.Fallback)
+	is.Equal(got.Joined, later)
+	is.True(!k.Expire(start.Add(time.Hour)))
+	changed := Diff(before, k.Snapshot())
+	is.Equal(len(changed), 1)
+	is.Equal(changed[0].Change, Restarted)
+}
+
+// What tells of an earlier run than the one known is old: it changes nothing,
+// neither a late write, nor a list, nor an entry without a start.
+func TestEarlierRunChangesNothing(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10)}, start)
+	earlier := run("a", 9)
+	earlier.Draining, earlier.Addr = true, "10.0.0.9:80"
+	is.True(!k.Put(earlier, start))
+	is.True(!k.Reset([]Target{earlier}, start))
+	is.True(!k.Put(engine("a"), start))
+	is.Equal(*k.Snapshot().Pool("s")[0], run("a", 10))
+	k.Remove("a", start)
+	is.True(!k.Put(earlier, start)) // nor does it end the grace of the later one
+	is.True(k.Expire(start.Add(FallbackGrace)))
+	is.Equal(ids(k), []string{})
+}
+
+// A start that becomes known is a new run: nothing is known of the one before.
+func TestStartThatBecomesKnown(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{engine("a")}, start)
+	is.True(k.Put(run("a", 10), start))
+	is.Equal(k.Snapshot().Pool("s")[0].Started, time.Unix(10, 0))
+}
+
+func TestRunsAreNamedApart(t *testing.T) {
+	is := is.New(t)
+	plain, first, second := engine("a"), run("a", 10), run("a", 11)
+	plain.Hash, first.Hash, second.Hash = 7, 7, 7
+	is.Equal(plain.RunHash(), uint64(7)) // as nodes without starts name it
+	is.True(uint32(first.RunHash()) != uint32(second.RunHash()))
+	is.True(uint32(first.RunHash()) != 7)
+}
+
+// A target whose entry is unusable is in no pool, gets no grace and comes back as it
+// was.
+func TestWithdrawnTarget(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
+	before := k.Snapshot()
+	withdrawn, ok := k.Withdrawn("a")
+	is.True(ok)
+	is.True(k.Put(withdrawn, start))
+	is.True(!k.Put(withdrawn, start))
+	is.Equal(ids(k), []string{"b"})
+	is.Equal(Diff(before, k.Snapshot())[0].Change, Withdrawn)
+	is.True(k.Put(run("a", 10), start))
+	is.Equal(ids(k), []string{"a", "b"})
+	is.True(k.Put(withdrawn, start))
+	k.Disturbed(start)
+	is.True(k.Remove("a", start))
+	is.Equal(ids(k), []string{"b"})
+	_, ok = k.Withdrawn("a")
+	is.True(!ok)
+}
+
+// A target whose clock went back before it started again seems to be an earlier run.
+// It is believed once its entry has stayed for longer than a late write does.
+func TestEntryOfAnEarlierRunThatStays(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
+	k.Put(run("a", 9), start)
+	k.Put(run("a", 9), start.Add(time.Second)) // read again
+	end, ok := k.NextExpiry()
+	is.True(ok)
+	is.Equal(end, start.Add(OverruledGrace))
+	is.True(!k.Expire(end.Add(-1)))
+	is.True(k.Expire(end))
+	got := k.Snapshot().Pool("s")[0]
+	is.Equal(got.Started, time.Unix(9, 0))
+	is.Equal(got.Joined, end)
+	is.True(!k.Expire(end.Add(time.Hour)))
+}
+
+// A late write that the target's own entry follows is never believed, nor is one
+// whose key is removed.
+func TestLateWriteIsNeverBelieved(t *testing.T) {
+	is, k := is.New(t), NewKeeper()
+	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
+	k.Put(run("a", 9), start)
+	k.Put(run("b", 9), start)
+	k.Put(run("a", 10), start.Add(time.Second))
+	k.Remove("b", start.Add(time.Second))
+	k.Expire(start.Add(time.Hour))
+	is.Equal(ids(k), []string{"a"})
+	is.Equal(k.Snapshot().Pool("s")[0].Started, time.Unix(10, 0))
+}
