Have the soak's callers keep raw connections, and judge lost requests

Cause: the soak's callers went through net/http's client, which opens another connection whenever it likes and hides whether a byte of an answer came. A request that a node had read and whose connection it closed could only be seen as a failure, and steps that were planned work were judged together with harm.

A request sets how long its run takes, up to the grace time. Steps come in series at one node; routes' timeouts change, targets crash and start again under their ID, and addresses go to another service. Each finding carries the lines that nodes logged of it.

Mended on the way: a step whose restart came after that of another killed the other's healthy program after the grace time.

Ruled out: half-closing callers by default. A node can't tell them from callers that leave, and all of their requests are ended.

--- a/lab/cmd/knapweedlab/soak.go
+++ b/lab/cmd/knapweedlab/soak.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -11,11 +12,20 @@
 )
 
 // toolHost owns the stand-ins of a tool. A failure of theirs ends the tool.
-type toolHost struct{ cleanups []func() }
+type toolHost struct {
+	mu       sync.Mutex
+	cleanups []func()
+}
+
+// Cleanup keeps f for the end of the tool.
+func (h *toolHost) Cleanup(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cleanups = append(h.cleanups, f)
+}
 
-func (h *toolHost) Cleanup(f func()) { h.cleanups = append(h.cleanups, f) }
-func (h *toolHost) Failed() bool     { return false }
-func (h *toolHost) Helper()          {}
+func (h *toolHost) Failed() bool { return false }
+func (h *toolHost) Helper()      {}
 
 func (h *toolHost) Fatal(args ...any) {
 	fmt.Fprintln(os.Stderr, append([]any{"knapweedlab:"}, args...)...)
@@ -47,6 +57,8 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 1, "number of seeds, one after the other")
 	f.DurationVar(&o.Length, "length", 20*time.Second, "length of a run; its last 6s are calm")
+	f.StringVar((*string)(&o.Profile), "profile", string(soak.Mixed), "mixed for every kind of step, planned for planned work only")
+	f.BoolVar(&o.HalfClose, "half-close", false, "add callers that close their sending side behind a request")
 	f.IntVar(&o.Nodes, "nodes", 5, "number of node processes")
 	f.IntVar(&o.Callers, "callers", 16, "number of callers")
 	f.StringVar(&o.Program, "program", "bin/knapweedgw", "path of knapweedgw")
@@ -80,7 +92,10 @@
 	}
 	out := cmd.OutOrStdout()
 	fmt.Fprintln(out, report)
-	if len(report.Broken) == 0 {
+	for _, f := range report.Findings {
+		fmt.Fprintln(out, "finding:", f)
+	}
+	if len(report.Broken)+len(report.Findings) == 0 {
 		return 0, os.RemoveAll(o.Dir)
 	}
 	fmt.Fprintln(out, "logs:", o.Dir)
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -1,12 +1,10 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/knapweedgw/knapweedgw/lab/standin"
 )
@@ -18,102 +16,120 @@
 	Whole    int
 	Refused  int
 	Failed   int
-	Steps    []Step
+	// Cut were ended without a whole answer, of which Unanswered had no byte of
+	// one. Late were still open when their caller left.
+	Cut, Unanswered, Late int
+	Steps                 []Step
 	// Broken are the promises that did not hold, with the request or node.
 	Broken []string
+	// Findings are what breaks a promise only if there is more of it.
+	Findings []string
 }
 
 // String is the line of a run.
 func (r *Report) String() string {
-	return fmt.Sprintf("soak: seed=%d requests=%d whole=%d refused=%d failed=%d steps=%d broken=%d",
-		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, len(r.Steps), len(r.Broken))
+	return fmt.Sprintf(
+		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d cut=%d unanswered=%d late=%d steps=%d findings=%d broken=%d",
+		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Cut, r.Unanswered, r.Late, len(r.Steps),
+		len(r.Findings), len(r.Broken))
 }
 
-// checker sends requests and checks what comes back.
+// checker checks what comes back from nodes.
 type checker struct {
 	journal *standin.Journal
 	events  int
+	// services are the services that may run a path.
+	services map[string]string
+	lost     *lostRule
 
 	mu      sync.Mutex
 	report  *Report
-	refused []string // IDs that were told "not run"
-	once    []string // IDs of requests that may run once
-	twice   []string // IDs of requests that may run on two targets
-	calm    func(since time.Time) bool
+	refused []string          // IDs that were told "not run"
+	paths   map[string]string // path by ID
 }
 
-var paths = []string{standin.StreamPath, standin.ResumePath, standin.UnsafePath, standin.SafePath}
+func newChecker(j *standin.Journal, seed uint64, l *lostRule) *checker {
+	return &checker{
+		journal: j, events: standin.DefaultEvents, report: &Report{Seed: seed}, lost: l,
+		paths: make(map[string]string),
+		services: map[string]string{
+			standin.StreamPath: standin.ModelPool, standin.ResumePath: standin.ModelPool,
+			standin.UnsafePath: standin.ServicePool, standin.SafePath: standin.ServicePool,
+		},
+	}
+}
 
 func (c *checker) broken(format string, args ...any) {
 	c.report.Broken = append(c.report.Broken, fmt.Sprintf(format, args...))
 }
 
-// call sends one request to a node and checks the answer.
-func (c *checker) call(ctx context.Context, p *process, path string) standin.Answer {
-	began := time.Now()
-	r := standin.Request{Path: path, ID: standin.NewID(), Deadline: 3 * time.Second}
-	if path != standin.SafePath {
-		r.Body = "the body"
-	}
-	a := standin.Front(p.front).Do(ctx, r)
+// note checks what came of a request.
+func (c *checker) note(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.report.Requests++
-	if path == standin.StreamPath || path == standin.UnsafePath {
-		c.once = append(c.once, a.ID)
-	} else {
-		c.twice = append(c.twice, a.ID)
-	}
-	c.judge(a, p, path, began)
-	return a
-}
-
-// judge is called with the lock held.
-func (c *checker) judge(a standin.Answer, p *process, path string, began time.Time) {
-	stream := path == standin.StreamPath || path == standin.ResumePath
-	want := "whole answer to " + a.ID
-	if stream {
-		want = standin.WholeStream(a.ID, c.events)
-	}
+	c.paths[x.id] = x.path
+	c.lost.note(x)
 	switch {
-	case a.Status == http.StatusOK && a.Err == nil:
+	case x.err != nil:
+		c.judgeCut(x)
+	case x.status == http.StatusOK:
 		c.report.Whole++
-		if a.Body != want {
-			c.broken("request %s: a success that is not its whole answer: %.60q", a.ID, a.Body)
-		}
-		if a.Header.Get("Engine-Signature") == "" || a.Header.Get("Request-Id") != a.ID {
-			c.broken("request %s: a success without signature or with another ID", a.ID)
-		}
-	case a.Status == http.StatusOK:
-		c.report.Failed++
-		if !strings.HasPrefix(want, a.Body) {
-			c.broken("request %s: a cut answer is no beginning of its answer: %.60q", a.ID, a.Body)
-		}
-		c.judgeCut(a, p, began)
-	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
+		c.judgeSuccess(x)
+	case x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests:
 		c.report.Refused++
-		c.refused = append(c.refused, a.ID)
-	case a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound:
-		c.broken("request %s: %d for what the configuration allows", a.ID, a.Status)
+		c.refused = append(c.refused, x.id)
+	case x.status == http.StatusUnauthorized || x.status == http.StatusNotFound:
+		c.broken("request %s: %d for what the configuration allows", x.id, x.status)
 	default:
 		c.report.Failed++
-		if a.Status == 0 {
-			c.judgeCut(a, p, began)
-		}
 	}
 }
 
-// judgeCut checks a connection that ended without a whole answer: if only
-// planned work was going on, the request must not have been taken.
-func (c *checker) judgeCut(a standin.Answer, p *process, began time.Time) {
-	if !p.undisturbed(began) || !c.calm(began) {
-		return
+// want is the whole body of the answer to a request.
+func (c *checker) want(x *exchange) string {
+	if c.services[x.path] == standin.ModelPool {
+		return standin.WholeStream(x.id, c.events)
+	}
+	return "whole answer to " + x.id
+}
+
+func (c *checker) judgeSuccess(x *exchange) {
+	if x.body != c.want(x) {
+		c.broken("request %s: a success that is not its whole answer: %.60q", x.id, x.body)
 	}
-	if len(c.journal.Runs(a.ID)) > 0 {
-		c.broken("request %s at %s: cut off by planned work alone: status %d, %v", a.ID, p.name, a.Status, a.Err)
+	c.judgeHeader(x)
+}
+
+func (c *checker) judgeHeader(x *exchange) {
+	if x.header.Get("Engine-Signature") == "" || x.header.Get("Request-Id") != x.id {
+		c.broken("request %s: a success without signature or with another ID", x.id)
 	}
 }
 
+func (c *checker) judgeCut(x *exchange) {
+	switch {
+	case x.gaveUp():
+		c.report.Late++
+	case x.anyByte:
+		c.report.Cut++
+	default:
+		c.report.Cut++
+		c.report.Unanswered++
+	}
+	if x.status == http.StatusOK {
+		c.judgeHeader(x)
+		if !strings.HasPrefix(c.want(x), x.body) {
+			c.broken("request %s: a cut answer is no beginning of its answer: %.60q", x.id, x.body)
+		}
+	}
+}
+
+// attempts are the most runs of a request, by its path.
+var attempts = map[string]int{
+	standin.StreamPath: 1, standin.UnsafePath: 1, standin.ResumePath: 2, standin.SafePath: 2,
+}
+
 // settle checks the journal of the targets against what callers were told.
 func (c *checker) settle() {
 	c.mu.Lock()
@@ -123,14 +139,22 @@
 			c.broken("request %s was told that it was not run, and ran %d times", id, n)
 		}
 	}
-	for _, id := range c.once {
-		if n := len(c.journal.Runs(id)); n > 1 {
-			c.broken("request %s may run once, and ran %d times", id, n)
-		}
+	for id, path := range c.paths {
+		c.judgeRuns(id, path)
+	}
+	broken, findings := c.lost.settle()
+	c.report.Broken = append(c.report.Broken, broken...)
+	c.report.Findings = append(c.report.Findings, findings...)
+}
+
+func (c *checker) judgeRuns(id, path string) {
+	runs := c.journal.Runs(id)
+	if len(runs) > attempts[path] {
+		c.broken("request %s to %s ran %d times", id, path, len(runs))
 	}
-	for _, id := range c.twice {
-		if n := len(c.journal.Runs(id)); n > 2 {
-			c.broken("request %s may run on two targets, and ran %d times", id, n)
+	for _, run := range runs {
+		if run.Service != c.services[path] {
+			c.broken("request %s to %s was run by %s of %s", id, path, run.Engine, run.Service)
 		}
 	}
 }
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -29,15 +29,27 @@
 	ready    string
 	store    *Proxy
 
+	// harmed is when the node was killed or frozen, begun when its programs
+	// began, asked when they were first asked to stop, reloads when they were
+	// told that their settings have changed.
+	harmed, begun, asked, reloads timeline
+
 	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
+	last    *incarnation
 	stopped bool
-	// all are the ends of all programs that were started.
-	all []chan struct{}
-	// harmed is when the node was last killed, frozen or woken, begun when its
-	// process began, asked when it was asked to stop.
-	harmed, begun, asked time.Time
+	// all are the programs that were started.
+	all []*incarnation
+	// faults are what a program did that none may do.
+	faults []string
+}
+
+// incarnation is one run of a node's program.
+type incarnation struct {
+	cmd *exec.Cmd
+	// ended is closed when it has ended.
+	ended chan struct{}
+	// stopping says that it was asked to end or killed.
+	stopping bool
 }
 
 // newProcess prepares node i of n.
@@ -78,10 +90,10 @@
 
 // startAfter starts the program if the one that ended by then is still the
 // last: steps overlap, and another may have started it.
-func (p *process) startAfter(ended chan struct{}) error {
+func (p *process) startAfter(ended *incarnation) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stopped || p.ended != ended {
+	if p.stopped || p.last != ended {
 		return nil
 	}
 	out, err := os.OpenFile(p.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -95,41 +107,83 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.begun, p.ended = cmd, time.Now(), make(chan struct{})
-	p.all = append(p.all, p.ended)
-	go func(ended chan struct{}) {
-		_ = cmd.Wait() // how it ended shows in the node's log
-		close(ended)
-	}(p.ended)
+	p.begun.mark()
+	p.last = &incarnation{cmd: cmd, ended: make(chan struct{})}
+	p.all = append(p.all, p.last)
+	go p.await(p.last)
 	return nil
 }
 
-// signal sends a signal to the program, by its process ID.
-func (p *process) signal(s syscall.Signal) {
+// await notes the end of a program.
+func (p *process) await(g *incarnation) {
+	err := g.cmd.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !g.stopping {
+		p.faults = append(p.faults, fmt.Sprintf("ended by itself: %v", err))
+	}
+	close(g.ended)
+}
+
+// signal sends a signal to the last program, by its process ID, and returns that.
+func (p *process) signal(s syscall.Signal) *incarnation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	g := p.last
 	switch s {
-	case syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGCONT:
-		p.harmed = time.Now()
+	case syscall.SIGKILL:
+		p.harmed.mark()
+		g.stopping = true
 	case syscall.SIGTERM:
-		p.asked = time.Now()
+		if !g.stopping {
+			p.asked.mark()
+		}
+		g.stopping = true
+	case syscall.SIGHUP:
+		p.reloads.mark()
 	}
-	_ = p.cmd.Process.Signal(s) // it may have ended already
+	_ = g.cmd.Process.Signal(s) // it may have ended already
+	return g
 }
 
-// restart waits until the program has ended, kills it after the grace time, and
-// starts it again.
-func (p *process) restart() error {
-	p.mu.Lock()
-	ended := p.ended
-	p.mu.Unlock()
+// freeze stops the program for a while.
+func (p *process) freeze(d time.Duration) {
+	defer p.harmed.begin()()
+	g := p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = g.cmd.Process.Signal(syscall.SIGCONT) // it may have been killed
+}
+
+// restart sends a signal that ends the program, waits until it has ended, kills
+// it after the grace time, and starts it again.
+func (p *process) restart(s syscall.Signal) error {
+	g := p.signal(s)
 	select {
-	case <-ended:
+	case <-g.ended:
 	case <-time.After(grace * time.Second):
-		p.signal(syscall.SIGKILL)
-		<-ended
+		p.overdue()
+		_ = g.cmd.Process.Kill() // it may have ended just now
+		<-g.ended
 	}
-	return p.startAfter(ended)
+	return p.startAfter(g)
+}
+
+// overdue notes that the program has not ended within the grace time.
+func (p *process) overdue() {
+	now := time.Now()
+	if p.harmed.touches(now.Add(-grace*time.Second-contact), now) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, fmt.Sprintf("had not ended %d s after SIGTERM", grace))
+}
+
+// misdeeds returns what programs of the node did that none may do.
+func (p *process) misdeeds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
 }
 
 // running returns the number of programs that have not ended.
@@ -137,9 +191,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, ended := range p.all {
+	for _, g := range p.all {
 		select {
-		case <-ended:
+		case <-g.ended:
 		default:
 			n++
 		}
@@ -151,24 +205,15 @@
 func (p *process) stop() {
 	p.mu.Lock()
 	p.stopped = true
-	ended := p.ended
+	started := p.last != nil
 	p.mu.Unlock()
-	if ended == nil {
+	if !started {
 		return
 	}
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	<-ended
+	<-p.signal(syscall.SIGKILL).ended
 	p.store.Close()
 }
 
-// undisturbed says whether nothing but planned work came to the node since t.
-func (p *process) undisturbed(t time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.harmed.Before(t)
-}
-
 // peerPort returns a port that is free on all nodes' addresses.
 func peerPort(host standin.Owner) int {
 	_, port, err := net.SplitHostPort(standin.FreeAddr(host, "0.0.0.0"))
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -27,10 +26,33 @@
 	TargetDoes Kind = "target_does"
 	Drain      Kind = "drain" // a target drains and leaves, another joins
 	Configure  Kind = "configure"
+	Retime     Kind = "retime" // routes get other timeouts
+	Revive     Kind = "revive" // a target crashes and starts again under its ID
+	Reuse      Kind = "reuse"  // a target's address goes to another service
 )
 
-var kinds = []Kind{
-	Term, Kill, KillAll, Freeze, Hup, CutStore, CutTarget, StoreBusy, StoreDeaf, TargetDoes, Drain, Configure,
+// Profile is which kinds of steps a plan holds.
+type Profile string
+
+// The profiles.
+const (
+	// Mixed holds every kind.
+	Mixed Profile = "mixed"
+	// Planned holds planned work only, in which nothing may be lost.
+	Planned Profile = "planned"
+)
+
+var planned = []Kind{Term, Term, Hup, Drain, Configure, Retime}
+
+var mixed = append([]Kind{
+	Kill, KillAll, Freeze, CutStore, CutTarget, StoreBusy, StoreDeaf, TargetDoes, Revive, Reuse,
+}, planned...)
+
+func (p Profile) kinds() []Kind {
+	if p == Planned {
+		return planned
+	}
+	return mixed
 }
 
 // Step is one entry of a plan.
@@ -41,7 +63,9 @@
 	// Which picks the node or target, modulo their number.
 	Which int
 	Harm  Harm // of CutStore and CutTarget
-	Fault int  // of TargetDoes
+	// Fault picks the fault of TargetDoes, the timeout of Retime and what new
+	// targets are called.
+	Fault int
 }
 
 // String is one line of a report.
@@ -59,27 +83,44 @@
 	calmAtEnd  = 6 * time.Second
 	maxSteps   = 1000
 	whichRange = 1 << 16
+	// seriesPart is the part of steps that begin a series at the same node or
+	// target, seriesPause the mean pause within one, seriesEnd the part of its
+	// steps that are its last.
+	seriesPart  = 0.25
+	seriesPause = 60 * time.Millisecond
+	seriesEnd   = 0.35
 )
 
 var harms = []Harm{Delay, Reset, Silent, OneWay}
 
 // NewPlan draws the plan of a seed for a run of the given length.
-func NewPlan(seed uint64, length time.Duration) []Step {
+func NewPlan(seed uint64, length time.Duration, profile Profile) []Step {
 	rng := rand.New(rand.NewPCG(seed, seed))
+	kinds := profile.kinds()
 	var out []Step
+	series, which := false, 0
 	for at := time.Duration(0); len(out) < maxSteps; {
-		at += time.Duration(rng.ExpFloat64() * float64(meanPause))
+		pause := meanPause
+		if series {
+			pause = seriesPause
+		} else {
+			which = rng.IntN(whichRange)
+		}
+		at += time.Duration(rng.ExpFloat64() * float64(pause))
 		if at > length-calmAtEnd {
 			break
 		}
 		out = append(out, Step{
 			At: at, For: minFault + time.Duration(rng.Int64N(int64(maxFault-minFault))),
-			Kind:  kinds[rng.IntN(len(kinds))],
-			Which: rng.IntN(whichRange),
+			Kind: kinds[rng.IntN(len(kinds))], Which: which,
 			Harm:  harms[rng.IntN(len(harms))],
 			Fault: rng.IntN(whichRange),
 		})
+		end := seriesEnd
+		if !series {
+			end = 1 - seriesPart
+		}
+		series = rng.Float64() >= end
 	}
-	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -29,13 +29,13 @@
 
 // Proxy passes TCP connections on to a target, and harms them on order.
 type Proxy struct {
-	target string
-	ln     net.Listener
+	ln net.Listener
 
-	mu    sync.Mutex
-	harm  Harm
-	conns map[net.Conn]struct{}
-	wake  chan struct{} // closed at each change of harm
+	mu     sync.Mutex
+	target string
+	harm   Harm
+	conns  map[net.Conn]struct{}
+	wake   chan struct{} // closed at each change of harm
 }
 
 // NewProxy listens on a free port of ip and passes connections on to target.
@@ -67,6 +67,20 @@
 	}
 }
 
+// Redirect passes new connections on to another target.
+func (p *Proxy) Redirect(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+func (p *Proxy) dial() (net.Conn, error) {
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	return net.Dial("tcp", target)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.ln.Close()
@@ -96,7 +110,7 @@
 		reset(in)
 		return
 	}
-	out, err := net.Dial("tcp", p.target)
+	out, err := p.dial()
 	if err != nil {
 		reset(in)
 		return
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -46,7 +46,7 @@
 	for _, seed := range shortSeeds {
 		dir := t.TempDir()
 		report, err := Run(context.Background(), t, Options{
-			Seed: seed, Length: 14 * time.Second, Nodes: 4, Callers: 12, Program: program, Dir: dir,
+			Seed: seed, Length: 14 * time.Second, Nodes: 4, Callers: 12, Profile: Mixed, Program: program, Dir: dir,
 		})
 		is.New(t).NoErr(err)
 		t.Log(report)
@@ -64,10 +64,10 @@
 
 func TestPlanFollowsItsSeed(t *testing.T) {
 	is := is.New(t)
-	a, b := NewPlan(7, time.Minute), NewPlan(7, time.Minute)
+	a, b := NewPlan(7, time.Minute, Mixed), NewPlan(7, time.Minute, Mixed)
 	is.Equal(a, b)
 	is.True(len(a) > 20)
-	is.True(!slices.Equal(a, NewPlan(8, time.Minute)))
+	is.True(!slices.Equal(a, NewPlan(8, time.Minute, Mixed)))
 	for _, s := range a {
 		is.True(s.At <= time.Minute-calmAtEnd)
 	}
@@ -119,8 +119,7 @@
 	var work sync.WaitGroup
 	for range 4 {
 		work.Go(func() {
-			p.signal(syscall.SIGKILL)
-			if err := p.restart(); err != nil {
+			if err := p.restart(syscall.SIGKILL); err != nil {
 				t.Error(err)
 			}
 		})
--- /dev/null
+++ b/lab/soak/timeline.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// timeline holds when something happened to a part of the run.
+type timeline struct {
+	mu    sync.Mutex
+	spans []*span
+}
+
+// span is a time, without an end while it lasts.
+type span struct{ from, to time.Time }
+
+// mark notes a moment.
+func (t *timeline) mark() { t.begin()() }
+
+// begin notes the beginning of a time, which lasts until end is called.
+func (t *timeline) begin() (end func()) {
+	s := &span{from: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spans = append(t.spans, s)
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		s.to = time.Now()
+	}
+}
+
+// touches says whether any time noted has a moment from from to to.
+func (t *timeline) touches(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.spans {
+		if !s.from.After(to) && (s.to.IsZero() || !s.to.Before(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// last returns the beginning of the last time that began before at.
+func (t *timeline) last(at time.Time) (from time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.spans {
+		if !s.from.After(at) && s.from.After(from) {
+			from, ok = s.from, true
+		}
+	}
+	return from, ok
+}
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -56,7 +56,7 @@
 		r.ID = NewID()
 	}
 	out := Answer{ID: r.ID}
-	resp, err := caller.Do(f.newRequest(ctx, r))
+	resp, err := caller.Do(f.NewRequest(ctx, r))
 	if err != nil {
 		out.Err = err
 		return out
@@ -68,7 +68,8 @@
 	return out
 }
 
-func (f Front) newRequest(ctx context.Context, r Request) *http.Request {
+// NewRequest returns the request as it goes to the node.
+func (f Front) NewRequest(ctx context.Context, r Request) *http.Request {
 	method, body := http.MethodGet, io.Reader(http.NoBody)
 	if r.Body != "" {
 		method, body = http.MethodPost, strings.NewReader(r.Body)
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -45,11 +45,12 @@
 
 // Run is one run of a request, as an engine saw it.
 type Run struct {
-	Engine string
-	Method string
-	Path   string
-	Header http.Header
-	Body   string
+	Engine  string
+	Service string
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    string
 	// Canceled says that the caller's connection ended before the run did.
 	Canceled bool
 }
@@ -199,13 +200,16 @@
 	}
 	body, _ := io.ReadAll(r.Body) // a short body shows in the journal
 	run := &Run{
-		Engine: e.ID, Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
+		Engine: e.ID, Service: e.Service, Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.begin(run, id)
 	e.answer(w, r, run, fault, id)
 }
 
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, run *Run, fault Fault, id string) {
+	if !e.work(r, run, headerTime(r, BeforeHeader, 0)) {
+		panic(http.ErrAbortHandler)
+	}
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Engine-Signature", "sig-"+e.ID)
@@ -271,6 +275,13 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
+	pace := headerTime(r, PaceHeader, e.Pace)
+	if wait := headerTime(r, FirstHeader, 0); wait > 0 {
+		w.(http.Flusher).Flush()
+		if !e.work(r, run, wait) {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	for n := first; n < e.Events; n++ {
 		event := Event(id, n)
 		if fault == Cut && n == first+2 {
@@ -280,13 +291,7 @@
 		}
 		_, _ = io.WriteString(w, event)
 		w.(http.Flusher).Flush()
-		if e.Pace == 0 {
-			continue
-		}
-		select {
-		case <-time.After(e.Pace):
-		case <-r.Context().Done():
-			e.journal.cancel(run)
+		if !e.work(r, run, pace) {
 			return
 		}
 	}
