--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -63,6 +63,10 @@
 	c.report.Broken = append(c.report.Broken, fmt.Sprintf(format, args...))
 }
 
+func (c *checker) finding(format string, args ...any) {
+	c.report.Findings = append(c.report.Findings, fmt.Sprintf(format, args...))
+}
+
 // note checks what came of a request.
 func (c *checker) note(x *exchange) {
 	c.mu.Lock()
--- /dev/null
+++ b/lab/soak/lost_test.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/lab/standin"
+)
+
+// at is a moment of the table tests, in seconds from their beginning.
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func during(from, to float64) []*span { return []*span{{at(from), at(to)}} }
+
+// scene is a lost request and what happened around it.
+type scene struct {
+	lostRule
+	node   process
+	target timeline
+	x      exchange
+	// run says that a target ran the request.
+	run bool
+}
+
+// newScene returns a request of a kept connection that was passed on to a sound
+// target and cut at second 4.5, 2 s after it was sent, without a byte.
+func newScene() *scene {
+	s := &scene{run: true}
+	s.journal = standin.NewJournal()
+	s.targets = func(string) *timeline { return &s.target }
+	s.timeouts.all = []timeoutAt{{at(0), time.Minute}}
+	s.x = exchange{
+		id: "lost", path: standin.StreamPath, node: &s.node, kept: true, deadline: 10 * time.Second,
+		sent: at(2.5), ended: at(4.5), err: io.EOF,
+	}
+	return s
+}
+
+// record has a target run the request, until its caller leaves.
+func (s *scene) record(t *testing.T) {
+	e := standin.NewEngine(t, "i-1", standin.ModelPool, "zone-1", s.journal)
+	conn, err := net.Dial("tcp", e.Addr())
+	is.New(t).NoErr(err)
+	_, err = fmt.Fprintf(conn, "GET /stream/ HTTP/1.1\r\nHost: h\r\nModel: m\r\nRequest-Id: lost\r\n%s: 60000\r\n\r\n", standin.FirstHeader)
+	is.New(t).NoErr(err)
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(conn.Close())
+	for len(s.journal.Runs("lost")) == 0 || !s.journal.Runs("lost")[0].Canceled {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestWhatIsLost(t *testing.T) {
+	stopped := func(s *scene) { s.node.asked.spans = during(0, 0) }
+	for name, c := range map[string]struct {
+		change           func(s *scene)
+		lost, unanswered bool
+	}{
+		"nothing happened":                  {change: func(*scene) {}, unanswered: true},
+		"answer begun":                      {change: func(s *scene) { s.x.anyByte = true }},
+		"first of its connection":           {change: func(s *scene) { s.x.kept = false }},
+		"not passed on":                     {change: func(s *scene) { s.run = false }},
+		"store harmed":                      {change: func(s *scene) { s.core.spans = during(1, 2) }},
+		"at its deadline":                   {change: func(s *scene) { s.x.deadline = 2 * time.Second }, unanswered: true},
+		"stop, sent early, cut late":        {change: stopped},
+		"stop, sent early, cut early":       {change: func(s *scene) { stopped(s); s.x.ended = at(4.1) }, lost: true},
+		"stop, sent late":                   {change: func(s *scene) { stopped(s); s.x.sent = at(3.1) }, lost: true, unanswered: true},
+		"stop, sent late, at its deadline":  {change: func(s *scene) { stopped(s); s.x.sent, s.x.deadline = at(3.1), time.Second }, unanswered: true},
+		"stop, target harmed":               {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.target.spans = during(1, 1.2) }},
+		"stop, node frozen":                 {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.node.harmed.spans = during(3, 4) }},
+		"stop, not read":                    {change: func(s *scene) { stopped(s); s.run, s.x.ended = false, at(2.6) }},
+		"stop, not passed on, slowly ended": {change: func(s *scene) { stopped(s); s.run, s.x.ended = false, at(2.8) }, lost: true},
+		"stop, queued and not passed on":    {change: func(s *scene) { stopped(s); s.run, s.x.queued = false, true }},
+		"stop, store harmed, stream":        {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.core.spans = during(1, 2) }},
+		"stop, store harmed, plain": {change: func(s *scene) {
+			stopped(s)
+			s.x.sent, s.x.path = at(3.1), standin.SafePath
+			s.core.spans = during(1, 2)
+		}, lost: true},
+		"long after a stop":              {change: func(s *scene) { s.node.asked.spans = during(-4, -4) }, unanswered: true},
+		"reload":                         {change: func(s *scene) { s.node.reloads.spans = during(1, 1) }, lost: true, unanswered: true},
+		"change of the configuration":    {change: func(s *scene) { s.configs.spans = during(2, 2) }, lost: true, unanswered: true},
+		"change, most of its time used":  {change: func(s *scene) { s.configs.spans = during(2, 2); s.x.deadline = 2500 * time.Millisecond }, unanswered: true},
+		"change, as often cut at others": {change: func(s *scene) { s.configs.spans = during(2, 2); s.other = ratio{1, 2} }, unanswered: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScene()
+			c.change(s)
+			if s.run {
+				s.record(t)
+			}
+			s.note(&s.x)
+			broken, findings := s.settle()
+			is.Equal(len(broken) > 0, c.lost)
+			is.Equal(len(findings) > 0, c.unanswered)
+		})
+	}
+}
+
+func TestManyUnansweredBreakTheRule(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.record(t)
+	for range unansweredAllowed {
+		s.note(&s.x)
+	}
+	broken, _ := s.settle()
+	is.Equal(len(broken), 0)
+	s.note(&s.x)
+	broken, _ = s.settle()
+	is.Equal(len(broken), 1)
+}
+
+func TestTimeoutThatMayBeInForce(t *testing.T) {
+	is := is.New(t)
+	h := timeoutHistory{all: []timeoutAt{{at(0), time.Second}, {at(10), 4 * time.Second}, {at(20), 2 * time.Second}}}
+	is.Equal(h.shortest(at(1), at(2)), time.Second)
+	is.Equal(h.shortest(at(11), at(12)), time.Second) // the change may not have arrived
+	is.Equal(h.shortest(at(13), at(14)), 4*time.Second)
+	is.Equal(h.shortest(at(19), at(21)), 2*time.Second)
+}
+
+// A node that closes a connection is told from one that keeps it and is late.
+func TestExchangeTellsHowItEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer         string
+		status         int
+		anyByte, whole bool
+		gaveUp, usable bool
+	}{
+		"whole":   {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, anyByte: true, whole: true, usable: true},
+		"closing": {answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", status: 200, anyByte: true, whole: true},
+		"cut":     {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", status: 200, anyByte: true},
+		"nothing": {},
+		"late":    {gaveUp: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			defer func() { _ = near.Close() }()
+			go func() {
+				_, _ = io.WriteString(far, c.answer) // the caller sees what is missing
+				if !c.gaveUp {
+					_ = far.Close()
+				}
+			}()
+			x := exchange{deadline: time.Minute}
+			if c.gaveUp {
+				x.deadline = -lateness + time.Millisecond
+			}
+			is.Equal(x.read(near, bufio.NewReader(near)), c.usable)
+			is.Equal(x.status, c.status)
+			is.Equal(x.anyByte, c.anyByte)
+			is.Equal(x.err == nil, c.whole)
+			is.Equal(x.gaveUp(), c.gaveUp)
+			is.Equal(errors.Is(x.err, io.EOF), name == "nothing")
+		})
+	}
+}
