Take a refused connection behind a sent request for unknown

Cause: net/http's transport sends a request with an Idempotency-Key, or a GET, again by itself when a kept connection ends without an answer. If the second dial is refused, the error is that of the dial, and the load took it for "not run", though the first sending may have run.

Ruled out: the nodes; the test needs none. Nodes were accused falsely, no promise was excused.

--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -192,9 +194,11 @@
 		hr.Header.Set("Last-Event-ID", req.resume.lastEvent)
 	}
 	start := time.Now()
-	resp, err := r.client.Do(hr)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	resp, err := r.client.Do(hr.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return answer{}, connectFailure(err)
+		return answer{}, connectFailure(err, sent.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -203,10 +207,12 @@
 	return req.read(resp.Body, start)
 }
 
-// connectFailure is "not run" only if no connection was made.
-func connectFailure(err error) error {
+// connectFailure is "not run" only if no connection was made. A dial may fail
+// though the request was sent: the client sends what it takes for repeatable
+// again after a kept connection has ended.
+func connectFailure(err error, sent bool) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.As(err, &op) && op.Op == "dial" && !sent {
 		return &failure{ran: problem.RanNo, cause: err}
 	}
 	return &failure{ran: problem.RanUnknown, cause: err}
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,3 +230,31 @@
 	is.Equal(res.Refused, 1)
 	is.Equal(res.Retries, 1)
 }
+
+// A client library sends what it takes for repeatable again by itself. If the
+// second connection is refused, the first may have run the request.
+func TestRefusedConnectionBehindASentRequestIsUnknown(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	srv := httptest.NewUnstartedServer(nil)
+	listener := srv.Listener
+	srv.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if asked.Add(1) == 1 {
+			return // a connection to keep
+		}
+		_ = listener.Close() // fails only if it is closed
+		panic(http.ErrAbortHandler)
+	})
+	srv.Start()
+	defer srv.Close()
+	r := New(Config{})
+	req := request{method: http.MethodPost, key: "k", path: "/", body: []byte("{}"), read: func(io.Reader, time.Time) (answer, error) {
+		return answer{}, nil
+	}}
+	_, fail := r.do(context.Background(), srv.URL, "id-1", req)
+	is.True(fail == nil)
+	_, fail = r.do(context.Background(), srv.URL, "id-2", req)
+	is.True(fail != nil)
+	is.Equal(asked.Load(), int64(2))
+	is.Equal(fail.ran, problem.RanUnknown)
+}
