--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -93,7 +93,7 @@
 func (p *testPool) believed(id string) (kept, running int, suspended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.candidates(p.services[service], prompt, nil, p.now()) {
+	for _, c := range p.candidates(p.services[service], want{parts: prompt}, p.now()) {
 		if c.ID == id {
 			return c.Kept, c.Running, c.Suspended
 		}
