Let an earlier start change nothing, however long its entry stays

Its rule believed an entry of an earlier run once it had stayed for 5 s, for targets whose clock goes back before they start again. But writes are done up to seconds late, and a live target that can't reach the store does not write its entry again within that time: its run would be given up for one that is over, whose address may belong to another target by then.

--- a/replica/runs_test.go
+++ b/replica/runs_test.go
@@ -28,8 +28,7 @@
 func address(c *copyState) string { return c.keeper.Snapshot().Pool("s")[0].Addr }
 
 // An earlier run's write that comes late, as a change or in a list, takes nothing
-// from the later run, here or on the nodes that copy from this one. The later run
-// writes again soon; if it does not, the entry is the one that holds.
+// from the later run, here or on the nodes that copy from this one.
 func TestLateWriteOfAnEarlierRun(t *testing.T) {
 	for name, deliver := range map[string]func(c *copyState, late Entry){
 		"change": func(c *copyState, late Entry) {
@@ -46,19 +45,13 @@
 			deliver(c, target("a", "old@10", 7))
 			is.Equal(address(c), "new")
 
-			peer := startsState(t)
-			peer.put([]Entry{target("a", "new@11", 6)}, 6, start)
-			peer.take(c.newer(Want{Revision: 6}), start)
-			is.Equal(address(peer), "new")
-			is.Equal(targetsOf(peer)["t/a"], targetsOf(c)["t/a"]) // the store's word
-
-			again := start.Add(roster.OverruledGrace - 1)
-			c.change(target("a", "new@11", 8), again)
-			is.True(!c.keeper.Expire(start.Add(time.Hour)))
-			is.Equal(address(c), "new")
-			is.True(!peer.keeper.Expire(again))
-			is.True(peer.keeper.Expire(start.Add(roster.OverruledGrace)))
-			is.Equal(address(peer), "old")
+			fresh := startsState(t)
+			fresh.take(c.newer(Want{}), start)
+			is.Equal(address(fresh), "new")
+			behind := startsState(t)
+			behind.put([]Entry{target("a", "old@10", 5)}, 5, start)
+			behind.take(c.newer(Want{Revision: 5}), start)
+			is.Equal(address(behind), "new")
 		})
 	}
 }
@@ -73,6 +66,4 @@
 	is.Equal(address(c), "new")
 	is.True(c.keeper.Expire(start.Add(roster.FallbackGrace)))
 	is.Equal(c.keeper.Snapshot().Count(), 0)
-	is.True(c.keeper.Expire(start.Add(roster.OverruledGrace))) // it stays in the store
-	is.Equal(address(c), "old")
 }
--- a/replica/targets.go
+++ b/replica/targets.go
@@ -46,15 +46,19 @@
 func (c *copyState) hold(e Entry, before map[string]heldEntry) (t roster.Target, ok bool) {
 	last, known := before[e.Key]
 	t, err := c.decodeTarget(e)
-	if err == nil {
+	switch {
+	case err != nil:
+		if !known || last.Revision != e.Revision {
+			c.unusable(e.Key, e.Revision, err)
+		}
+		c.targets[e.Key] = heldEntry{e.withFault(faultOf(err)), last.id}
+		return c.keeper.Withdrawn(last.id)
+	case !c.keeper.IsOver(t):
 		c.targets[e.Key] = heldEntry{e, t.ID}
-		return t, true
-	}
-	if !known || last.Revision != e.Revision {
-		c.unusable(e.Key, e.Revision, err)
+	case known:
+		c.targets[e.Key] = last // other nodes are told of the later run
 	}
-	c.targets[e.Key] = heldEntry{e.withFault(faultOf(err)), last.id}
-	return c.keeper.Withdrawn(last.id)
+	return t, true
 }
 
 // withFault is an unusable entry as it is kept and passed on: without its value,
@@ -84,7 +88,10 @@
 		return c.removeTarget(e.Key, now)
 	}
 	t, ok := c.hold(e, c.targets)
-	c.remember(c.targets[e.Key].Entry)
+	if kept := c.targets[e.Key].Entry; kept.Revision == e.Revision {
+		e = kept // an unusable one has no value any more
+	}
+	c.remember(e)
 	return ok && c.keeper.Put(t, now)
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -99,26 +99,12 @@
 // their entries again within about two seconds of the store's return.
 const LapseGrace = 2 * time.Second
 
-// OverruledGrace is how long an entry of an earlier run than the one known is taken
-// for a late write: writes whose answer was lost may be done seconds later, and a
-// live target writes its entry again within about two seconds. An entry that stays
-// for longer is the target's own, whose clock went back before it started again.
-const OverruledGrace = 5 * time.Second
-
-// overruled is the entry of an earlier run, to be believed from until on.
-type overruled struct {
-	target Target
-	until  time.Time
-}
-
 // Keeper holds the newest entries. One goroutine at a time may use it.
 type Keeper struct {
 	targets map[string]*Target
 	// missing are the targets whose entries vanished while the store was
 	// disturbed, with the time at which they are taken for gone.
 	missing map[string]time.Time
-	// overruled are the entries of earlier runs, by ID.
-	overruled map[string]overruled
 	// disturbedUntil is the end of the time in which vanished entries may
 	// have lapsed.
 	disturbedUntil time.Time
@@ -126,10 +112,7 @@
 
 // NewKeeper returns a Keeper that knows no target.
 func NewKeeper() *Keeper {
-	return &Keeper{
-		targets: make(map[string]*Target), missing: make(map[string]time.Time),
-		overruled: make(map[string]overruled),
-	}
+	return &Keeper{targets: make(map[string]*Target), missing: make(map[string]time.Time)}
 }
 
 // Disturbed says that the store was unreachable at now, so that entries may
@@ -163,13 +146,11 @@
 }
 
 // Put adds or changes a target. It returns true if that changes the view. A run
-// that is over changes nothing, unless its entry stays for OverruledGrace.
+// that is over changes nothing.
 func (k *Keeper) Put(t Target, now time.Time) bool {
 	if k.IsOver(t) {
-		k.overrule(t, now)
 		return false
 	}
-	delete(k.overruled, t.ID)
 	_, wasMissing := k.missing[t.ID]
 	delete(k.missing, t.ID)
 	old, known := k.targets[t.ID]
@@ -185,20 +166,10 @@
 	return true
 }
 
-func (k *Keeper) overrule(t Target, now time.Time) {
-	o, ok := k.overruled[t.ID]
-	if !ok {
-		o.until = now.Add(OverruledGrace)
-	}
-	o.target = t
-	k.overruled[t.ID] = o
-}
-
 // Remove takes a target's entry away. Right after an outage of the store the
 // target stays as it was until LapseGrace has passed; otherwise it is a
 // fallback for FallbackGrace. A withdrawn target is gone at once.
 func (k *Keeper) Remove(id string, now time.Time) bool {
-	delete(k.overruled, id)
 	t, known := k.targets[id]
 	if _, already := k.missing[id]; !known || already {
 		return false
@@ -240,8 +211,7 @@
 	return changed
 }
 
-// Expire removes the targets whose grace has ended, and believes the entries of
-// earlier runs that have stayed for theirs.
+// Expire removes the targets whose grace has ended.
 func (k *Keeper) Expire(now time.Time) bool {
 	changed := false
 	for id, end := range k.missing {
@@ -251,30 +221,17 @@
 			changed = true
 		}
 	}
-	for id, o := range k.overruled {
-		if !now.Before(o.until) {
-			delete(k.overruled, id)
-			delete(k.missing, id)
-			o.target.Joined = now
-			k.targets[id] = &o.target
-			changed = true
-		}
-	}
 	return changed
 }
 
-// NextExpiry returns when Expire has something to do; ok is false if it has nothing.
+// NextExpiry returns when Expire has something to do; ok is false if nothing
+// is missing.
 func (k *Keeper) NextExpiry() (at time.Time, ok bool) {
 	for _, end := range k.missing {
 		if !ok || end.Before(at) {
 			at, ok = end, true
 		}
 	}
-	for _, o := range k.overruled {
-		if !ok || o.until.Before(at) {
-			at, ok = o.until, true
-		}
-	}
 	return at, ok
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -206,35 +206,3 @@
 	_, ok = k.Withdrawn("a")
 	is.True(!ok)
 }
-
-// A target whose clock went back before it started again seems to be an earlier run.
-// It is believed once its entry has stayed for longer than a late write does.
-func TestEntryOfAnEarlierRunThatStays(t *testing.T) {
-	is, k := is.New(t), NewKeeper()
-	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
-	k.Put(run("a", 9), start)
-	k.Put(run("a", 9), start.Add(time.Second)) // read again
-	end, ok := k.NextExpiry()
-	is.True(ok)
-	is.Equal(end, start.Add(OverruledGrace))
-	is.True(!k.Expire(end.Add(-1)))
-	is.True(k.Expire(end))
-	got := k.Snapshot().Pool("s")[0]
-	is.Equal(got.Started, time.Unix(9, 0))
-	is.Equal(got.Joined, end)
-	is.True(!k.Expire(end.Add(time.Hour)))
-}
-
-// A late write that the target's own entry follows is never believed, nor is one
-// whose key is removed.
-func TestLateWriteIsNeverBelieved(t *testing.T) {
-	is, k := is.New(t), NewKeeper()
-	k.Reset([]Target{run("a", 10), run("b", 10)}, start)
-	k.Put(run("a", 9), start)
-	k.Put(run("b", 9), start)
-	k.Put(run("a", 10), start.Add(time.Second))
-	k.Remove("b", start.Add(time.Second))
-	k.Expire(start.Add(time.Hour))
-	is.Equal(ids(k), []string{"a"})
-	is.Equal(k.Snapshot().Pool("s")[0].Started, time.Unix(10, 0))
-}
