Soak nodes of the callers' own interface; judge requests that stay open

Cause: the soak played router nodes only; and a request that a node keeps open past its deadline was counted, not judged.

The profile "own" runs knapweedgw serve as processes against the laboratory's platform, engines and services: stops, kills and freezes in series that overlap, a store that is out, loses answers and forgets its history, services that refuse, drop, lose and cut. The load's own verdicts decide: another caller's answer, run more than once, told "not run" and run. Requests that the router's nodes in touch keep open a second past their deadline break a promise.

Ruled out: steps on settings there; putting a document while others are put is the settings' own test. Clocks that jump: a process's clock can't be set without privilege or a preloaded library, and the nodes are static programs.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -34,6 +34,27 @@
 		len(r.Findings), len(r.Broken))
 }
 
+func (r *Report) broken(format string, args ...any) {
+	r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
+}
+
+func (r *Report) finding(format string, args ...any) {
+	r.Findings = append(r.Findings, fmt.Sprintf(format, args...))
+}
+
+// addOwnEnds adds what programs did that none may do.
+func (r *Report) addOwnEnds(nodes []*process) {
+	for _, n := range nodes {
+		faults, early := n.ownEnds()
+		for _, fault := range faults {
+			r.broken("%s %s", n.name, fault)
+		}
+		for _, end := range early {
+			r.finding("%s %s, before its first line", n.name, end)
+		}
+	}
+}
+
 // checker checks what comes back from nodes.
 type checker struct {
 	journal *standin.Journal
@@ -59,13 +80,7 @@
 	}
 }
 
-func (c *checker) broken(format string, args ...any) {
-	c.report.Broken = append(c.report.Broken, fmt.Sprintf(format, args...))
-}
-
-func (c *checker) finding(format string, args ...any) {
-	c.report.Findings = append(c.report.Findings, fmt.Sprintf(format, args...))
-}
+func (c *checker) broken(format string, args ...any) { c.report.broken(format, args...) }
 
 // note checks what came of a request.
 func (c *checker) note(x *exchange) {
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -18,16 +18,19 @@
 // grace is the nodes' time from SIGTERM to SIGKILL in seconds.
 const grace = 5
 
-// process is one router node: a program with its settings, started again after
-// it has ended.
+// process is one node: a program with its settings, started again after it has
+// ended.
 type process struct {
-	name     string
-	program  string
-	settings string
-	logs     string
-	front    string
-	ready    string
-	store    *Proxy
+	name string
+	// command returns the program before each start.
+	command func() (*exec.Cmd, error)
+	// grace is the time from SIGTERM to SIGKILL.
+	grace time.Duration
+	logs  string
+	front string
+	ready string
+	// store is the node's way to the store, nil if it has none of its own.
+	store *Proxy
 
 	// harmed is when the node was killed or frozen, begun when its programs
 	// began, asked when they were first asked to stop, reloads when they were
@@ -63,10 +66,15 @@
 		return nil, err
 	}
 	p := &process{
-		name: fmt.Sprint("node-", i), program: program, store: proxy,
-		settings: filepath.Join(dir, fmt.Sprint("node-", i, ".json")),
-		logs:     filepath.Join(dir, fmt.Sprint("node-", i, ".log")),
-		front:    standin.FreeAddr(host, ip), ready: standin.FreeAddr(host, ip),
+		name: fmt.Sprint("node-", i), grace: grace * time.Second, store: proxy,
+		logs:  filepath.Join(dir, fmt.Sprint("node-", i, ".log")),
+		front: standin.FreeAddr(host, ip), ready: standin.FreeAddr(host, ip),
+	}
+	settings := filepath.Join(dir, fmt.Sprint("node-", i, ".json"))
+	p.command = func() (*exec.Cmd, error) {
+		cmd := exec.Command(program, "route")
+		cmd.Env = append(os.Environ(), "KNAPWEEDGW_NODE_FILE="+settings)
+		return cmd, nil
 	}
 	seeds := make([]string, min(n, 3))
 	for j := range seeds {
@@ -85,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p, os.WriteFile(p.settings, raw, 0o600)
+	return p, os.WriteFile(settings, raw, 0o600)
 }
 
 // Loopback addresses: runs side by side have networks of their own, apart from
@@ -118,8 +126,10 @@
 	}
 	defer func() { _ = out.Close() }() // the program has its own copy
 	logged := p.logSize()
-	cmd := exec.Command(p.program, "route")
-	cmd.Env = append(os.Environ(), "KNAPWEEDGW_NODE_FILE="+p.settings)
+	cmd, err := p.command()
+	if err != nil {
+		return err
+	}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -193,7 +203,7 @@
 	g := p.signal(s)
 	select {
 	case <-g.ended:
-	case <-time.After(grace * time.Second):
+	case <-time.After(p.grace):
 		p.overdue()
 		_ = g.cmd.Process.Kill() // it may have ended just now
 		<-g.ended
@@ -204,12 +214,12 @@
 // overdue notes that the program has not ended within the grace time.
 func (p *process) overdue() {
 	now := time.Now()
-	if p.harmed.touches(now.Add(-grace*time.Second-contact), now) {
+	if p.harmed.touches(now.Add(-p.grace-contact), now) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults = append(p.faults, fmt.Sprintf("had not ended %d s after SIGTERM", grace))
+	p.faults = append(p.faults, fmt.Sprintf("had not ended %v after SIGTERM", p.grace))
 }
 
 // ownEnds returns what programs of the node did that none may do, and how they
@@ -245,7 +255,9 @@
 		return
 	}
 	<-p.signal(syscall.SIGKILL).ended
-	p.store.Close()
+	if p.store != nil {
+		p.store.Close()
+	}
 }
 
 // peerPort returns a port that is free on all nodes' addresses.
--- a/lab/soak/lost.go
+++ b/lab/soak/lost.go
@@ -46,7 +46,8 @@
 
 	mu     sync.Mutex
 	cuts   []*exchange
-	beside ratio // beside a change of the configuration
+	late   []*exchange // still open when their caller left
+	beside ratio       // beside a change of the configuration
 	other  ratio
 }
 
@@ -91,6 +92,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cut := x.err != nil && !x.gaveUp()
+	if x.gaveUp() {
+		l.late = append(l.late, x)
+	}
 	r := &l.other
 	if l.besideConfig(x) {
 		r = &l.beside
@@ -129,6 +133,11 @@
 			findings = append(findings, "kept connection closed without an answer: "+l.describe(x))
 		}
 	}
+	for _, x := range l.late {
+		if l.inTouch(x) && !l.targetHarmed(x) {
+			broken = append(broken, "not answered long after its deadline: "+l.describe(x))
+		}
+	}
 	if len(findings) > unansweredAllowed {
 		broken = append(broken, fmt.Sprintf("%d kept connections closed without an answer", len(findings)))
 	}
@@ -199,10 +208,14 @@
 	if x.anyByte || !x.kept || len(l.journal.Runs(x.id)) == 0 {
 		return false
 	}
+	return l.inTouch(x) && !l.targetHarmed(x)
+}
+
+// inTouch says whether the node counts as in touch while it had the request.
+func (l *lostRule) inTouch(x *exchange) bool {
 	from, n := x.sent.Add(-contact), x.node
-	inTouch := !n.harmed.touches(from, x.ended) && !n.asked.touches(from, x.ended) &&
+	return !n.harmed.touches(from, x.ended) && !n.asked.touches(from, x.ended) &&
 		!n.begun.touches(from, x.ended) && !l.core.touches(from, x.ended)
-	return inTouch && !l.targetHarmed(x)
 }
 
 func (l *lostRule) describe(x *exchange) string {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -40,6 +40,8 @@
 	Mixed Profile = "mixed"
 	// Planned holds planned work only, in which nothing may be lost.
 	Planned Profile = "planned"
+	// Own plays nodes of the callers' own interface, on the laboratory's platform.
+	Own Profile = "own"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, Retime}
@@ -48,11 +50,17 @@
 	Kill, KillAll, Freeze, CutStore, CutTarget, StoreBusy, StoreDeaf, TargetDoes, Revive, Reuse,
 }, planned...)
 
+var own = []Kind{Term, Term, Kill, Freeze, StoreBusy, StoreDeaf, TargetDoes}
+
 func (p Profile) kinds() []Kind {
-	if p == Planned {
+	switch p {
+	case Planned:
 		return planned
+	case Own:
+		return own
+	default:
+		return mixed
 	}
-	return mixed
 }
 
 // Step is one entry of a plan.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -51,6 +51,9 @@
 
 // Run runs one soak and reports it.
 func Run(ctx context.Context, host standin.Owner, o Options) (*Report, error) {
+	if o.Profile == Own {
+		return runOwn(ctx, host, o)
+	}
 	r, err := newRun(host, o)
 	if err != nil {
 		return nil, err
@@ -61,7 +64,7 @@
 			return nil, err
 		}
 	}
-	if err := r.awaitReady(); err != nil {
+	if err := awaitReady(r.nodes, standin.Ready); err != nil {
 		return nil, err
 	}
 	report := r.checker.report
@@ -72,7 +75,7 @@
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
 	}
-	r.play(ctx, report.Steps)
+	play(ctx, report.Steps, r.step)
 	<-ctx.Done()
 	work.Wait()
 	r.checkCalm()
@@ -131,10 +134,10 @@
 // ended; no verdict is as fast as that on a machine with time to spare.
 const recovery = 30 * time.Second
 
-func (r *run) awaitReady() error {
+func awaitReady(nodes []*process, isReady func(addr string) bool) error {
 	deadline := time.Now().Add(recovery)
-	for _, n := range r.nodes {
-		for !standin.Ready(n.ready) {
+	for _, n := range nodes {
+		for !isReady(n.ready) {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s is not ready after %v; see %s", n.name, recovery, n.logs)
 			}
@@ -144,8 +147,8 @@
 	return nil
 }
 
-// play carries out the plan. Steps overlap.
-func (r *run) play(ctx context.Context, steps []Step) {
+// play carries out the steps of a plan. They overlap.
+func play(ctx context.Context, steps []Step, do func(Step)) {
 	begun := time.Now()
 	var work sync.WaitGroup
 	defer work.Wait()
@@ -155,7 +158,7 @@
 		case <-ctx.Done():
 			return
 		}
-		work.Go(func() { r.step(s) })
+		work.Go(func() { do(s) })
 	}
 }
 
@@ -167,14 +170,8 @@
 		if !r.eventually(func() bool { return r.servesAll(n) }) {
 			r.checker.broken("%s does not serve with the newest configuration %v after all harm has ended", n.name, recovery)
 		}
-		faults, early := n.ownEnds()
-		for _, fault := range faults {
-			r.checker.broken("%s %s", n.name, fault)
-		}
-		for _, end := range early {
-			r.checker.finding("%s %s, before its first line", n.name, end)
-		}
 	}
+	r.checker.report.addOwnEnds(r.nodes)
 }
 
 func (r *run) servesAll(n *process) bool {
