Name the stop as the reason of what it cuts; log a leaving caller once

Cause: a stream that a stop cut midway was counted as its target's failure, and each caller that left without a byte had two lines, hundreds in a surge. The header of an answer that came as its attempt was given up counted as the target's failure when its body could not be read; it now counts as overdue.

--- a/router/delivery.go
+++ b/router/delivery.go
@@ -34,7 +34,7 @@
 		end = x.deadline
 	}
 	// A writer without deadlines only waits for the caller's own end.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(end)
+	_ = x.rc.SetWriteDeadline(end)
 }
 
 // write hands a part of the answer to the server's buffer.
@@ -56,7 +56,7 @@
 // flush hands what was written to the caller's connection.
 func (x *exchange) flush() error {
 	x.limitWrite()
-	if err := http.NewResponseController(x.w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := x.rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	if x.unflushed > 0 && x.done.delivered == 0 {
@@ -119,6 +119,9 @@
 
 func (x *exchange) countUnanswered(cause string) {
 	x.router.metrics.unanswered.WithLabelValues(cause).Inc()
+	if cause == string(problem.CallerGone) {
+		return // its line "refused" says all, and many leave in a surge
+	}
 	x.router.log.Warn("connection closed without an answer", "request", x.call.ID, "cause", cause,
 		"runs", x.runs, "begun", x.begun, "ms", x.router.now().Sub(x.start).Milliseconds())
 }
--- a/router/drain.go
+++ b/router/drain.go
@@ -48,17 +48,17 @@
 	noticed := begun.Add(min(unreadyNoticed, r.cfg.Grace/3))
 	pause.Sleep(ctx, noticed.Sub(begun))
 	err := r.frontListener.Close()
-	r.awaitConns(ctx, deadline.Add(-refuseMargin))
+	r.endConns(ctx, deadline.Add(-refuseMargin))
 	r.stopped.Store(true)
 	r.endWork(errStopping)
-	r.awaitConns(ctx, deadline)
+	r.endConns(ctx, deadline)
 	r.log.Info("router stops", "in_flight", r.inFlight.Load(), "connections", r.conns.count())
 	_ = r.ready.Close() // a readiness check that fails now is what it asks
 	return errors.CombineErrors(err, r.front.Close())
 }
 
-// awaitConns lets callers' connections end until the deadline.
-func (r *Router) awaitConns(ctx context.Context, deadline time.Time) {
+// endConns ends callers' connections as they fall idle, until the deadline.
+func (r *Router) endConns(ctx context.Context, deadline time.Time) {
 	for {
 		r.conns.close()
 		if r.conns.count() == 0 || !r.now().Before(deadline) || ctx.Err() != nil {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -28,6 +28,7 @@
 type exchange struct {
 	router *Router
 	w      http.ResponseWriter
+	rc     *http.ResponseController // of w
 	req    *http.Request
 	start  time.Time
 
@@ -90,7 +91,7 @@
 	r.metrics.inFlight.Inc()
 	defer r.inFlight.Add(-1)
 	defer r.metrics.inFlight.Dec()
-	x := &exchange{router: r, w: w, req: req, start: r.now()}
+	x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: req, start: r.now()}
 	defer x.recoverPanic()
 	err := x.prepare()
 	if err == nil {
--- a/router/forward.go
+++ b/router/forward.go
@@ -164,6 +164,11 @@
 	if progress >= retry.Sent {
 		x.runs++
 	}
+	if err == nil && w.ended() {
+		// The header came as the attempt was ended; its body can't be read.
+		_ = resp.Body.Close()
+		err = errNoReply
+	}
 	if err != nil {
 		return x.sendFailed(ctx, l, progress, err, w.ended())
 	}
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -56,7 +56,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = problem.DeadlineExceeded
-	case errors.Is(cause, errStopping) && ran == problem.RanNo:
+	case errors.Is(cause, errStopping) && (ran == problem.RanNo || x.begun):
 		reason = problem.Stopping
 	case reason == problem.TargetFailed && ran == problem.RanNo:
 		reason = problem.TargetRefused
