--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -17,7 +17,6 @@
 
 	mu     sync.Mutex
 	engine *standin.Engine
-	born   time.Time
 }
 
 func (t *target) current() *standin.Engine {
@@ -26,28 +25,26 @@
 	return t.engine
 }
 
-// entry is what the engine writes to the store.
-func (t *target) entry(state string) map[string]any {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	entry := t.engine.Entry(state)
-	entry["born"] = t.born.UnixMilli()
-	return entry
-}
-
 // put starts a new engine behind the proxy.
 func (t *target) put(r *run, id, service, zone string) {
 	e := standin.NewEngine(r.host, id, service, zone, r.journal)
-	e.Pace, e.Public = enginePace, t.proxy.Addr()
+	e.Pace, e.StallFor, e.Public = enginePace, stallTime, t.proxy.Addr()
 	t.proxy.Redirect(e.Addr())
 	t.mu.Lock()
-	t.engine, t.born = e, time.Now()
+	t.engine = e
 	t.mu.Unlock()
-	r.store.Put("servers/"+id, t.entry("ready"))
+	r.store.Put("servers/"+id, e.Entry("ready"))
 }
 
-// enginePace is the pause between two events of a stream.
-const enginePace = 15 * time.Millisecond
+const (
+	// enginePace is the pause between two events of a stream.
+	enginePace = 15 * time.Millisecond
+	// stallTime is how long an engine that stalls does nothing.
+	stallTime = grace * time.Second
+)
+
+// engineFaults are all that an engine may do wrong, stalls included.
+var engineFaults = append([]standin.Fault{standin.HeaderOnly, standin.Stall, standin.LateEnd}, standin.Faults...)
 
 func (r *run) addTarget(id, service string, zone int) error {
 	proxy, err := NewProxy("127.0.0.1", "")
@@ -157,7 +154,7 @@
 		r.cut(t.proxy, s)
 		return
 	}
-	e.SetFault(standin.Faults[s.Fault%len(standin.Faults)], -1)
+	e.SetFault(engineFaults[s.Fault%len(engineFaults)], -1)
 	time.Sleep(s.For)
 	e.SetFault(standin.None, 0)
 }
@@ -174,7 +171,7 @@
 	e := t.current()
 	r.must(r.addTarget(replacement(e, s), e.Service, s.Which))
 	if s.Fault%2 == 0 {
-		r.store.Put("servers/"+e.ID, t.entry("draining"))
+		r.store.Put("servers/"+e.ID, e.Entry("draining"))
 		time.Sleep(drainTime)
 	}
 	r.store.Remove("servers/" + e.ID)
@@ -188,7 +185,9 @@
 	defer r.harmOf(e.ID).begin()()
 	e.Crash()
 	time.Sleep(s.For)
-	t.put(r, e.ID, e.Service, e.Zone)
+	e.Move()
+	t.proxy.Redirect(e.Addr())
+	r.store.Put("servers/"+e.ID, e.Entry("ready"))
 }
 
 // reuse has a target crash and its address go to an engine of the other service,
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -35,6 +35,14 @@
 	Unsigned
 	// Unframed ends its answer with the connection.
 	Unframed
+	// HeaderOnly sends the header of its answer and nothing more.
+	HeaderOnly
+	// Stall waits for the engine's StallFor: before the answer of a plain request,
+	// and between the header and the first event of a stream.
+	Stall
+	// LateEnd waits for the engine's StallFor between the last event of a stream and
+	// its end.
+	LateEnd
 )
 
 // Faults are all that an engine may do wrong.
@@ -45,12 +53,13 @@
 
 // Run is one run of a request, as an engine saw it.
 type Run struct {
-	Engine  string
-	Service string
-	Method  string
-	Path    string
-	Header  http.Header
-	Body    string
+	Engine, Service string
+	// Born is the start of that engine, in Unix milliseconds.
+	Born   int64
+	Method string
+	Path   string
+	Header http.Header
+	Body   string
 	// Canceled says that the caller's connection ended before the run did.
 	Canceled bool
 }
@@ -119,47 +128,33 @@
 	// Events is the number of events of a stream, Pace the pause between two.
 	Events int
 	Pace   time.Duration
+	// StallFor is how long the fault Stall lasts.
+	StallFor time.Duration
 	// Public is the address in the engine's entry; its own one if empty.
 	Public string
 
 	journal *Journal
-	server  *http.Server
-	addr    string
+	owner   Owner
 
-	mu    sync.Mutex
-	fault Fault
-	left  int // requests for which the fault holds, -1 for all
+	mu       sync.Mutex
+	listener net.Listener
+	server   *http.Server
+	addr     string
+	born     int64 // Unix milliseconds
+	fault    Fault
+	left     int // requests for which the fault holds, -1 for all
 }
 
-// NewEngine starts an engine on a loopback address.
-func NewEngine(t Owner, id, service, zone string, j *Journal) *Engine {
-	e := &Engine{ID: id, Service: service, Zone: zone, Events: DefaultEvents, journal: j}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e.addr = ln.Addr().String()
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
-	go func() { _ = e.server.Serve(ln) }() // ends with Close
-	t.Cleanup(func() { _ = e.server.Close() })
-	return e
-}
-
-// Addr is the ip:port of the engine.
-func (e *Engine) Addr() string { return e.addr }
-
-// Crash ends the engine with all its connections.
-func (e *Engine) Crash() { _ = e.server.Close() }
-
 // Entry is what the engine writes to the store.
 func (e *Engine) Entry(state string) map[string]any {
 	address := e.Public
 	if address == "" {
-		address = e.addr
+		address = e.Addr()
 	}
 	return map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1",
 		"slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+		"born": e.Born(),
 	}
 }
 
@@ -200,7 +195,8 @@
 	}
 	body, _ := io.ReadAll(r.Body) // a short body shows in the journal
 	run := &Run{
-		Engine: e.ID, Service: e.Service, Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
+		Engine: e.ID, Service: e.Service, Born: e.Born(),
+		Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.begin(run, id)
 	e.answer(w, r, run, fault, id)
@@ -229,6 +225,20 @@
 		panic(http.ErrAbortHandler)
 	case Drop:
 		panic(http.ErrAbortHandler)
+	case HeaderOnly:
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		e.journal.cancel(run)
+		panic(http.ErrAbortHandler)
+	case Stall:
+		if r.Header.Get("Model") != "" {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+		}
+		if !e.work(r, run, e.StallFor) {
+			panic(http.ErrAbortHandler)
+		}
 	case WrongID:
 		h.Set("Request-Id", "0000000000000000")
 	case Unsigned:
@@ -295,4 +305,7 @@
 			return
 		}
 	}
+	if fault == LateEnd {
+		e.work(r, run, e.StallFor)
+	}
 }
--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/node"
 	"github.com/knapweedgw/knapweedgw/platform"
+	"github.com/knapweedgw/knapweedgw/router"
 )
 
 // Names of the site's configuration.
@@ -51,7 +53,15 @@
 	Model   []*Engine
 	Plain   []*Engine
 	Nodes   []*Node
+	// Adjust changes the settings of each node that starts, Wrap its way of
+	// speaking to callers and engines; nil for none.
+	Adjust func(*config.Router)
+	Wrap   func(router.Dialect) router.Dialect
+
 	version int
+	// peerPort is the port of all nodes for each other, the same on all of them
+	// as on the platform. Sites of test processes that run side by side differ.
+	peerPort int
 }
 
 // Node is a router node of the site.
@@ -151,6 +161,7 @@
 // Start starts n nodes and waits until they are ready. Node i has the IP
 // 127.0.0.(i+2).
 func (s *Site) Start(n int) {
+	s.peerPort = freePort(s.T, n)
 	for i := range n {
 		s.Nodes = append(s.Nodes, s.startNode(i, n))
 	}
@@ -165,20 +176,26 @@
 func (s *Site) startNode(i, n int) *Node {
 	peers := make([]string, n)
 	for j := range peers {
-		peers[j] = fmt.Sprintf("127.0.0.%d:%d", j+2, peerPort)
+		peers[j] = net.JoinHostPort(nodeIP(j), strconv.Itoa(s.peerPort))
 	}
-	ip := fmt.Sprintf("127.0.0.%d", i+2)
+	ip := nodeIP(i)
 	cfg := &config.Router{
 		NodeID: fmt.Sprint("node-", i), Region: "region", FailureDomain: fmt.Sprint("zone-", i%3),
 		Listen: FreeAddr(s.T, ip), ReadyListen: FreeAddr(s.T, ip), PeerListen: peers[i], Seeds: peers,
 		StoreAddr: s.Store.Addr(), Grace: Grace, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 	}
+	if s.Adjust != nil {
+		s.Adjust(cfg)
+	}
 	if err := cfg.Validate(); err != nil {
 		s.T.Fatal(err)
 	}
 	logs := &Logs{}
 	p := platform.NewAdapter("", cfg).Platform(cfg)
 	p.Store = platform.NewStoreFrom(cfg.StoreAddr, ip)
+	if s.Wrap != nil {
+		p.Dialect = s.Wrap(p.Dialect)
+	}
 	k, err := node.NewRouter(cfg, p, logs, prometheus.NewRegistry())
 	if err != nil {
 		s.T.Fatal(err)
@@ -198,9 +215,37 @@
 	return out
 }
 
-// peerPort is the same on all nodes, as on the platform.
-const peerPort = 17340
+// portTries is how many ports freePort tries; each is free on most addresses.
+const portTries = 20
+
+// freePort returns a port that is free on the addresses of n nodes.
+func freePort(t Owner, n int) int {
+	for range portTries {
+		_, port, _ := net.SplitHostPort(FreeAddr(t, nodeIP(0))) // an address of net's own
+		if p, err := strconv.Atoi(port); err == nil && freeOn(p, n) {
+			return p
+		}
+	}
+	t.Fatalf("no port is free on %d addresses", n)
+	return 0
+}
+
+// freeOn says whether a port is free on the addresses of n nodes.
+func freeOn(port, n int) bool {
+	for i := range n {
+		ln, err := net.Listen("tcp", net.JoinHostPort(nodeIP(i), strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
+	return true
+}
+
+// nodeIP is the IP of a node of a site.
+func nodeIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+2) }
 
+// FreeAddr returns a free ip:port of an IP.
 func FreeAddr(t Owner, ip string) string {
 	ln, err := net.Listen("tcp", ip+":0")
 	if err != nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,12 +8,19 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/routing"
 )
 
-// Target is one incarnation of an engine or of a plain service's server. A
-// restart gives it a new ID; its address may go to another target later.
+// Target is one run of an engine or of a plain service's server: its ID and the
+// time of its start. What nodes learn of a run ends with it: a later run under the
+// same ID is a new target, which keeps and counts nothing of before. Its address
+// may go to another target.
 type Target struct {
-	ID            string
+	ID string
+	// Started is when the run began, zero if its entry doesn't say so. Runs under
+	// one ID are told apart only by it.
+	Started       time.Time
 	Addr          string
 	FailureDomain string
 	Service       string
@@ -22,25 +29,46 @@
 	// Fallback targets have lost their entry a moment ago. They are used only
 	// if a service has no other target left.
 	Fallback bool
-	// Hash is the key of the target in placement.
+	// Withdrawn targets have an entry that is unusable now. Requests in progress
+	// there end as they may; nothing else goes there.
+	Withdrawn bool
+	// Hash is the key of the target's ID in placement. A later run has the same,
+	// so that nodes which don't know of it yet rank the targets alike.
 	Hash uint64
 	// Joined is when this node learnt of the target, zero if it was there
 	// when the node began.
 	Joined time.Time
 }
 
+// RunHash names the run among the nodes: in their reports, in the uses of prompt
+// parts and in the note of them. A node that is behind and tells of an earlier run
+// names a hash that nobody asks for any more. A target whose start is not known
+// has the hash of its ID.
+func (t *Target) RunHash() uint64 {
+	if t.Started.IsZero() {
+		return t.Hash
+	}
+	return routing.Rank(uint64(t.Started.UnixMilli()), t.Hash)
+}
+
 // Snapshot is an immutable view of the targets.
 type Snapshot struct {
 	byService map[string][]*Target
+	withdrawn []*Target
 }
 
 // Pool returns the targets of a service, ordered by ID, the draining ones
-// included.
+// included, the withdrawn ones not.
 func (s *Snapshot) Pool(service string) []*Target { return s.byService[service] }
 
-// All yields every target.
+// All yields every target, the withdrawn ones included.
 func (s *Snapshot) All() iter.Seq[*Target] {
 	return func(yield func(*Target) bool) {
+		for _, t := range s.withdrawn {
+			if !yield(t) {
+				return
+			}
+		}
 		for _, pool := range s.byService {
 			for _, t := range pool {
 				if !yield(t) {
@@ -51,7 +79,7 @@
 	}
 }
 
-// Count returns the number of targets.
+// Count returns the number of targets, without the withdrawn ones.
 func (s *Snapshot) Count() int {
 	n := 0
 	for _, pool := range s.byService {
@@ -71,12 +99,26 @@
 // their entries again within about two seconds of the store's return.
 const LapseGrace = 2 * time.Second
 
+// OverruledGrace is how long an entry of an earlier run than the one known is taken
+// for a late write: writes whose answer was lost may be done seconds later, and a
+// live target writes its entry again within about two seconds. An entry that stays
+// for longer is the target's own, whose clock went back before it started again.
+const OverruledGrace = 5 * time.Second
+
+// overruled is the entry of an earlier run, to be believed from until on.
+type overruled struct {
+	target Target
+	until  time.Time
+}
+
 // Keeper holds the newest entries. One goroutine at a time may use it.
 type Keeper struct {
 	targets map[string]*Target
 	// missing are the targets whose entries vanished while the store was
 	// disturbed, with the time at which they are taken for gone.
 	missing map[string]time.Time
+	// overruled are the entries of earlier runs, by ID.
+	overruled map[string]overruled
 	// disturbedUntil is the end of the time in which vanished entries may
 	// have lapsed.
 	disturbedUntil time.Time
@@ -84,7 +126,10 @@
 
 // NewKeeper returns a Keeper that knows no target.
 func NewKeeper() *Keeper {
-	return &Keeper{targets: make(map[string]*Target), missing: make(map[string]time.Time)}
+	return &Keeper{
+		targets: make(map[string]*Target), missing: make(map[string]time.Time),
+		overruled: make(map[string]overruled),
+	}
 }
 
 // Disturbed says that the store was unreachable at now, so that entries may
@@ -98,12 +143,37 @@
 	}
 }
 
-// Put adds or changes a target. It returns true if that changes the view.
+// IsOver says whether a later run under the target's ID is known, so that the
+// target's entry is an old one: written late, or read from a copy that is behind.
+func (k *Keeper) IsOver(t Target) bool {
+	known, ok := k.targets[t.ID]
+	return ok && t.Started.Before(known.Started)
+}
+
+// Withdrawn returns the target with the given ID as it is when its entry becomes
+// unusable; ok is false if there is none.
+func (k *Keeper) Withdrawn(id string) (t Target, ok bool) {
+	known, ok := k.targets[id]
+	if !ok {
+		return Target{}, false
+	}
+	t = *known
+	t.Withdrawn = true
+	return t, true
+}
+
+// Put adds or changes a target. It returns true if that changes the view. A run
+// that is over changes nothing, unless its entry stays for OverruledGrace.
 func (k *Keeper) Put(t Target, now time.Time) bool {
+	if k.IsOver(t) {
+		k.overrule(t, now)
+		return false
+	}
+	delete(k.overruled, t.ID)
 	_, wasMissing := k.missing[t.ID]
 	delete(k.missing, t.ID)
 	old, known := k.targets[t.ID]
-	if known {
+	if known && old.Started.Equal(t.Started) {
 		t.Joined = old.Joined
 	} else if len(k.targets) > 0 {
 		t.Joined = now
@@ -115,14 +185,28 @@
 	return true
 }
 
+func (k *Keeper) overrule(t Target, now time.Time) {
+	o, ok := k.overruled[t.ID]
+	if !ok {
+		o.until = now.Add(OverruledGrace)
+	}
+	o.target = t
+	k.overruled[t.ID] = o
+}
+
 // Remove takes a target's entry away. Right after an outage of the store the
 // target stays as it was until LapseGrace has passed; otherwise it is a
-// fallback for FallbackGrace.
+// fallback for FallbackGrace. A withdrawn target is gone at once.
 func (k *Keeper) Remove(id string, now time.Time) bool {
+	delete(k.overruled, id)
 	t, known := k.targets[id]
 	if _, already := k.missing[id]; !known || already {
 		return false
 	}
+	if t.Withdrawn {
+		delete(k.targets, id)
+		return true
+	}
 	if now.Before(k.disturbedUntil) && !t.Draining {
 		k.missing[id] = k.disturbedUntil
 		return false
@@ -156,7 +240,8 @@
 	return changed
 }
 
-// Expire removes the targets whose grace has ended.
+// Expire removes the targets whose grace has ended, and believes the entries of
+// earlier runs that have stayed for theirs.
 func (k *Keeper) Expire(now time.Time) bool {
 	changed := false
 	for id, end := range k.missing {
@@ -166,17 +251,30 @@
 			changed = true
 		}
 	}
+	for id, o := range k.overruled {
+		if !now.Before(o.until) {
+			delete(k.overruled, id)
+			delete(k.missing, id)
+			o.target.Joined = now
+			k.targets[id] = &o.target
+			changed = true
+		}
+	}
 	return changed
 }
 
-// NextExpiry returns when Expire has something to do; ok is false if nothing
-// is missing.
+// NextExpiry returns when Expire has something to do; ok is false if it has nothing.
 func (k *Keeper) NextExpiry() (at time.Time, ok bool) {
 	for _, end := range k.missing {
 		if !ok || end.Before(at) {
 			at, ok = end, true
 		}
 	}
+	for _, o := range k.overruled {
+		if !ok || o.until.Before(at) {
+			at, ok = o.until, true
+		}
+	}
 	return at, ok
 }
 
@@ -184,6 +282,10 @@
 func (k *Keeper) Snapshot() *Snapshot {
 	s := &Snapshot{byService: make(map[string][]*Target)}
 	for _, t := range k.targets {
+		if t.Withdrawn {
+			s.withdrawn = append(s.withdrawn, t)
+			continue
+		}
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
 	for _, pool := range s.byService {
--- a/router/conns.go
+++ b/router/conns.go
@@ -46,7 +46,7 @@
 	mu    sync.Mutex
 	conns map[net.Conn]http.ConnState
 	idle  map[net.Conn]struct{}
-	// closing means that idle connections were ended.
+	// closing says that the node takes no further request.
 	closing bool
 }
 
@@ -74,7 +74,7 @@
 	case http.StateIdle:
 		t.idle[c] = struct{}{}
 	case http.StateActive:
-		// closeIdle or makeRoom may have come between the request's first byte
+		// close or makeRoom may have come between the request's first byte
 		// and this.
 		_ = c.SetReadDeadline(time.Time{})
 	}
@@ -110,10 +110,12 @@
 	return len(t.conns)
 }
 
-// closeIdle ends the connections that are between requests. It ends their wait
-// for a next request and does not close them itself: a request whose first byte
-// was read a moment ago is served.
-func (t *connTracker) closeIdle() {
+// close says that the node takes no further request, and ends the connections that
+// are between requests. It ends their wait for a next request and does not close them
+// itself: one whose first byte was read a moment ago gets an answer. Busy connections
+// are ended by a later call, once their answers are written; a caller that goes on at
+// once gets a refusal there, which tells it more than a request that crossed a close.
+func (t *connTracker) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closing = true
@@ -124,4 +126,11 @@
 	}
 }
 
+// closes says whether the node takes no further request.
+func (t *connTracker) closes() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closing
+}
+
 var longAgo = time.Unix(1, 0)
--- a/router/conns_test.go
+++ b/router/conns_test.go
@@ -74,3 +74,24 @@
 	tracker.change(&idle, http.StateActive)
 	is.True(!idle.ended)
 }
+
+// A busy connection is ended once its answer is written, since its caller was not
+// asked to close it. What comes on it before gets a refusal.
+func TestBusyConnectionEndsAfterItsAnswer(t *testing.T) {
+	is := is.New(t)
+	tracker := newConnTracker(0, newMetrics(prometheus.NewRegistry()))
+	var busy, idle fakeConn
+	for _, c := range []*fakeConn{&busy, &idle} {
+		tracker.change(c, http.StateNew)
+		tracker.change(c, http.StateActive)
+	}
+	tracker.change(&idle, http.StateIdle)
+	is.True(!tracker.closes())
+	tracker.close()
+	is.True(tracker.closes())
+	is.True(idle.ended && !idle.closed) // a first byte may have been read
+	is.True(!busy.ended)
+	tracker.change(&busy, http.StateIdle)
+	tracker.close()
+	is.True(busy.ended && !busy.closed)
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,9 +22,6 @@
 	startRetryAfter = 300 * time.Millisecond
 	// timeoutSlack lets a target's own answer at the deadline arrive.
 	timeoutSlack = 40 * time.Millisecond
-	// stalledCaller is how much longer than the request's deadline a caller may
-	// take to read what was written.
-	stalledCaller = 100 * time.Millisecond
 )
 
 // exchange is one caller's request in progress.
@@ -32,8 +31,10 @@
 	req    *http.Request
 	start  time.Time
 
-	call      Call
-	body      []byte
+	call Call
+	body []byte
+	// read says that the request was read whole.
+	read      bool
 	catalog   *catalog.Catalog
 	revision  int64
 	route     *catalog.Route
@@ -47,14 +48,24 @@
 	sentAt        time.Time
 	attemptCancel context.CancelFunc
 
+	// reserved says that the retry budget has already paid for the next attempt.
+	reserved atomic.Bool
+
 	tried []string
+	// overdue is a tried target that was left only because it took too long.
+	overdue string
 	// tries counts the targets tried, runs those that may have run the request.
 	tries, runs int
-	// lastEvent is the last whole event delivered, begun whether the header of
-	// the answer was.
+	// lastEvent is the last whole event delivered, begun whether any of the
+	// answer was: from then on a failure can only be shown by closing the
+	// caller's connection.
 	lastEvent string
 	begun     bool
-	done      record
+	// unflushed is how many bytes the server's buffer holds, writeFailed whether a
+	// write to the caller ran into its time limit.
+	unflushed   int
+	writeFailed bool
+	done        record
 }
 
 // record is what the log line of a request says.
@@ -67,6 +78,10 @@
 	kept      int
 	reason    placement.Reason
 	firstByte time.Duration
+	// firstEvent is when the first bytes of the answer's body were handed to the
+	// caller's connection, and delivered how many were in all.
+	firstEvent time.Duration
+	delivered  int
 }
 
 // serve handles one request of a caller.
@@ -76,9 +91,7 @@
 	defer r.inFlight.Add(-1)
 	defer r.metrics.inFlight.Dec()
 	x := &exchange{router: r, w: w, req: req, start: r.now()}
-	if r.draining.Load() || r.conns.crowded() {
-		w.Header().Set("Connection", "close")
-	}
+	defer x.recoverPanic()
 	err := x.prepare()
 	if err == nil {
 		err = x.forward()
@@ -98,6 +111,10 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	x.read = true
+	if x.router.conns.closes() {
+		return problem.New(problem.Stopping, problem.RanNo, "").After(stopRetryAfter)
+	}
 	x.catalog = x.router.beliefs.Catalog()
 	_, x.revision = x.router.beliefs.Versions()
 	if err := x.matchRoute(); err != nil {
@@ -186,16 +203,13 @@
 	if x.deadline.IsZero() {
 		return context.WithCancel(x.req.Context())
 	}
-	end := x.deadline.Add(timeoutSlack)
-	// A caller that doesn't read must not hold the node's buffers for longer.
-	// A writer without deadlines only waits for the caller's own end.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(stalledCaller))
-	return context.WithDeadline(x.req.Context(), end)
+	return context.WithDeadline(x.req.Context(), x.deadline.Add(timeoutSlack))
 }
 
 // finish answers a request that failed with err and writes its log line.
 func (x *exchange) finish(err error) {
 	if err == nil {
+		x.limitWrite() // the server writes the end of a stream after this
 		x.logDone()
 		return
 	}
@@ -203,19 +217,35 @@
 	if !errors.As(err, &p) {
 		p = problem.New(problem.Internal, problem.RanUnknown, err.Error())
 	}
-	if x.req.Context().Err() != nil {
+	if x.callerGone() {
 		p = problem.New(problem.CallerGone, p.Ran, p.Detail)
 	}
 	x.logRefused(p)
 	if x.begun {
 		x.router.metrics.cuts.WithLabelValues(string(p.Reason)).Inc()
-		panic(http.ErrAbortHandler)
+		x.abort(p.Reason)
 	}
 	x.router.metrics.refusals.WithLabelValues(string(p.Reason)).Inc()
 	if p.Reason == problem.CallerGone {
-		panic(http.ErrAbortHandler)
+		x.abort(p.Reason)
 	}
+	x.limitConnection()
 	x.router.dialect.WriteRefusal(x.w, p)
+	x.flushLast()
+}
+
+// recoverPanic is for faults of the program. Without it the line of net/http
+// would not name the request.
+func (x *exchange) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it so
+		x.router.log.Error("handler panicked", "request", x.call.ID, "panic", v, "stack", string(debug.Stack()))
+		x.countUnanswered(causePanic)
+	}
+	panic(v)
 }
 
 func (x *exchange) logDone() {
@@ -223,12 +253,14 @@
 	x.router.metrics.answers.WithLabelValues(x.service, statusClass(x.done.status)).Inc()
 	x.router.metrics.whole.WithLabelValues(x.service).Observe(since(x.start, now))
 	x.router.log.Info("answered", append(x.logFields(),
-		"status", x.done.status, "first_byte_ms", x.done.firstByte.Milliseconds())...)
+		"status", x.done.status, "first_byte_ms", x.done.firstByte.Milliseconds(),
+		"first_event_ms", x.done.firstEvent.Milliseconds(), "delivered", x.done.delivered)...)
 }
 
 func (x *exchange) logRefused(p *problem.Problem) {
 	x.router.log.Warn("refused", append(x.logFields(),
 		"reason", p.Reason, "ran", p.Ran, "detail", p.Detail, "begun", x.begun,
+		"delivered", x.done.delivered, "first_byte_ms", x.done.firstByte.Milliseconds(),
 		"retry_after_ms", p.RetryAfter.Milliseconds())...)
 }
 
--- a/router/lease.go
+++ b/router/lease.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
@@ -25,13 +26,23 @@
 	service string
 	// parts are the shared ones of the request's prompt.
 	parts []affinity.Part
-	// tried are the targets to leave out.
+	// tried are the targets to leave out, unless only names one.
 	tried []string
+	// only is the one target that may be taken, empty for any.
+	only string
 	// request is what decides whether the request is turned away when the
 	// service is full.
 	request overload.Request
 }
 
+// excludes says whether a target may not be taken.
+func (w want) excludes(id string) bool {
+	if w.only != "" {
+		return id != w.only
+	}
+	return slices.Contains(w.tried, id)
+}
+
 // acquire picks a target of a service and counts a request there. A request for
 // which there is no place gets the decision that turned it away, one for which
 // there is no target an empty lease.
@@ -39,7 +50,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	cands := p.candidates(p.services[w.service], w.parts, w.tried, now)
+	cands := p.candidates(p.services[w.service], w, now)
 	service := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval()))
 	if d = p.gate(w.service).Admit(w.request, p.loadOf(service), now); !d.Admitted() {
 		return lease{}, d, false
@@ -61,6 +72,15 @@
 	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
 
+// hasOther says whether a target that wasn't tried may get a request.
+func (p *pool) hasOther(service string, tried []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cands := p.candidates(p.services[service], want{tried: tried}, p.now())
+	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval())).Eligible()
+	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
+}
+
 // gate is called with the lock held.
 func (p *pool) gate(service string) *overload.Gate {
 	g, ok := p.gates[service]
--- a/router/relay.go
+++ b/router/relay.go
@@ -56,21 +56,30 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.status)
-	if _, err := x.w.Write(a.body); err != nil {
-		x.router.log.Debug("answer not taken by its caller", "request", x.call.ID, "err", err)
-	}
+	_ = x.write(a.body) // the flush sees the failure
+	x.flushLast()
 }
 
 func (x *exchange) begin(status int, header http.Header) {
 	x.begun = true
 	x.done.status = status
 	x.router.dialect.EncodeAnswer(x.w.Header(), header)
+	x.limitConnection()
+}
+
+// beginStream writes the header of a stream's first target.
+func (x *exchange) beginStream(resp *http.Response) {
+	if x.begun {
+		return
+	}
+	x.begin(resp.StatusCode, resp.Header)
+	x.w.WriteHeader(resp.StatusCode)
 }
 
 func (x *exchange) relayLarge(ctx context.Context, l lease, resp *http.Response, head []byte) *failure {
 	x.begin(resp.StatusCode, resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
-	if _, err := x.w.Write(head); err != nil {
+	if err := x.write(head); err != nil {
 		return x.callerLost(err)
 	}
 	return x.copyRest(ctx, l, resp)
@@ -82,11 +91,10 @@
 // streamBuffer holds several events; a larger one only costs memory.
 const streamBuffer = 4 << 10
 
+// relayStream passes a stream on. Its header waits for the first bytes of the body,
+// which targets send up to 0.6 s later in a surge: until then a request that fails
+// gets a refusal, or another target's stream, and not a closed connection.
 func (x *exchange) relayStream(ctx context.Context, l lease, resp *http.Response) *failure {
-	if !x.begun {
-		x.begin(resp.StatusCode, resp.Header)
-		x.w.WriteHeader(resp.StatusCode)
-	}
 	if x.route.Resumable {
 		return x.copyEvents(ctx, l, resp)
 	}
@@ -97,15 +105,16 @@
 func (x *exchange) copyRest(ctx context.Context, l lease, resp *http.Response) *failure {
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	rc := http.NewResponseController(x.w)
 	for {
 		n, err := resp.Body.Read(*buf)
 		if n > 0 {
-			if werr := x.writeNow(rc, (*buf)[:n]); werr != nil {
+			x.beginStream(resp)
+			if werr := x.writeNow((*buf)[:n]); werr != nil {
 				return x.callerLost(werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			x.beginStream(resp)
 			return nil
 		}
 		if err != nil {
@@ -114,20 +123,12 @@
 	}
 }
 
-func (x *exchange) writeNow(rc *http.ResponseController, p []byte) error {
-	if _, err := x.w.Write(p); err != nil {
-		return err
-	}
-	return rc.Flush()
-}
-
 // copyEvents passes whole events on, so that a stream that breaks in the
 // middle of one can go on after the last.
 func (x *exchange) copyEvents(ctx context.Context, l lease, resp *http.Response) *failure {
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	rc := http.NewResponseController(x.w)
-	gaps := x.watchGaps()
+	gaps := x.watchGaps(l)
 	defer gaps.stop()
 	var pending []byte
 	for {
@@ -135,7 +136,8 @@
 		gaps.event()
 		pending = append(pending, (*buf)[:n]...)
 		if end := wholeEvents(pending); end > 0 {
-			if werr := x.writeNow(rc, pending[:end]); werr != nil {
+			x.beginStream(resp)
+			if werr := x.writeNow(pending[:end]); werr != nil {
 				return x.callerLost(werr)
 			}
 			if id := lastEventID(pending[:end]); id != "" {
@@ -144,10 +146,10 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			return x.endEvents(l, pending)
+			return x.endEvents(l, resp, pending)
 		}
-		if gaps.fired.Load() {
-			return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errGap}
+		if gaps.ended() {
+			return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errGap, overdue: true}
 		}
 		if err != nil {
 			return x.broken(ctx, l, err)
@@ -159,8 +161,9 @@
 
 var errCutEvent = errors.New("the stream ended within an event")
 
-func (x *exchange) endEvents(l lease, pending []byte) *failure {
+func (x *exchange) endEvents(l lease, resp *http.Response, pending []byte) *failure {
 	if len(pending) == 0 {
+		x.beginStream(resp)
 		return nil
 	}
 	x.router.pool.observe(l.member, health.Failed)
@@ -206,5 +209,6 @@
 
 // callerLost is for a caller that takes no more of its answer.
 func (x *exchange) callerLost(err error) *failure {
+	x.writeFailed = isTimeout(err)
 	return &failure{progress: retry.Delivered, reason: problem.CallerGone, cause: err}
 }
