--- a/lab/soak/lost_test.go
+++ b/lab/soak/lost_test.go
@@ -79,6 +79,7 @@
 		"stop, sent late, at its deadline":  {change: func(s *scene) { stopped(s); s.x.sent, s.x.deadline = at(3.1), time.Second }, unanswered: true},
 		"stop, target harmed":               {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.target.spans = during(1, 1.2) }},
 		"stop, node frozen":                 {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.node.harmed.spans = during(3, 4) }},
+		"stop, machine stalled":             {change: func(s *scene) { stopped(s); s.x.sent = at(3.1); s.stalls.spans = during(3, 4) }},
 		"stop, not read":                    {change: func(s *scene) { stopped(s); s.run, s.x.ended = false, at(2.6) }},
 		"stop, not passed on, slowly ended": {change: func(s *scene) { stopped(s); s.run, s.x.ended = false, at(2.8) }, lost: true},
 		"stop, queued and not passed on":    {change: func(s *scene) { stopped(s); s.run, s.x.queued = false, true }},
@@ -109,6 +110,16 @@
 	}
 }
 
+func TestTimelineHoldsWhatEnded(t *testing.T) {
+	is := is.New(t)
+	var line timeline
+	line.add(at(1), at(1.5))
+	line.add(at(3), at(4))
+	is.Equal(line.total(), 1500*time.Millisecond)
+	is.True(line.touches(at(0), at(1)))
+	is.True(!line.touches(at(1.6), at(2.9)))
+}
+
 func TestManyUnansweredBreakTheRule(t *testing.T) {
 	is := is.New(t)
 	s := newScene()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -71,6 +71,9 @@
 	report.Steps = NewPlan(o.Seed, o.Length, o.Profile)
 	ctx, cancel := context.WithTimeout(ctx, o.Length)
 	defer cancel()
+	watching, endWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWatch()
+	go r.lost.watchStalls(watching)
 	var work sync.WaitGroup
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
--- a/lab/soak/timeline.go
+++ b/lab/soak/timeline.go
@@ -30,6 +30,24 @@
 	}
 }
 
+// add notes a time that has ended.
+func (t *timeline) add(from, to time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spans = append(t.spans, &span{from: from, to: to})
+}
+
+// total is how long the times noted lasted together.
+func (t *timeline) total() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum time.Duration
+	for _, s := range t.spans {
+		sum += s.to.Sub(s.from)
+	}
+	return sum
+}
+
 // touches says whether any time noted has a moment from from to to.
 func (t *timeline) touches(from, to time.Time) bool {
 	t.mu.Lock()
