Count failures that had time left apart

Cause: most failures of a run come at their deadline; one that a node gives sooner, beside planned work alone, did not stand out.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -17,6 +17,8 @@
 	Whole    int
 	Refused  int
 	Failed   int
+	// Early are those of Failed that had time left.
+	Early int
 	// Cut were ended without a whole answer, of which Unanswered had no byte of
 	// one. Late were still open when their caller left.
 	Cut, Unanswered, Late int
@@ -32,8 +34,8 @@
 // String is the line of a run.
 func (r *Report) String() string {
 	return fmt.Sprintf(
-		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d cut=%d unanswered=%d late=%d stalled=%.1fs steps=%d findings=%d broken=%d",
-		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Cut, r.Unanswered, r.Late, r.Stalled.Seconds(),
+		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d early=%d cut=%d unanswered=%d late=%d stalled=%.1fs steps=%d findings=%d broken=%d",
+		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Early, r.Cut, r.Unanswered, r.Late, r.Stalled.Seconds(),
 		len(r.Steps), len(r.Findings), len(r.Broken))
 }
 
@@ -105,6 +107,9 @@
 		c.broken("request %s: %d for what the configuration allows", x.id, x.status)
 	default:
 		c.report.Failed++
+		if !c.lost.timeIsUp(x, 1) {
+			c.report.Early++
+		}
 	}
 }
 
--- a/lab/soak/lost.go
+++ b/lab/soak/lost.go
@@ -44,8 +44,7 @@
 	// stalls is when the machine ran nothing.
 	stalls timeline
 	// targets is the harm to each engine, by its ID.
-	targets func(id string) *timeline
-	// timeout is the shortest timeout of any route at any time.
+	targets  func(id string) *timeline
 	timeouts timeoutHistory
 
 	mu     sync.Mutex
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -212,10 +212,11 @@
 		return ""
 	}
 	id, _, _ := strings.Cut(rest, " ")
+	field := fmt.Sprintf(`"request":%q`, strings.TrimSuffix(id, ":"))
 	var out strings.Builder
 	for _, n := range r.nodes {
-		for logged := range strings.Lines(Logs(r.Dir, n.name)) {
-			if strings.Contains(logged, fmt.Sprintf(`"request":%q`, strings.TrimSuffix(id, ":"))) {
+		for logged := range strings.Lines(logs(n)) {
+			if strings.Contains(logged, field) {
 				fmt.Fprintf(&out, "\n  %s: %s", n.name, strings.TrimSpace(logged))
 			}
 		}
@@ -223,9 +224,9 @@
 	return out.String()
 }
 
-// Logs returns what a node wrote, for a report of a failure.
-func Logs(dir, node string) string {
-	raw, err := os.ReadFile(dir + "/" + node + ".log")
+// logs returns what a node wrote.
+func logs(n *process) string {
+	raw, err := os.ReadFile(n.logs)
 	if err != nil {
 		return err.Error()
 	}
