--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/knapweedgw/knapweedgw/lab/standin"
 )
@@ -16,10 +17,14 @@
 	Whole    int
 	Refused  int
 	Failed   int
+	// Early are those of Failed that had time left.
+	Early int
 	// Cut were ended without a whole answer, of which Unanswered had no byte of
 	// one. Late were still open when their caller left.
 	Cut, Unanswered, Late int
-	Steps                 []Step
+	// Stalled is how long the machine ran nothing.
+	Stalled time.Duration
+	Steps   []Step
 	// Broken are the promises that did not hold, with the request or node.
 	Broken []string
 	// Findings are what breaks a promise only if there is more of it.
@@ -29,9 +34,9 @@
 // String is the line of a run.
 func (r *Report) String() string {
 	return fmt.Sprintf(
-		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d cut=%d unanswered=%d late=%d steps=%d findings=%d broken=%d",
-		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Cut, r.Unanswered, r.Late, len(r.Steps),
-		len(r.Findings), len(r.Broken))
+		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d early=%d cut=%d unanswered=%d late=%d stalled=%.1fs steps=%d findings=%d broken=%d",
+		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Early, r.Cut, r.Unanswered, r.Late, r.Stalled.Seconds(),
+		len(r.Steps), len(r.Findings), len(r.Broken))
 }
 
 func (r *Report) broken(format string, args ...any) {
@@ -102,6 +107,9 @@
 		c.broken("request %s: %d for what the configuration allows", x.id, x.status)
 	default:
 		c.report.Failed++
+		if !c.lost.timeIsUp(x, 1) {
+			c.report.Early++
+		}
 	}
 }
 
@@ -161,6 +169,7 @@
 	for id, path := range c.paths {
 		c.judgeRuns(id, path)
 	}
+	c.report.Stalled = c.lost.stalls.total()
 	broken, findings := c.lost.settle()
 	c.report.Broken = append(c.report.Broken, broken...)
 	c.report.Findings = append(c.report.Findings, findings...)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -71,6 +71,9 @@
 	report.Steps = NewPlan(o.Seed, o.Length, o.Profile)
 	ctx, cancel := context.WithTimeout(ctx, o.Length)
 	defer cancel()
+	watching, endWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWatch()
+	go r.lost.watchStalls(watching)
 	var work sync.WaitGroup
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
@@ -209,10 +212,11 @@
 		return ""
 	}
 	id, _, _ := strings.Cut(rest, " ")
+	field := fmt.Sprintf(`"request":%q`, strings.TrimSuffix(id, ":"))
 	var out strings.Builder
 	for _, n := range r.nodes {
-		for logged := range strings.Lines(Logs(r.Dir, n.name)) {
-			if strings.Contains(logged, fmt.Sprintf(`"request":%q`, strings.TrimSuffix(id, ":"))) {
+		for logged := range strings.Lines(logs(n)) {
+			if strings.Contains(logged, field) {
 				fmt.Fprintf(&out, "\n  %s: %s", n.name, strings.TrimSpace(logged))
 			}
 		}
@@ -220,9 +224,9 @@
 	return out.String()
 }
 
-// Logs returns what a node wrote, for a report of a failure.
-func Logs(dir, node string) string {
-	raw, err := os.ReadFile(dir + "/" + node + ".log")
+// logs returns what a node wrote.
+func logs(n *process) string {
+	raw, err := os.ReadFile(n.logs)
 	if err != nil {
 		return err.Error()
 	}
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +8,6 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"github.com/knapweedgw/knapweedgw/pause"
 )
 
 // Fault is what an engine does wrong.
@@ -56,8 +53,7 @@
 
 // Run is one run of a request, as an engine saw it.
 type Run struct {
-	Engine  string
-	Service string
+	Engine, Service string
 	// Born is the start of that engine, in Unix milliseconds.
 	Born   int64
 	Method string
@@ -240,8 +236,7 @@
 			w.WriteHeader(http.StatusOK)
 			w.(http.Flusher).Flush()
 		}
-		if !e.stall(r.Context()) {
-			e.journal.cancel(run)
+		if !e.work(r, run, e.StallFor) {
 			panic(http.ErrAbortHandler)
 		}
 	case WrongID:
@@ -256,12 +251,6 @@
 	e.stream(w, r, run, fault, id)
 }
 
-// stall returns false if the caller leaves meanwhile.
-func (e *Engine) stall(ctx context.Context) bool {
-	pause.Sleep(ctx, e.StallFor)
-	return ctx.Err() == nil
-}
-
 func (e *Engine) plain(w http.ResponseWriter, fault Fault, id string) {
 	body := "whole answer to " + id
 	if fault == Unframed {
@@ -317,6 +306,6 @@
 		}
 	}
 	if fault == LateEnd {
-		e.stall(r.Context())
+		e.work(r, run, e.StallFor)
 	}
 }
--- a/lab/standin/timing.go
+++ b/lab/standin/timing.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/pause"
 )
 
 // Headers by which a request sets how long its run takes, in milliseconds. Nodes
@@ -31,11 +33,10 @@
 	if d <= 0 {
 		return true
 	}
-	select {
-	case <-time.After(d):
+	pause.Sleep(r.Context(), d)
+	if r.Context().Err() == nil {
 		return true
-	case <-r.Context().Done():
-		e.journal.cancel(run)
-		return false
 	}
+	e.journal.cancel(run)
+	return false
 }
