Make copies where there is room for them

Cause: a key whose keepers were full went to its best-ranked target under the load bound, however near that was to the bound itself, and soon left it again. Now a copy goes to a target with at most 0.8 times the mean in progress, if there is one.

Room alone as the weight between keepers: fewer over here, but with 8 copies of one hot key 834 of 4,000 for 189.

Conclusion: kept, for the memory moved.

--- /dev/null
+++ b/placement/leave.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/knapweedgw/knapweedgw/routing"
+)
+
+// leave returns the candidate for a key none of whose keepers can take it, or
+// that nobody keeps yet.
+func (s Service) leave(rest []Candidate, req Request) Candidate {
+	if beside := s.besideKeepers(rest, req); len(beside) > 0 {
+		return best(s.withRoom(beside), req, nearest)
+	}
+	if slices.ContainsFunc(s.all, req.keptBy) {
+		rest = s.withRoom(rest)
+	}
+	return best(rest, req, anywhere)
+}
+
+// copyPart times the mean load is the most that a target has when it gets a copy.
+// Under the load bound alone, copies went to targets that were nearly at it and
+// soon left those again: a tenth more memory was moved.
+const copyPart = 0.8
+
+// withRoom returns the candidates that have room for a copy and the requests that
+// follow it, all if none has. Keys that nobody keeps yet go by rank instead: nodes
+// that judge by loads choose different targets for them, which all read the parts.
+func (s Service) withRoom(cands []Candidate) []Candidate {
+	most := copyPart * meanLoad(s.eligible)
+	out := make([]Candidate, 0, len(cands))
+	for _, c := range cands {
+		if float64(c.Running) <= most {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return cands
+	}
+	return out
+}
+
+// besideKeepers returns the candidates in the failure domains of the targets that
+// keep all of the request's parts, none if there are none.
+// A transfer between domains takes twice as long and counts as twice the memory
+// moved. The price is that a copy serves fewer nodes from their own domain: answers
+// took a twentieth more bytes between domains, and transfers a third less memory.
+func (s Service) besideKeepers(rest []Candidate, req Request) []Candidate {
+	homes := make(map[string]bool)
+	for _, c := range s.all {
+		if req.keptBy(c) {
+			homes[c.FailureDomain] = true
+		}
+	}
+	if len(homes) == 0 {
+		return nil
+	}
+	var out []Candidate
+	for _, c := range rest {
+		if homes[c.FailureDomain] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// preference says whether the node's own failure domain goes before the rank.
+type preference bool
+
+const (
+	nearest  preference = true
+	anywhere preference = false
+)
+
+// best returns the best-ranked candidate for the request's key.
+func best(cands []Candidate, req Request, p preference) Candidate {
+	at, atRank, atNear := -1, uint64(0), false
+	for i, c := range cands {
+		near := p == nearest && c.FailureDomain == req.FailureDomain
+		rank := routing.Rank(req.Key, c.Hash)
+		if at < 0 || near && !atNear || near == atNear && rank > atRank {
+			at, atRank, atNear = i, rank, near
+		}
+	}
+	return cands[at]
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/roster"
-	"github.com/knapweedgw/knapweedgw/routing"
 )
 
 // Candidate is a target with what the node believes of it.
@@ -243,12 +242,17 @@
 // loadLimit goes by the nodes' counts alone: while the load falls, the targets'
 // own words make the mean look larger than it is, and a limit over the bound.
 func loadLimit(cands []Candidate, p Policy) int {
+	return int(p.LoadFactor*meanLoad(cands) + p.LoadSlack)
+}
+
+// meanLoad returns how many requests the candidates have in progress on average,
+// by the nodes' counts.
+func meanLoad(cands []Candidate) float64 {
 	total := 0
 	for _, c := range cands {
 		total += c.Counted
 	}
-	mean := float64(total) / float64(len(cands))
-	return int(p.LoadFactor*mean + p.LoadSlack)
+	return float64(total) / float64(len(cands))
 }
 
 // keyed returns a candidate that is under the limit and not full: one that keeps
@@ -272,10 +276,7 @@
 	case len(rest) == 0:
 		return leastLoaded(s.eligible, req, rng)
 	}
-	if beside := s.besideKeepers(rest, req); len(beside) > 0 {
-		return best(beside, req, nearest)
-	}
-	return best(rest, req, anywhere)
+	return s.leave(rest, req)
 }
 
 // allFull says whether the candidates together have as many requests as they can
@@ -340,44 +341,6 @@
 	return spread(cands, req, most, rng)
 }
 
-// besideKeepers returns the candidates in the failure domains of the targets that
-// keep all of the request's parts, none if there are none. A transfer between
-// domains takes twice as long and counts as twice the memory moved. The price is
-// that a copy serves fewer nodes from their own domain: answers took a twentieth
-// more bytes between domains, and transfers a third less memory.
-func (s Service) besideKeepers(rest []Candidate, req Request) []Candidate {
-	var out []Candidate
-	for _, c := range rest {
-		if slices.ContainsFunc(s.all, func(o Candidate) bool {
-			return req.keptBy(o) && o.FailureDomain == c.FailureDomain
-		}) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// preference says whether the node's own failure domain goes before the rank.
-type preference bool
-
-const (
-	nearest  preference = true
-	anywhere preference = false
-)
-
-// best returns the best-ranked candidate for the request's key.
-func best(cands []Candidate, req Request, p preference) Candidate {
-	at, atRank, atNear := -1, uint64(0), false
-	for i, c := range cands {
-		near := p == nearest && c.FailureDomain == req.FailureDomain
-		rank := routing.Rank(req.Key, c.Hash)
-		if at < 0 || near && !atNear || near == atNear && rank > atRank {
-			at, atRank, atNear = i, rank, near
-		}
-	}
-	return cands[at]
-}
-
 // minFetch is the least number of tokens worth a transfer between targets,
 // which costs a few milliseconds to set up: engines read about as many tokens
 // in that time.
