--- a/lab/standin/answered_test.go
+++ b/lab/standin/answered_test.go
@@ -133,6 +133,26 @@
 	return resp.StatusCode, string(raw), err
 }
 
+// longStream is the number of events of a stream that ends after a stopping node has
+// closed its listener, and before its grace time is over.
+const longStream = 30
+
+// stopUnderAStream stops a node while a long stream is under way on a connection, and
+// returns the ID of its request.
+func stopUnderAStream(t *testing.T) (s *Site, c *callerConn, first string) {
+	is := is.New(t)
+	s = start(t, 1)
+	for _, e := range s.Model {
+		e.Events, e.Pace = longStream, 2*Grace/3/longStream
+	}
+	c = dial(t, s.Nodes[0])
+	first, err := c.send(StreamPath)
+	is.NoErr(err)
+	s.Eventually("the first stream runs", func() bool { return len(s.Journal.Runs(first)) == 1 })
+	go s.Nodes[0].Stop(context.Background())
+	return s, c, first
+}
+
 // A stop answers what it took: a request for which its target is silent until the
 // grace time is over, and the next request on a connection whose answer was under
 // way when the stop began, unless that request is left unread or not passed on.
@@ -158,20 +178,12 @@
 		}
 	})
 	t.Run("the next request on a busy connection", func(t *testing.T) {
-		is, s := is.New(t), start(t, 1)
-		const events = 30 // the first stream ends after the listener is closed
-		for _, e := range s.Model {
-			e.Events, e.Pace = events, 2*Grace/3/events
-		}
-		c := dial(t, s.Nodes[0])
-		first, err := c.send(StreamPath)
-		is.NoErr(err)
-		s.Eventually("the first stream runs", func() bool { return len(s.Journal.Runs(first)) == 1 })
-		go s.Nodes[0].Stop(context.Background())
+		is := is.New(t)
+		s, c, first := stopUnderAStream(t)
 		status, body, err := c.receive()
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
-		is.Equal(body, WholeStream(first, events))
+		is.Equal(body, WholeStream(first, longStream))
 
 		next, err := c.send(StreamPath)
 		if err != nil {
@@ -183,28 +195,20 @@
 			return
 		}
 		is.NoErr(err) // taken, passed on and cut off
-		is.Equal(body, WholeStream(next, events))
+		is.Equal(body, WholeStream(next, longStream))
 	})
 }
 
 // A caller that sends its next request ahead of the end of an answer gets a refusal
 // for it if the answer ends after the node has stopped to take requests.
 func TestPipelinedRequestAtAStopIsRefused(t *testing.T) {
-	is, s := is.New(t), start(t, 1)
-	const events = 30 // the first stream ends after the listener is closed
-	for _, e := range s.Model {
-		e.Events, e.Pace = events, 2*Grace/3/events
-	}
-	c := dial(t, s.Nodes[0])
-	first, err := c.send(StreamPath)
-	is.NoErr(err)
-	s.Eventually("the first stream runs", func() bool { return len(s.Journal.Runs(first)) == 1 })
-	go s.Nodes[0].Stop(context.Background())
+	is := is.New(t)
+	s, c, first := stopUnderAStream(t)
 	next, err := c.send(UnsafePath)
 	is.NoErr(err)
 	_, body, err := c.receive()
 	is.NoErr(err)
-	is.Equal(body, WholeStream(first, events))
+	is.Equal(body, WholeStream(first, longStream))
 	status, _, err := c.receive()
 	is.NoErr(err)
 	is.Equal(status, http.StatusServiceUnavailable)
