Deliver the answer in hand, whatever becomes of later attempts

Cause: conclude looked at the last attempt only. A request that may be repeated got a 500, the next attempt was refused as not run, cut, silent or ended by a stop, and the caller got a 502 or 504 of the node's own in place of the target's answer. A failure of more than 1 MB was cut there and delivered as if it were whole.

Ruled out: the catalog's refusals and the truth of "not run"; both say the same as before.

Before and after: TestAnswerInHandIsDelivered (three cases), TestStopDeliversTheAnswerInHand and TestLargeFailureIsWhole fail on the code before (502 or 504 for 500; 1,048,576 of 1,572,864 bytes) and pass now. Held answers are bounded by 64 kB a repeated request.

Conclusion: the answer is kept with the request and delivered from the one place where a request is given up. The gateway drops such answers too; open.

--- a/lab/standin/answered_test.go
+++ b/lab/standin/answered_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -321,3 +322,61 @@
 		})
 	}
 }
+
+// A target failed a request that may be repeated. What becomes of the next attempt, the
+// target's own answer is delivered, and not a refusal in its place.
+func TestAnswerInHandIsDelivered(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault Fault
+	}{
+		{"the next refuses", FailThenRefuse},
+		{"the next drops the connection", FailThenDrop},
+		{"the next is silent until the deadline", FailThenHang},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is, s := is.New(t), start(t, 1)
+			for _, e := range s.Engines() {
+				e.SetFault(tt.fault, -1)
+			}
+			const deadline = 800 * time.Millisecond
+			begun := time.Now()
+			a := s.Nodes[0].Do(Request{Path: SafePath, Body: "x", Deadline: deadline})
+			is.NoErr(a.Err)
+			is.Equal(a.Status, http.StatusInternalServerError)
+			is.True(strings.HasPrefix(a.Body, "failed on "))
+			is.True(strings.HasPrefix(a.Header.Get("Engine-Signature"), "sig-"))
+			is.True(time.Since(begun) < deadline)
+		})
+	}
+}
+
+// A node that stops while it repeats a request delivers the answer that it has.
+func TestStopDeliversTheAnswerInHand(t *testing.T) {
+	is, s := is.New(t), start(t, 1)
+	for _, e := range s.Engines() {
+		e.SetFault(FailThenHang, -1)
+	}
+	c := dial(t, s.Nodes[0])
+	id, err := c.send(SafePath)
+	is.NoErr(err)
+	s.Eventually("the request is repeated", func() bool { return len(s.Journal.Runs(id)) == 2 })
+	s.Nodes[0].Stop(context.Background())
+	status, body, err := c.receive()
+	is.NoErr(err)
+	is.Equal(status, http.StatusInternalServerError)
+	is.True(strings.HasPrefix(body, "failed on "))
+}
+
+// A failure that is too large to hold is delivered whole, and is not repeated.
+func TestLargeFailureIsWhole(t *testing.T) {
+	is, s := is.New(t), start(t, 1)
+	for _, e := range s.Engines() {
+		e.SetFault(FailLarge, -1)
+	}
+	a := s.Nodes[0].Do(Request{Path: SafePath, Body: "x"})
+	is.NoErr(a.Err)
+	is.Equal(a.Status, http.StatusInternalServerError)
+	is.Equal(len(a.Body), LargeFailure)
+	is.Equal(len(s.Journal.Runs(a.ID)), 1)
+}
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -23,6 +23,14 @@
 	FakeRefuse
 	// Fail runs the request and answers 500.
 	Fail
+	// FailThenRefuse is Fail for a request that no engine has run, else Refuse.
+	FailThenRefuse
+	// FailThenHang is Fail for a request that no engine has run, else Hang.
+	FailThenHang
+	// FailThenDrop is Fail for a request that no engine has run, else Drop.
+	FailThenDrop
+	// FailLarge answers 500 with a body of LargeFailure bytes.
+	FailLarge
 	// Hang runs the request and never answers.
 	Hang
 	// Drop runs the request and closes the connection without an answer.
@@ -48,6 +56,9 @@
 // Faults are all that an engine may do wrong.
 var Faults = []Fault{Refuse, FakeRefuse, Fail, Hang, Drop, Cut, WrongID, Unsigned, Unframed}
 
+// LargeFailure is larger than what a node reads of an answer before it passes it on.
+const LargeFailure = 3 << 19
+
 // DefaultEvents is the number of events of a stream.
 const DefaultEvents = 5
 
@@ -177,6 +188,18 @@
 	return e.fault
 }
 
+// of returns what a fault means for a request that some engine has run, or none has.
+func (f Fault) of(ran bool) Fault {
+	then, ok := map[Fault]Fault{FailThenRefuse: Refuse, FailThenHang: Hang, FailThenDrop: Drop}[f]
+	switch {
+	case !ok:
+		return f
+	case ran:
+		return then
+	}
+	return Fail
+}
+
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.ID {
@@ -185,7 +208,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	fault := e.takeFault()
+	fault := e.takeFault().of(len(e.journal.Runs(id)) > 0)
 	if fault == Refuse {
 		e.journal.turn()
 		w.Header().Set("Not-Executed", "1")
@@ -219,6 +242,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed on "+e.ID)
 		return
+	case FailLarge:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, LargeFailure))
+		return
 	case Hang:
 		<-r.Context().Done()
 		e.journal.cancel(run)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -57,6 +57,9 @@
 	overdue string
 	// tries counts the targets tried, runs those that may have run the request.
 	tries, runs int
+	// held is the answer of a target that failed the request, to be delivered if
+	// nothing better comes; nil for none.
+	held *heldAnswer
 	// lastEvent is the last whole event delivered, begun whether any of the
 	// answer was: from then on a failure can only be shown by closing the
 	// caller's connection.
--- a/router/forward.go
+++ b/router/forward.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
+	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
@@ -29,6 +30,13 @@
 	// maxHeldAnswer is how much of an unstreamed answer is read before any of
 	// it is delivered, in bytes. Larger answers are delivered as they come.
 	maxHeldAnswer = 1 << 20
+	// maxHeldFailure is the largest answer of a failed target that is held while the
+	// request is repeated, in bytes. Each repeated request in progress holds one; a
+	// larger one is delivered as it comes, and the request is not repeated.
+	maxHeldFailure = 64 << 10
+	// heldMargin is left of the caller's time for a held answer: its way to the caller,
+	// and a node that waits for its processor.
+	heldMargin = 40 * time.Millisecond
 )
 
 // failure is an attempt that failed.
@@ -36,9 +44,6 @@
 	progress retry.Progress
 	reason   problem.Reason
 	cause    error
-	// held is the target's own failure answer, delivered if nothing better
-	// comes; nil for none.
-	held *heldAnswer
 	// retryAfter is when the caller should come back, 0 to have it worked out.
 	retryAfter time.Duration
 	// stale means that a kept connection turned out to be closed before
@@ -147,6 +152,8 @@
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, l lease) (fail *failure) {
 	defer func() { x.router.pool.release(l, fail == nil) }()
+	ctx, cancelHeld := x.heldContext(ctx)
+	defer cancelHeld()
 	x.tries++
 	x.sentAt = x.router.now()
 	x.done.target, x.done.running, x.done.limit = l.target.ID, l.choice.Running, l.choice.Limit
@@ -313,18 +320,28 @@
 }
 
 // targetError takes a target's own failure. A request that may be repeated is
-// tried elsewhere first.
+// tried elsewhere first; this answer is held for it.
 func (x *exchange) targetError(ctx context.Context, l lease, resp *http.Response) *failure {
 	x.router.pool.observe(l.member, health.Failed)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
-	if err != nil || x.begun {
-		return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: orStatus(err, resp)}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldFailure+1))
+	fail := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: orStatus(err, resp)}
+	switch {
+	case err != nil || x.begun || promisesNotRun(resp.StatusCode):
+	case len(body) > maxHeldFailure:
+		return x.relayLarge(ctx, l, resp, body)
+	default:
+		x.held = &heldAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	}
-	held := &heldAnswer{status: resp.StatusCode, header: resp.Header, body: body}
-	if promisesNotRun(resp.StatusCode) {
-		held = nil
+	return fail
+}
+
+// heldContext ends an attempt early enough for the answer in hand, if there is one, to
+// reach the caller in time. Streams go on: what they have delivered is worth more.
+func (x *exchange) heldContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if x.held == nil || x.deadline.IsZero() || x.route.Kind == catalog.Streaming {
+		return ctx, func() {}
 	}
-	return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: orStatus(nil, resp), held: held}
+	return context.WithDeadline(ctx, x.deadline.Add(-heldMargin))
 }
 
 func orStatus(err error, resp *http.Response) error {
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -29,22 +29,28 @@
 	return f
 }
 
-// conclude ends a request whose last attempt failed: with the target's own
-// failure if it gave one, else with a refusal.
+// conclude ends a request whose last attempt failed.
 func (x *exchange) conclude(ctx context.Context, fail *failure, v retry.Verdict) error {
-	if fail.held != nil && !x.begun {
-		x.deliver(fail.held)
-		return nil
-	}
 	if v == retry.BudgetEmpty && fail.progress <= retry.Refused {
 		fail = &failure{progress: fail.progress, reason: problem.RetryBudget, cause: fail.cause}
 	}
 	return x.giveUp(ctx, fail)
 }
 
-// giveUp returns the refusal for a failure. It says "not run" only if no
-// target may have run the request.
+// giveUp ends a request that no further attempt is made for: with the answer of a
+// target that failed it, if there is one, whatever became of later attempts, else with
+// a refusal.
 func (x *exchange) giveUp(ctx context.Context, f *failure) error {
+	if x.held != nil && !x.begun && !x.callerGone() {
+		x.deliver(x.held)
+		return nil
+	}
+	return x.refusal(ctx, f)
+}
+
+// refusal returns the refusal for a failure. It says "not run" only if no
+// target may have run the request.
+func (x *exchange) refusal(ctx context.Context, f *failure) error {
 	ran := problem.RanUnknown
 	if x.runs == 0 {
 		ran = problem.RanNo
