Tell counts between nodes by sums of groups

Cause: each node reported to each other at 60 a second inbound, so that with 295 nodes counts were up to 4.9 s old, those of a dead node stayed for 20 s, it was lost after 39 s, parts kept by targets were learnt late, and confirmations of the store's revision came so late that nodes asked it themselves.

Ruled out: sums by failure domain with chosen adders (a domain of 49 nodes is 196 messages a second at an adder, and a choice to agree on), and a sum that every node of a group sends to a fixed counterpart (nothing notices a relay that can't be heard). A queue of new subscribers that went before the group's own nodes starved these for seconds after a start (a test found it).

Now: nodes are divided into groups by a hash of the address, report within their group, and subscribe for 2 s at a time to a node of each other group for its sum. Up to 16 nodes are one group, as before.

--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -2,35 +2,24 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/kernel"
-	"github.com/knapweedgw/knapweedgw/telemetry"
 )
 
 // ServiceID is the kernel name of the Exchange.
 const ServiceID kernel.ID = "heartbeat.exchange"
 
-const (
-	// maxDatagram is the largest report read, in bytes.
-	maxDatagram = 8 << 10
-	// nodesEvery is the number of reports between two that name other nodes,
-	// and maxNodes the number of names in one, 16 bytes each.
-	nodesEvery = 20
-	maxNodes   = 60
-)
-
-// firstReports is the number of reports of a new node that all name others: it
-// has heard of some that its seeds have not.
-const firstReports = 5
+// maxDatagram is the largest message read, in bytes: maxSums targets with members
+// and uses.
+const maxDatagram = 16 << 10
 
 // Reporter fills in what this node says of itself.
 type Reporter interface {
@@ -47,32 +36,27 @@
 	conn     *net.UDPConn
 	reporter Reporter
 	onReport []func(Report)
+	metrics  *metrics
 
-	mu    sync.Mutex
-	view  *View
-	alive map[string]bool
-	last  Report
+	mu      sync.Mutex
+	machine *Machine
+	alive   map[string]bool
+	// groups and lives are those of the last step.
+	groups, lives int
 	// leaving says that this node stops.
 	leaving bool
-	// turn counts the reports sent, node after node.
-	turn int
-
-	sent, received prometheus.Counter
-	bytes          prometheus.Counter
 }
 
 // NewExchange returns an exchange for the node at self, an ip:port. seeds
 // returns addresses at which other nodes may be; it is asked again and again.
 func NewExchange(cfg Config, self string, seeds func() []string, l *log.Logger, reg prometheus.Registerer) *Exchange {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	e := &Exchange{
-		cfg: cfg, self: self, seeds: seeds, log: l, now: time.Now,
-		view: NewView(cfg, self), alive: make(map[string]bool),
-		last: Report{Node: self, Incarnation: time.Now().UnixNano()},
+		cfg: cfg, self: self, seeds: seeds, log: l, now: time.Now, metrics: newMetrics(reg),
+		machine: NewMachine(cfg, self, time.Now().UnixNano(), rng), alive: make(map[string]bool),
+		groups: 1, lives: 1,
 	}
-	f := telemetry.NewMeters(reg, "heartbeat")
-	e.sent = f.Counter("sent_total", "reports sent to other nodes")
-	e.received = f.Counter("received_total", "reports received from other nodes")
-	e.bytes = f.Counter("sent_bytes_total", "bytes of reports sent to other nodes, without packet headers")
+	e.machine.onRelay = e.noteRelay
 	return e
 }
 
@@ -82,7 +66,8 @@
 // SetReporter names who fills in the reports. It must be called before Start.
 func (e *Exchange) SetReporter(r Reporter) { e.reporter = r }
 
-// OnReport calls f after each report received. It must be called before Start.
+// OnReport calls f after each report received, also the brief ones that come with
+// the sum of a group. It must be called before Start.
 func (e *Exchange) OnReport(f func(Report)) { e.onReport = append(e.onReport, f) }
 
 // Start implements kernel.Starter.
@@ -102,7 +87,7 @@
 // Stop implements kernel.Stopper: it tells the others that this node leaves.
 func (e *Exchange) Stop(context.Context) error {
 	e.mu.Lock()
-	all := e.view.Addresses()
+	all := e.machine.view.Addresses()
 	e.mu.Unlock()
 	e.brief(e.now(), all)
 	return errors.Wrap(e.conn.Close(), "heartbeat: close")
@@ -116,51 +101,29 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			t.Reset(e.send(e.now()))
+			t.Reset(e.step(e.now()))
 		}
 	}
 }
 
-// send sends a report to the next few of the known nodes and returns the time
-// until those after them are due. A burst to all would overflow the link of a
-// small VM, and what overflows is lost.
-func (e *Exchange) send(now time.Time) time.Duration {
+// step sends what is due and returns the time until the next step.
+func (e *Exchange) step(now time.Time) time.Duration {
+	own := e.report(now, false)
 	e.mu.Lock()
-	e.view.Know(now, e.seeds()...)
-	e.view.Expire(now)
+	out, next, err := e.machine.Step(own, e.seeds(), now)
 	e.noteLives(now)
-	addresses := e.view.Addresses()
-	interval := e.cfg.IntervalFor(len(addresses) + 1)
-	batch, rest := e.nextBatch(addresses)
-	e.last.Sequence++
-	r := e.last
-	if r.Sequence%nodesEvery == 1 || r.Sequence < firstReports {
-		r.Nodes = e.view.LiveAddresses(now, maxNodes)
-	}
+	e.noteGroups()
 	e.mu.Unlock()
-	e.deliver(r, now, batch)
-	return pace(interval, len(batch), len(batch)+rest)
+	e.send(out, err)
+	return next
 }
 
-// nextBatch returns the nodes whose turn it is and the number of others. It is
-// called with the lock held.
-func (e *Exchange) nextBatch(addresses []string) (batch []string, rest int) {
-	slices.Sort(addresses)
-	n := min(e.cfg.Batch, len(addresses))
-	for range n {
-		e.turn++
-		batch = append(batch, addresses[e.turn%len(addresses)])
-	}
-	return batch, len(addresses) - n
-}
-
-// pace returns the time until the next batch, so that all are served within
-// the interval.
-func pace(interval time.Duration, batch, all int) time.Duration {
-	if all == 0 {
-		return interval
-	}
-	return interval * time.Duration(batch) / time.Duration(all)
+// report has the reporter fill in a report. It must be called without the lock: the
+// reporter asks for what other nodes say.
+func (e *Exchange) report(now time.Time, brief bool) Report {
+	r := Report{Brief: brief}
+	e.reporter.FillReport(&r, now)
+	return r
 }
 
 // Announce tells some live nodes at once which versions this one has. Each that
@@ -169,34 +132,26 @@
 func (e *Exchange) Announce() {
 	now := e.now()
 	e.mu.Lock()
-	to := e.view.LiveAddresses(now, e.cfg.Announced)
+	to := e.machine.view.LiveAddresses(now, e.cfg.Announced)
 	e.mu.Unlock()
 	e.brief(now, to)
 }
 
-// brief sends a report without targets, which names other nodes, to some.
+// brief sends a report without targets to some nodes.
 func (e *Exchange) brief(now time.Time, to []string) {
+	own := e.report(now, true)
 	e.mu.Lock()
-	e.last.Sequence++
-	r := e.last
-	r.Brief = true
-	if len(to) == 1 {
-		r.Nodes = e.view.LiveAddresses(now, maxNodes)
-	}
+	out, err := e.machine.Brief(own, to, now)
 	e.mu.Unlock()
-	e.deliver(r, now, to)
+	e.send(out, err)
 }
 
-// deliver fills in a report and sends it.
-func (e *Exchange) deliver(r Report, now time.Time, to []string) {
-	e.reporter.FillReport(&r, now)
-	raw, err := cbor.Marshal(r)
+func (e *Exchange) send(out []Datagram, err error) {
 	if err != nil {
-		e.log.Error("report not encoded", "err", err)
-		return
+		e.log.Error("message to other nodes not encoded", "err", err)
 	}
-	for _, a := range to {
-		e.sendTo(a, raw)
+	for _, d := range out {
+		e.sendTo(d.To, d.Body)
 	}
 }
 
@@ -206,19 +161,25 @@
 		e.log.Warn("address of a node is unusable; correct the seeds", "addr", address, "err", err)
 		return
 	}
-	// A lost datagram is replaced by the next report.
+	// A lost datagram is replaced by the next one.
 	if _, err := e.conn.WriteToUDP(raw, addr); err != nil {
-		e.log.Debug("report not sent", "addr", address, "err", err)
+		e.log.Debug("message not sent", "addr", address, "err", err)
 		return
 	}
-	e.sent.Inc()
-	e.bytes.Add(float64(len(raw)))
+	e.metrics.sent.Inc()
+	e.metrics.bytes.Add(float64(len(raw)))
 }
 
-// noteLives logs nodes that were lost or regained.
+// noteLives logs nodes that were lost or regained. It is called with the lock held.
 func (e *Exchange) noteLives(now time.Time) {
-	for addr, p := range e.view.peers {
-		live := e.view.live(p, now)
+	v := e.machine.view
+	lost := e.cfg.lostFor(v.interval())
+	e.lives = 1
+	for addr, p := range v.peers {
+		live := p.live(lost, now)
+		if live {
+			e.lives++
+		}
 		if live == e.alive[addr] {
 			continue
 		}
@@ -231,6 +192,26 @@
 	}
 }
 
+// noteGroups logs a change of the groups. It is called with the lock held.
+func (e *Exchange) noteGroups() {
+	v := e.machine.view
+	e.metrics.groups.Set(float64(v.groups))
+	if v.groups == e.groups {
+		return
+	}
+	e.log.Info("groups of nodes changed", "groups", v.groups, "before", e.groups, "group", v.group,
+		"nodes", v.size(), "wanted", e.machine.wanted)
+	e.groups = v.groups
+}
+
+// noteRelay counts and logs a change of a relay. It is called with the lock held.
+func (e *Exchange) noteRelay(a asked) {
+	e.metrics.relays.WithLabelValues(string(a.reason)).Inc()
+	if a.reason == relaySilent {
+		e.log.Info("relay silent; the next is asked", "group", a.group, "peers", a.before, "next", a.relays)
+	}
+}
+
 func (e *Exchange) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -239,71 +220,69 @@
 			return
 		}
 		if err != nil {
-			e.log.Debug("report not received", "err", err)
+			e.log.Debug("message not received", "err", err)
 			continue
 		}
-		var r Report
-		if err := cbor.Unmarshal(buf[:n], &r); err != nil {
-			e.log.Warn("report not understood; run the same version on all nodes", "err", err)
-			continue
-		}
-		e.received.Inc()
-		e.take(r)
+		e.take(buf[:n])
 	}
 }
 
-func (e *Exchange) take(r Report) {
+func (e *Exchange) take(raw []byte) {
 	now := e.now()
 	e.mu.Lock()
-	stranger := !e.view.Heard(r.Node)
-	news := e.view.Receive(r, now)
+	a, err := e.machine.Receive(raw, now)
 	e.mu.Unlock()
-	if !news {
+	if err != nil {
+		e.log.Warn("message not understood; run the same version on all nodes", "err", err)
+		return
+	}
+	e.metrics.received.Inc()
+	if !a.News {
 		return
 	}
-	if stranger {
-		e.brief(now, []string{r.Node})
+	if a.Stranger {
+		e.brief(now, []string{a.Report.Node})
 	}
 	for _, f := range e.onReport {
-		f(r)
+		f(a.Report)
 	}
 }
 
-// Target returns what the other nodes say of a target.
-func (e *Exchange) Target(hash uint64) Sum {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.view.Target(hash)
-}
-
 // Targets calls f for each hash with what the other nodes say of that target.
 func (e *Exchange) Targets(hashes []uint64, f func(i int, s Sum)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i, h := range hashes {
-		f(i, e.view.Target(h))
+		f(i, e.machine.view.Target(h))
 	}
 }
 
-// Lives returns the number of live nodes, this one included.
+// Lives returns the number of live nodes, this one included, as of the last step.
 func (e *Exchange) Lives() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.view.Lives(e.now())
+	return e.lives
 }
 
-// Interval returns the time between two reports of a node.
+// Interval returns the time between two messages to the same node.
 func (e *Exchange) Interval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cfg.IntervalFor(len(e.view.peers) + 1)
+	return e.machine.view.interval()
+}
+
+// CountAge returns how old the other nodes' counts get while no message is lost.
+func (e *Exchange) CountAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.CountAgeFor(e.machine.view.size())
 }
 
 // Ahead returns a live node that knows a newer configuration or newer targets.
 func (e *Exchange) Ahead(catalog, revision int64) (node string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.view.Ahead(catalog, revision, e.now())
+	return e.machine.view.Ahead(catalog, revision, e.now())
 }
 
 // Rank returns how many live nodes go before this one as watchers of the store,
@@ -311,7 +290,7 @@
 func (e *Exchange) Rank(storeLost bool) (rank, heard int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.view.Rank(storeLost, e.leaving, e.now())
+	return e.machine.view.Rank(storeLost, e.leaving, e.now())
 }
 
 // Drain implements kernel.Drainer: other nodes take on this one's duties.
@@ -327,5 +306,5 @@
 func (e *Exchange) Confirmed(revision int64) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.view.Confirmed(revision)
+	return e.machine.view.Confirmed(revision)
 }
--- /dev/null
+++ b/heartbeat/machine.go
@@ -0,0 +1,376 @@
+package heartbeat
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// nodesEvery is the number of steps between two reports that name other nodes,
+	// and maxNodes the number of names in one, 16 bytes each.
+	nodesEvery = 20
+	maxNodes   = 60
+	// membersEvery is the number of sums to a subscriber of which one names the
+	// group's live nodes, 10 bytes each.
+	membersEvery = 2
+	// claimHolds is how long another node's word on the number of groups holds:
+	// longer than any two nodes that both know of each other are silent.
+	claimHolds = 3 * time.Second
+	// outboundSlack is how many times as many messages as it should get a node may
+	// send: one that is the relay of more nodes than others sends more.
+	outboundSlack = 1.5
+)
+
+// firstReports is the number of reports of a new node that all name others: it
+// has heard of some that its seeds have not.
+const firstReports = 5
+
+// Datagram is a message to a node.
+type Datagram struct {
+	To   string
+	Body []byte
+}
+
+// Arrival is what a datagram brought.
+type Arrival struct {
+	// Report is the sender's, with the uses of its group if that's what came.
+	Report Report
+	// News says that nothing newer was known of the sender.
+	News bool
+	// Stranger says that the sender is new here and may know few other nodes.
+	Stranger bool
+}
+
+// Machine is a node's part of the exchange, without clock and sockets. One goroutine
+// at a time may use it.
+type Machine struct {
+	cfg    Config
+	self   string
+	view   *View
+	subs   subscriptions
+	leases leases
+	uses   groupUses
+
+	incarnation int64
+	sequence    uint64
+	steps       int
+	// served says when the recipients got their last messages, turn is the number of
+	// the last.
+	served map[string]serving
+	turn   int
+	// wanted is the number of groups that this node finds right; claimed is the
+	// largest that others found right, the last at claimedAt.
+	wanted, claimed int
+	claimedAt       time.Time
+	// onRelay is told of each change of a relay, if set.
+	onRelay func(asked)
+}
+
+// serving is a message that a recipient got.
+type serving struct {
+	turn int
+	at   time.Time
+}
+
+// NewMachine returns the part of the node self, an ip:port, whose process is told from
+// earlier ones by its incarnation.
+func NewMachine(cfg Config, self string, incarnation int64, rng *rand.Rand) *Machine {
+	return &Machine{
+		cfg: cfg, self: self, incarnation: incarnation, view: NewView(cfg, self), wanted: 1,
+		subs:   subscriptions{cfg: cfg, self: self, rng: rng, all: make(map[int]*subscription)},
+		leases: make(leases), uses: make(groupUses), served: make(map[string]serving),
+	}
+}
+
+// Target returns what the other nodes say of the target's run with the given hash.
+func (m *Machine) Target(hash uint64) Sum { return m.view.Target(hash) }
+
+// Know adds addresses at which nodes may be.
+func (m *Machine) Know(now time.Time, nodes ...string) { m.view.Know(now, nodes...) }
+
+// header returns the node's brief report of itself, with the next sequence number.
+func (m *Machine) header(own Report) Report {
+	m.sequence++
+	own.Node, own.Incarnation, own.Sequence = m.self, m.incarnation, m.sequence
+	own.Brief, own.Targets, own.Uses = true, nil, nil
+	return own
+}
+
+// Step returns what is due and the time until the next step. own is the node's
+// report of itself. Messages go out in batches spread over the interval: a burst to
+// all would overflow the link of a small VM, and what overflows is lost.
+func (m *Machine) Step(own Report, seeds []string, now time.Time) ([]Datagram, time.Duration, error) {
+	m.view.Know(now, seeds...)
+	m.view.Expire(now)
+	m.regroup(now)
+	m.leases.expire(now)
+	m.uses.expire(m.view.interval(), now)
+	m.steps++
+	recipients := m.recipients(seeds, now)
+	batch, rest := m.nextBatch(recipients, now)
+	out, err := m.messages(own, batch, now)
+	if err != nil {
+		return nil, m.cfg.Interval, err
+	}
+	subs, err := m.subscribe(own, now)
+	return append(out, subs...), m.pace(len(batch), len(batch)+rest), err
+}
+
+// regroup follows the number of groups that the fleet needs. The nodes go by the
+// largest that one of them finds right, so that they agree soon.
+func (m *Machine) regroup(now time.Time) {
+	m.wanted = nextGroups(m.view.size(), m.wanted)
+	if now.Sub(m.claimedAt) > claimHolds {
+		m.claimed = 0
+	}
+	if groups := max(m.wanted, m.claimed); groups != m.view.groups {
+		m.view.Regroup(groups)
+		clear(m.subs.all)
+	}
+}
+
+// claim takes the number of groups that another node finds right.
+func (m *Machine) claim(groups int, now time.Time) {
+	if groups >= m.claimed && groups <= maxGroups {
+		m.claimed, m.claimedAt = groups, now
+	}
+}
+
+// maxGroups is right for a fleet of more than 10,000 nodes; more is a fault.
+const maxGroups = 128
+
+// recipients returns who gets a report or a sum: the nodes of the own group, seeds
+// that are not known to live, and subscribers.
+func (m *Machine) recipients(seeds []string, now time.Time) []string {
+	to := make(map[string]bool)
+	lost := m.cfg.lostFor(m.view.interval())
+	for n, p := range m.view.peers {
+		if m.view.inOwnGroup(p) || slices.Contains(seeds, n) && !p.live(lost, now) {
+			to[n] = true
+		}
+	}
+	for n := range m.leases {
+		to[n] = true
+	}
+	return slices.Sorted(maps.Keys(to))
+}
+
+// nextBatch returns the nodes whose turn it is and the number of others. Those go first
+// that have waited an interval for a report, so that no number of new subscribers keeps
+// a node from being counted; then those served longest ago, new subscribers before all.
+func (m *Machine) nextBatch(recipients []string, now time.Time) (batch []string, rest int) {
+	maps.DeleteFunc(m.served, func(n string, _ serving) bool {
+		_, found := slices.BinarySearch(recipients, n)
+		return !found
+	})
+	interval := m.view.interval()
+	overdue := func(n string) bool { return m.leases[n] == nil && now.Sub(m.served[n].at) >= interval }
+	batch = slices.Clone(recipients)
+	slices.SortStableFunc(batch, func(a, b string) int {
+		if x, y := overdue(a), overdue(b); x != y {
+			return cmp.Compare(btoi(y), btoi(x))
+		}
+		return cmp.Compare(m.served[a].turn, m.served[b].turn)
+	})
+	batch = batch[:min(m.cfg.Batch, len(batch))]
+	for _, n := range batch {
+		m.turn++
+		m.served[n] = serving{m.turn, now}
+	}
+	return batch, len(recipients) - len(batch)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// pace returns the time until the next batch, so that all are served within
+// the interval.
+func (m *Machine) pace(batch, all int) time.Duration {
+	interval := m.view.interval()
+	if all == 0 {
+		return interval
+	}
+	outbound := time.Duration(float64(all) / (outboundSlack * m.cfg.MaxInbound) * float64(time.Second))
+	return max(interval, outbound) * time.Duration(batch) / time.Duration(all)
+}
+
+// content is what a recipient gets.
+type content int
+
+const (
+	ownReport content = iota
+	sumOnly
+	sumWithMembers
+	contents
+)
+
+// contentFor returns what the node to gets this time.
+func (m *Machine) contentFor(to string) content {
+	l, ok := m.leases[to]
+	if !ok {
+		return ownReport
+	}
+	l.sent++
+	if l.sent%membersEvery == 1 {
+		return sumWithMembers
+	}
+	return sumOnly
+}
+
+// messages returns the sums and reports for a batch.
+func (m *Machine) messages(own Report, batch []string, now time.Time) ([]Datagram, error) {
+	header := m.header(own)
+	var bodies [contents][]byte
+	out := make([]Datagram, 0, len(batch))
+	for _, to := range batch {
+		c := m.contentFor(to)
+		if bodies[c] == nil {
+			var err error
+			if bodies[c], err = m.encode(c, header, own, now); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, Datagram{To: to, Body: bodies[c]})
+	}
+	return out, nil
+}
+
+func (m *Machine) encode(c content, header, own Report, now time.Time) ([]byte, error) {
+	if c != ownReport {
+		return encode(kindSum, m.groupSum(c == sumWithMembers, header, own, now))
+	}
+	r := header
+	r.Brief, r.Targets, r.Uses = false, own.Targets, own.Uses
+	if m.steps%nodesEvery == 1 || m.steps < firstReports {
+		r.Nodes = m.view.LiveAddresses(now, maxNodes)
+	}
+	raw, err := cbor.Marshal(r)
+	return raw, errors.Wrap(err, "heartbeat: encode")
+}
+
+// groupSum adds up this node's group.
+func (m *Machine) groupSum(withMembers bool, header, own Report, now time.Time) GroupSum {
+	total := maps.Clone(m.view.own)
+	total.addReports(own.Targets, 1)
+	header.Uses = m.uses.with(own.Uses)
+	s := GroupSum{
+		From: header, Groups: m.view.groups, Wanted: m.wanted, Group: m.view.group,
+		Nodes: m.view.counted(now) + 1, Counts: total.pack(),
+	}
+	if withMembers {
+		s.Members = append(m.view.members(now), Member{Address: packAddress(m.self), Last: own.Leaving || own.StoreLost})
+	}
+	return s
+}
+
+// subscribe asks relays for the sums of other groups, where a lease ends or a relay
+// is silent.
+func (m *Machine) subscribe(own Report, now time.Time) ([]Datagram, error) {
+	due := m.subs.renew(m.view, now)
+	if len(due) == 0 {
+		return nil, nil
+	}
+	body, err := encode(kindSubscription, Subscription{From: m.header(own), Wanted: m.wanted})
+	if err != nil {
+		return nil, err
+	}
+	var out []Datagram
+	for _, a := range due {
+		for _, relay := range a.relays {
+			out = append(out, Datagram{To: relay, Body: body})
+		}
+		if m.onRelay != nil {
+			m.onRelay(a)
+		}
+	}
+	return out, nil
+}
+
+// Brief returns a report without targets for some nodes. It names other nodes if it
+// is for one.
+func (m *Machine) Brief(own Report, to []string, now time.Time) ([]Datagram, error) {
+	r := m.header(own)
+	if len(to) == 1 {
+		r.Nodes = m.view.LiveAddresses(now, maxNodes)
+	}
+	raw, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "heartbeat: encode")
+	}
+	out := make([]Datagram, 0, len(to))
+	for _, n := range to {
+		out = append(out, Datagram{To: n, Body: raw})
+	}
+	return out, nil
+}
+
+// Receive takes a datagram.
+func (m *Machine) Receive(body []byte, now time.Time) (Arrival, error) {
+	if len(body) == 0 {
+		return Arrival{}, errEmpty
+	}
+	switch kind(body[0]) {
+	case kindSum:
+		return m.receiveSum(body[1:], now)
+	case kindSubscription:
+		return m.receiveSubscription(body[1:], now)
+	}
+	var r Report
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return Arrival{}, errors.Wrap(err, "heartbeat: report")
+	}
+	a := Arrival{Report: r, Stranger: !m.view.isLive(r.Node, now)}
+	a.News = m.view.Receive(r, now)
+	if a.News && m.view.inOwnGroup(m.view.peers[r.Node]) {
+		m.uses.add(r.Uses, now)
+	}
+	return a, nil
+}
+
+var errEmpty = errors.New("heartbeat: empty datagram")
+
+func (m *Machine) receiveSum(body []byte, now time.Time) (Arrival, error) {
+	var s GroupSum
+	if err := cbor.Unmarshal(body, &s); err != nil {
+		return Arrival{}, errors.Wrap(err, "heartbeat: sum of a group")
+	}
+	counts, err := unpack(s.Counts)
+	if err != nil {
+		return Arrival{}, err
+	}
+	s.From.Brief = true
+	if !m.view.Receive(s.From, now) {
+		return Arrival{Report: s.From}, nil
+	}
+	m.claim(s.Wanted, now)
+	m.view.name(s.Members, now)
+	// A relay that goes by another number of groups has another group's sum.
+	if s.Groups == m.view.groups && m.subs.deliver(s.From.Node, s.Group, s.Nodes, now) {
+		m.view.receiveSum(s.Group, counts, now)
+	}
+	return Arrival{Report: s.From, News: true}, nil
+}
+
+func (m *Machine) receiveSubscription(body []byte, now time.Time) (Arrival, error) {
+	var s Subscription
+	if err := cbor.Unmarshal(body, &s); err != nil {
+		return Arrival{}, errors.Wrap(err, "heartbeat: subscription")
+	}
+	s.From.Brief = true
+	if !m.view.Receive(s.From, now) {
+		return Arrival{Report: s.From}, nil
+	}
+	m.claim(s.Wanted, now)
+	m.leases.add(s.From.Node, now.Add(m.cfg.Lease))
+	return Arrival{Report: s.From, News: true}, nil
+}
--- a/router/lease.go
+++ b/router/lease.go
@@ -51,7 +51,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	cands := p.candidates(p.services[w.service], w, now)
-	service := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval()))
+	service := placement.NewService(cands, placement.PolicyFor(p.fleet.CountAge()))
 	if d = p.gate(w.service).Admit(w.request, p.loadOf(service), now); !d.Admitted() {
 		return lease{}, d, false
 	}
@@ -77,7 +77,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cands := p.candidates(p.services[service], want{tried: tried}, p.now())
-	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.Interval())).Eligible()
+	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.CountAge())).Eligible()
 	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
 }
 
@@ -100,8 +100,8 @@
 
 // loadOf sums up the targets that may get work. It is called with the lock held.
 func (p *pool) loadOf(s placement.Service) overload.Load {
-	// A count is as old as its report, which is sent once an interval.
-	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.Interval() / 2}
+	// Counts are half as old on average as they get.
+	l := overload.Load{Nodes: p.fleet.Lives(), Age: p.fleet.CountAge() / 2}
 	for _, c := range s.Eligible() {
 		l.Running += c.Running
 		l.Own += p.members[c.ID].running
--- a/router/pool.go
+++ b/router/pool.go
@@ -56,6 +56,8 @@
 	Lives() int
 	// Interval is the time between two reports of a node.
 	Interval() time.Duration
+	// CountAge is how old the other nodes' counts get.
+	CountAge() time.Duration
 }
 
 // member is one run of a target with this node's connections to it and its view
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -32,6 +32,7 @@
 }
 func (f *told) Lives() int            { return 2 }
 func (*told) Interval() time.Duration { return 200 * time.Millisecond }
+func (*told) CountAge() time.Duration { return 200 * time.Millisecond }
 
 // report has another node say something of a target.
 func (f *told) report(p *pool, t heartbeat.TargetReport, uses ...affinity.Use) {
