Deliver a target's own failure from the gateway too

Cause: a 500, 502 or 504 to a request that may be repeated was dropped for its status, and if the next attempt was refused or cut, or there was no target left, the caller got the node's 503 or 502 in its place.

Ruled out: claimed requests; they are not repeated, and their answer is captured as before. A target's 429 or 503 to a request that may be repeated stays the node's refusal, as its callers are told.

Before and after: four new cases of TestOutcomes, TestHeldFailureIsTheTargetsOwn and TestLargeFailureIsDelivered fail on the code before and pass now. Held answers are bounded by 64 kB a repeated request; a larger one is delivered at once.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,9 @@
 	timeout   time.Duration // the caller's, 0 for none
 	// sent is true once a target may have run the request.
 	sent atomic.Bool
+	// held is the answer of a target that failed the request, to be delivered if
+	// nothing better comes; nil for none.
+	held *heldAnswer
 	// captured is the answer kept for callers that repeat the key; nil
 	// unless the request is claimed.
 	captured *capture
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -40,6 +40,8 @@
 	progress retry.Progress
 	reason   problem.Reason
 	cause    error
+	// answer is the target's own failure answer; nil for none.
+	answer *heldAnswer
 }
 
 func (e *attemptError) Error() string { return string(e.reason) + ": " + e.cause.Error() }
@@ -52,15 +54,18 @@
 	for number := 1; ; number++ {
 		grant, err := g.admitter.Acquire(ctx, f.admission)
 		if err != nil {
-			return g.refuse(ctx, c, err)
+			return g.giveUp(ctx, c, err)
 		}
 		fail := g.attempt(ctx, c, f, grant)
 		if fail == nil {
 			return nil
 		}
+		if fail.answer != nil {
+			c.held = fail.answer
+		}
 		verdict := g.decide(ctx, f, number, fail)
 		if verdict != retry.Again {
-			return g.refuse(ctx, c, refusal(fail, verdict))
+			return g.giveUp(ctx, c, refusal(fail, verdict))
 		}
 		g.metrics.retries.WithLabelValues(string(fail.reason)).Inc()
 		c.log().Info("retry", "target", grant.Target.ID, "cause", fail, "attempt", number)
@@ -84,6 +89,17 @@
 	return verdict
 }
 
+// giveUp ends a request that no further attempt is made for: with the answer of a
+// target that failed it, if there is one, whatever became of later attempts, else with
+// a refusal.
+func (g *Gateway) giveUp(ctx context.Context, c *call, err error) error {
+	if c.held != nil && !c.w.wroteHeader && c.req.Context().Err() == nil {
+		c.held.deliver(c)
+		return nil
+	}
+	return g.refuse(ctx, c, err)
+}
+
 // refuse completes a refusal: whatever it says, a request that an earlier
 // attempt may have run is never reported as not run, nor is its caller advised
 // to repeat it.
@@ -167,16 +183,16 @@
 	gen := newGeneration(c, t)
 	req, err := g.targetRequest(ctx, c, f, t, gen)
 	if err != nil {
-		return &attemptError{retry.NotSent, problem.Internal, err}
+		return &attemptError{progress: retry.NotSent, reason: problem.Internal, cause: err}
 	}
 	resp, progress, err := g.clients.forRequest(f.repeatable).Do(req, c.gate(f))
 	if err != nil {
 		g.cancelIfGone(ctx, c, f, t, gen, progress)
-		return &attemptError{progress, problem.TargetFailed, err}
+		return &attemptError{progress: progress, reason: problem.TargetFailed, cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	g.observe(t, resp.Header)
-	if fail := refusedByTarget(f, resp); fail != nil {
+	if fail := refusedByTarget(f, t, resp); fail != nil {
 		return fail
 	}
 	return g.relay(ctx, c, f, t, gen, resp)
@@ -202,7 +218,7 @@
 // so after a partial effect: its word counts as "not run" only if its answer
 // is a problem document with "ran": "no". What may be repeated is repeated
 // elsewhere; any other answer is the target's own and goes to the caller.
-func refusedByTarget(f forwardRequest, resp *http.Response) *attemptError {
+func refusedByTarget(f forwardRequest, t targets.Target, resp *http.Response) *attemptError {
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		if f.chat || saysNotRun(resp) {
@@ -213,14 +229,14 @@
 		}
 	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
 		if f.repeatable {
-			return statusError(retry.Sent, problem.TargetFailed, resp)
+			return failedByTarget(t, resp)
 		}
 	}
 	return nil
 }
 
 func statusError(p retry.Progress, reason problem.Reason, resp *http.Response) *attemptError {
-	return &attemptError{p, reason, errors.Newf("status %d", resp.StatusCode)}
+	return &attemptError{progress: p, reason: reason, cause: errors.Newf("status %d", resp.StatusCode)}
 }
 
 // saysNotRun reads the answer's problem document; the body can be read again
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -45,6 +45,10 @@
 		{"chat cut, then refused", chat, []*target{cutTarget(), statusTarget(503)}, 503, problem.NoTarget, problem.RanUnknown, []int{1, 1}},
 		{"chat cut at every attempt", chat, []*target{cutTarget(), cutTarget(), cutTarget(), okTarget()}, 502, problem.TargetFailed, problem.RanUnknown, []int{1, 1, 1, 0}},
 		{"chat 500, then answered", chat, []*target{statusTarget(500), okTarget()}, 200, "", "", []int{1, 1}},
+		{"chat 500, then no target", chat, []*target{statusTarget(500)}, 500, "", "", []int{1}},
+		{"chat 500, then refused", chat, []*target{statusTarget(500), statusTarget(503)}, 500, "", "", []int{1, 1}},
+		{"read 502, then cut", read, []*target{statusTarget(502), cutTarget(), cutTarget()}, 502, "", "", []int{1, 1, 1}},
+		{"read 500, then 504", read, []*target{statusTarget(500), statusTarget(504)}, 504, "", "", []int{1, 1}},
 		{"chat's own 400", chat, []*target{statusTarget(400), okTarget()}, 400, "", "", []int{1, 0}},
 		{"notice cut", notice, []*target{cutTarget(), okTarget()}, 502, problem.TargetFailed, problem.RanUnknown, []int{1, 0}},
 		{"notice's own 503 may follow a partial effect", notice, []*target{statusTarget(503), okTarget()}, 503, "", "", []int{1, 0}},
@@ -296,3 +300,38 @@
 	}
 	t.Fatal("state not reached")
 }
+
+// A failure that is too large to hold while another target is tried is delivered whole,
+// and the request is not repeated.
+func TestLargeFailureIsDelivered(t *testing.T) {
+	const failureSize = 64 << 10
+	is := is.New(t)
+	large := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, 2*failureSize))
+	}}
+	next := okTarget()
+	n := newNode(t, handlers(large, next))
+	a := n.send(t, http.MethodGet, "/services/s/works", keyA, "")
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusInternalServerError)
+	is.Equal(len(a.body), 2*failureSize)
+	is.Equal(next.count(), 0)
+}
+
+// A held answer comes with its headers, and says which target gave it.
+func TestHeldFailureIsTheTargetsOwn(t *testing.T) {
+	is := is.New(t)
+	failing := &target{answer: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte(`{"error":"out of memory"}`))
+	}}
+	n := newNode(t, handlers(failing))
+	a := n.send(t, http.MethodPost, chatPath, keyA, chatBody)
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusInternalServerError)
+	is.Equal(a.body, `{"error":"out of memory"}`)
+	is.Equal(a.header.Get("Content-Type"), "application/json")
+	is.True(a.header.Get(HeaderTarget) != "")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,13 +41,13 @@
 func (g *Gateway) relayWhole(c *call, f forwardRequest, t targets.Target, resp *http.Response) *attemptError {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer+1))
 	if err != nil {
-		return &attemptError{retry.Sent, problem.TargetFailed, err}
+		return &attemptError{progress: retry.Sent, reason: problem.TargetFailed, cause: err}
 	}
 	if len(body) > maxHeldAnswer {
 		return g.relayUnheld(c, t, resp, body)
 	}
 	if f.chat && resp.StatusCode == http.StatusOK && !json.Valid(body) {
-		return &attemptError{retry.Sent, problem.TargetFailed, errors.New("the answer is not JSON")}
+		return &attemptError{progress: retry.Sent, reason: problem.TargetFailed, cause: errors.New("the answer is not JSON")}
 	}
 	copyHeader(c.w, t, resp)
 	if c.req.Method != http.MethodHead {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -176,9 +176,9 @@
 	}
 	if !s.released {
 		s.released = true // the timer comes too late
-		return &attemptError{p, reason, cause}
+		return &attemptError{progress: p, reason: reason, cause: cause}
 	}
-	return &attemptError{retry.Delivered, reason, cause}
+	return &attemptError{progress: retry.Delivered, reason: reason, cause: cause}
 }
 
 // startHold begins to hold back opening events. Without a hold, the answer's
