Measure ways to tell counts between nodes on virtual time

Cause: the choice of groups was to be weighed against the mesh, sums by adders of failure domains, and epidemics, at 7 to 370 nodes.

Ruled out: the mesh (age), a mesh of changes (the same age, since messages bind), the epidemic (bytes). Adders are younger and cheaper on average, but load two nodes of each domain with 300 messages in and as many out, grow with the largest domain, and have to be agreed on.

Conclusion: groups, which load all nodes alike.

--- a/lab/cmd/knapweedlab/measure.go
+++ b/lab/cmd/knapweedlab/measure.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedgw/knapweedgw/lab/measure/claims"
 	"github.com/knapweedgw/knapweedgw/lab/measure/fanout"
 	"github.com/knapweedgw/knapweedgw/lab/measure/membership"
+	"github.com/knapweedgw/knapweedgw/lab/measure/news"
 	"github.com/knapweedgw/knapweedgw/lab/measure/orders"
 	"github.com/knapweedgw/knapweedgw/lab/measure/retries"
 	"github.com/knapweedgw/knapweedgw/lab/measure/routing"
@@ -25,6 +26,7 @@
 	fanout.Section{},
 	orders.Section{},
 	membership.Section{},
+	news.Section{},
 	routing.Section{},
 }
 
