Spend less processor time on the news between nodes

Now: batches of 12 in place of 8, recipients without a map, candidates of one group only, ranked by a hash that is at hand, lives counted each 200 ms.

Ruled out: fewer messages; the age at 370 nodes has no room for that.

--- a/heartbeat/config.go
+++ b/heartbeat/config.go
@@ -16,7 +16,9 @@
 	// MaxInbound is the most reports and sums a second that a node should get; a
 	// fleet in which Interval would lead to more takes a longer interval.
 	MaxInbound float64
-	// Batch is the most nodes that get a message at the same moment.
+	// Batch is the most nodes that get a message at the same moment: 12 messages of
+	// 600 bytes are 3 ms on a link of 20 Mbit/s. Each batch costs a look at all known
+	// nodes and targets.
 	Batch int
 	// Fresh is the number of intervals for which counts hold, and MinFresh the
 	// least time: nodes that wait for their processor report late.
@@ -47,9 +49,9 @@
 // messages a second leave room under 100 for subscriptions and news of versions.
 func DefaultConfig() Config {
 	return Config{
-		Interval: 200 * time.Millisecond, MaxInbound: 85, Batch: 8,
+		Interval: 200 * time.Millisecond, MaxInbound: 85, Batch: 12,
 		Fresh: 3, MinFresh: 800 * time.Millisecond, Lost: 4, MinLost: 1600 * time.Millisecond,
-		SumFresh: 1100 * time.Millisecond, Silent: 2, Lease: 2 * time.Second, Announced: 8, Forget: time.Minute,
+		SumFresh: 1100 * time.Millisecond, Silent: 2, Lease: 2200 * time.Millisecond, Announced: 8, Forget: time.Minute,
 	}
 }
 
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -41,8 +41,9 @@
 	mu      sync.Mutex
 	machine *Machine
 	alive   map[string]bool
-	// groups and lives are those of the last step.
+	// groups and lives are those of notedAt.
 	groups, lives int
+	notedAt       time.Time
 	// leaving says that this node stops.
 	leaving bool
 }
@@ -111,8 +112,11 @@
 	own := e.report(now, false)
 	e.mu.Lock()
 	out, next, err := e.machine.Step(own, e.seeds(), now)
-	e.noteLives(now)
-	e.noteGroups()
+	if now.Sub(e.notedAt) >= e.cfg.Interval {
+		e.notedAt = now
+		e.noteLives(now)
+		e.noteGroups()
+	}
 	e.mu.Unlock()
 	e.send(out, err)
 	return next
@@ -257,7 +261,8 @@
 	}
 }
 
-// Lives returns the number of live nodes, this one included, as of the last step.
+// Lives returns the number of live nodes, this one included, of at most an interval
+// and a step ago.
 func (e *Exchange) Lives() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/heartbeat/fleet_faults_test.go
+++ b/heartbeat/fleet_faults_test.go
@@ -150,15 +150,10 @@
 	}
 }
 
-// A node hears others, but a third of the nodes don't hear it. The others of its group
-// tell of it: once each node has come upon one of them as its relay, it stays with it
-// and the next that hear the node. In groups of four there may be none.
+// A node hears others, but a third of the nodes don't hear it, some in its own group.
+// The others of its group tell of it.
 func TestNodeThatSomeDoNotHear(t *testing.T) {
-	const leases = 8
 	for _, n := range faultSizes() {
-		if n == 17 {
-			continue
-		}
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
 			is, f := is.New(t), settled(n, 5)
@@ -166,11 +161,11 @@
 			deaf := func(to *fleetNode) bool { return to.index%3 == 0 }
 			f.cut = func(from, to *fleetNode) bool { return from == node && deaf(to) }
 			groupMate := func(at *fleetNode) bool { return at.view.inOwnGroup(&peer{key: node.view.key}) }
-			counts := func(at, of *fleetNode) bool { return of != node || !deaf(at) || !groupMate(at) }
-			first := f.watch(t, leases*DefaultConfig().Lease, counts)
-			then := f.watch(t, 2*leases*DefaultConfig().Lease, counts)
-			t.Logf("%d nodes: left out for %v at most at first, for %v then", n, first.longest, then.longest)
-			is.True(then.longest <= goneWithin)
+			g := f.watch(t, 8*goneWithin, func(at, of *fleetNode) bool {
+				return of != node || !deaf(at) || !groupMate(at)
+			})
+			t.Logf("%d nodes: left out for %v at most", n, g.longest)
+			is.True(g.longest <= goneWithin)
 		})
 	}
 }
--- a/heartbeat/machine.go
+++ b/heartbeat/machine.go
@@ -72,7 +72,7 @@
 func NewMachine(cfg Config, self string, incarnation int64, rng *rand.Rand) *Machine {
 	return &Machine{
 		cfg: cfg, self: self, incarnation: incarnation, view: NewView(cfg, self), wanted: 1,
-		subs:   subscriptions{cfg: cfg, self: self, rng: rng, all: make(map[int]*subscription)},
+		subs:   subscriptions{cfg: cfg, rng: rng, all: make(map[int]*subscription)},
 		leases: make(leases), uses: make(groupUses), served: make(map[string]serving),
 	}
 }
--- a/heartbeat/relay.go
+++ b/heartbeat/relay.go
@@ -56,13 +56,13 @@
 )
 
 // due says why the next relay is to be asked, empty if it isn't. A new subscriber is
-// served first, in a quarter of an interval: a relay which takes half of one for its
-// first sum did not get the subscription, or is gone.
+// served in the next batch or the one after it: a relay which takes three quarters of
+// an interval for its first sum did not get the subscription, or is gone.
 func (s *subscription) due(interval, silent time.Duration, now time.Time) relayChange {
 	switch {
 	case len(s.relays) == 0:
 		return relayFirst
-	case !s.delivered && now.Sub(s.since) > interval/2, s.delivered && now.Sub(s.heard) > silent:
+	case !s.delivered && now.Sub(s.since) > interval*3/4, s.delivered && now.Sub(s.heard) > silent:
 		return relaySilent
 	case s.fewer:
 		return relayFewer
@@ -99,10 +99,9 @@
 
 // subscriptions are this node's, by group.
 type subscriptions struct {
-	cfg  Config
-	self string
-	rng  *rand.Rand
-	all  map[int]*subscription
+	cfg Config
+	rng *rand.Rand
+	all map[int]*subscription
 }
 
 // asked are relays to be asked for the sum of their group, and why.
@@ -119,7 +118,6 @@
 	interval := v.interval()
 	silent := s.cfg.silentFor(interval)
 	var out []asked
-	var relays map[int][]string
 	for group := range v.groups {
 		if group == v.group {
 			continue
@@ -133,10 +131,7 @@
 		if reason == "" {
 			continue
 		}
-		if relays == nil {
-			relays = v.relays(now)
-		}
-		next := s.choose(reason, relays[group], sub)
+		next := s.choose(reason, v.relays(group, now), sub)
 		if len(next) == 0 {
 			continue
 		}
@@ -150,7 +145,7 @@
 }
 
 // choose returns the relays to ask for a reason: the more, the more were silent.
-func (s *subscriptions) choose(reason relayChange, relays []string, sub *subscription) []string {
+func (s *subscriptions) choose(reason relayChange, relays []relay, sub *subscription) []string {
 	switch reason {
 	case relaySilent:
 		sub.silent = min(sub.silent+1, mostSilent)
@@ -162,13 +157,12 @@
 
 // next returns up to n relays after those of a subscription, in an order of this
 // node's own: the nodes of a group are asked about equally often.
-func (s *subscriptions) next(relays []string, sub *subscription, n int) []string {
-	rank := func(node string) uint64 { return routing.Hash(s.self + " " + node) }
-	slices.SortFunc(relays, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+func (s *subscriptions) next(relays []relay, sub *subscription, n int) []string {
+	slices.SortFunc(relays, func(a, b relay) int { return cmp.Compare(a.rank, b.rank) })
 	var out []string
 	for range min(n, len(relays)) {
 		sub.turn++
-		out = append(out, relays[sub.turn%len(relays)])
+		out = append(out, relays[sub.turn%len(relays)].node)
 	}
 	return out
 }
@@ -179,22 +173,30 @@
 	return ok && sub.deliver(node, nodes, now)
 }
 
-// relays returns the nodes that may be asked for the sums of each group: the live
-// ones, all known ones if none is.
-func (v *View) relays(now time.Time) map[int][]string {
-	live, known := make(map[int][]string), make(map[int][]string)
+// relay is a node that may be asked for the sum of its group, with its place in the
+// order in which this node asks.
+type relay struct {
+	node string
+	rank uint64
+}
+
+// relays returns the nodes that may be asked for the sum of a group: the live ones, all
+// known ones if none is.
+func (v *View) relays(group int, now time.Time) []relay {
+	var live, known []relay
 	lost := v.cfg.lostFor(v.interval())
 	for n, p := range v.peers {
-		group := groupOf(p.key, v.groups)
-		known[group] = append(known[group], n)
+		if groupOf(p.key, v.groups) != group {
+			continue
+		}
+		r := relay{n, routing.Rank(v.key, p.key)}
+		known = append(known, r)
 		if p.live(lost, now) && !p.report.Leaving {
-			live[group] = append(live[group], n)
+			live = append(live, r)
 		}
 	}
-	for group, nodes := range known {
-		if len(live[group]) == 0 {
-			live[group] = nodes
-		}
+	if len(live) == 0 {
+		return known
 	}
 	return live
 }
--- a/heartbeat/schedule.go
+++ b/heartbeat/schedule.go
@@ -20,17 +20,18 @@
 // recipients returns who gets a report or a sum: the nodes of the own group, seeds
 // that are not known to live, and subscribers.
 func (m *Machine) recipients(seeds []string, now time.Time) []string {
-	to := make(map[string]bool)
+	var to []string
 	lost := m.cfg.lostFor(m.view.interval())
 	for n, p := range m.view.peers {
 		if m.view.inOwnGroup(p) || slices.Contains(seeds, n) && !p.live(lost, now) {
-			to[n] = true
+			to = append(to, n)
 		}
 	}
 	for n := range m.leases {
-		to[n] = true
+		to = append(to, n)
 	}
-	return slices.Sorted(maps.Keys(to))
+	slices.Sort(to)
+	return slices.Compact(to)
 }
 
 // nextBatch returns the nodes whose turn it is and the number of others. Those go first
