Spread plain requests wherever counts are older than these last

Cause: counts of 66 nodes are 0.4 s old at most now, and the rule by which requests without a key are spread by room began above 0.4 s. So each node sent them to the least loaded target of the last counts, all nodes to the same.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -80,8 +80,10 @@
 	defaultSlack   = 2
 	mostSuspended  = 0.6
 	smallFleetsAge = 200 * time.Millisecond
-	// oldCounts is several times what requests of plain services last.
-	oldCounts = 400 * time.Millisecond
+	// oldCounts is several times what requests of plain services last. All nodes of a
+	// fleet have the same counts, so that they send to the same least loaded targets
+	// until the next counts come.
+	oldCounts = 300 * time.Millisecond
 )
 
 // PolicyFor returns the policy for counts of other nodes that are age old.
