End what an earlier process ran with its first word from the next

Cause: read in a review. A brief report keeps the counts of the last full one, also when it comes from a process that has started since: those of the dead process stayed until its first full report. A number of groups that is no power of two would have been taken from a datagram.

Before and after: TestBriefReportOfANewIncarnation and TestClaimOfGroups fail on the code before (by reading: 3 in progress stay; groups 3) and pass now.

Ruled out: other places that read the incarnation; a report of an ended one is refused as before.

--- a/heartbeat/machine.go
+++ b/heartbeat/machine.go
@@ -125,9 +125,10 @@
 	}
 }
 
-// claim takes the number of groups that another node finds right.
+// claim takes the number of groups that another node finds right, a power of two.
 func (m *Machine) claim(groups int, now time.Time) {
-	if groups >= m.claimed && groups <= maxGroups {
+	valid := groups > 0 && groups <= maxGroups && groups&(groups-1) == 0
+	if valid && groups >= m.claimed {
 		m.claimed, m.claimedAt = groups, now
 	}
 }
--- a/heartbeat/schedule.go
+++ b/heartbeat/schedule.go
@@ -46,8 +46,11 @@
 	overdue := func(n string) bool { return m.leases[n] == nil && now.Sub(m.served[n].at) >= interval }
 	batch = slices.Clone(recipients)
 	slices.SortStableFunc(batch, func(a, b string) int {
-		if x, y := overdue(a), overdue(b); x != y {
-			return cmp.Compare(btoi(y), btoi(x))
+		switch x, y := overdue(a), overdue(b); {
+		case x && !y:
+			return -1
+		case y && !x:
+			return 1
 		}
 		return cmp.Compare(m.served[a].turn, m.served[b].turn)
 	})
@@ -59,13 +62,6 @@
 	return batch, len(recipients) - len(batch)
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // pace returns the time until the next batch, so that all are served within
 // the interval.
 func (m *Machine) pace(batch, all int) time.Duration {
--- a/heartbeat/view.go
+++ b/heartbeat/view.go
@@ -88,8 +88,7 @@
 		return false
 	}
 	if p.report.Incarnation != r.Incarnation && !p.heard.IsZero() {
-		p.ended = slices.Insert(p.ended, 0, p.report.Incarnation)
-		p.ended = p.ended[:min(len(p.ended), endedKept)]
+		v.end(p)
 	}
 	switch {
 	case r.Brief:
@@ -109,6 +108,14 @@
 	return true
 }
 
+// end forgets what an incarnation that is over ran: its connections are gone with it.
+func (v *View) end(p *peer) {
+	v.count(p.report.Targets, -1)
+	p.report.Targets = nil
+	p.ended = slices.Insert(p.ended, 0, p.report.Incarnation)
+	p.ended = p.ended[:min(len(p.ended), endedKept)]
+}
+
 // isNews says whether a report is newer than the last.
 func (p *peer) isNews(r Report) bool {
 	if p.report.Incarnation == r.Incarnation {
--- a/heartbeat/view_test.go
+++ b/heartbeat/view_test.go
@@ -114,6 +114,29 @@
 	is.True(ok)
 }
 
+// A brief report of a process that started again brings nothing of the earlier one.
+func TestBriefReportOfANewIncarnation(t *testing.T) {
+	is, v := is.New(t), NewView(DefaultConfig(), "self")
+	v.Receive(report("a", 7, TargetReport{Target: 7, Running: 3}), start)
+	brief := report("a", 1)
+	brief.Brief, brief.Incarnation = true, 2
+	is.True(v.Receive(brief, start))
+	is.Equal(v.Target(7), Sum{})
+	is.True(!v.Receive(report("a", 8, TargetReport{Target: 7, Running: 3}), start))
+	is.Equal(v.Target(7), Sum{})
+}
+
+// A number of groups that no node can mean is ignored.
+func TestClaimOfGroups(t *testing.T) {
+	is := is.New(t)
+	for groups, want := range map[int]int{0: 1, -4: 1, 3: 1, 2 * maxGroups: 1, 1: 1, 8: 8} {
+		m := NewMachine(DefaultConfig(), "self", 1, rand.New(rand.NewPCG(1, 1)))
+		m.claim(groups, start)
+		m.regroup(start)
+		is.Equal(m.view.groups, want)
+	}
+}
+
 // All nodes agree on the order of watchers. Those that can't reach the store,
 // or leave, come last.
 func TestRankIsOneOrder(t *testing.T) {
