Log which request a target closed its connection under, by a fingerprint

Sight for the incident: its logs named no request by what path, caller and body have in common, so copies of one could only be told by key, route and workspace. Each connection that a target closes before its answer is whole now has a line with the request's fingerprint, the target's start and how long the run lasted. Nothing is decided by it; a fingerprint is only taken of such a request.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/routing"
 )
 
@@ -49,6 +50,10 @@
 	sentAt        time.Time
 	attemptCancel context.CancelFunc
 
+	// print is the request's fingerprint, if hasPrint.
+	print    quarantine.Fingerprint
+	hasPrint bool
+
 	// reserved says that the retry budget has already paid for the next attempt.
 	reserved atomic.Bool
 
--- a/router/forward.go
+++ b/router/forward.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
@@ -208,10 +209,34 @@
 		f.stale = true
 	default:
 		x.router.pool.observe(l.member, health.Failed)
+		x.closedByTarget(l, f)
 	}
 	return f
 }
 
+// closedByTarget is for a connection that a target closed before its answer was whole:
+// the answer was lost, or the target has ended.
+func (x *exchange) closedByTarget(l lease, f *failure) {
+	x.router.log.Info("target closed the connection", "request", x.call.ID, "fingerprint", x.fingerprint(),
+		"target", l.target.ID, "started", l.target.Started, "running", l.choice.Running,
+		"sent_ms_ago", x.router.now().Sub(x.sentAt).Milliseconds(), "begun", x.begun, "cause", f.cause)
+}
+
+// fingerprint tells the request from others of its caller, and from those of others.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if !x.hasPrint {
+		caller := x.workspace
+		if caller == "" {
+			caller = x.call.Key
+		}
+		x.print = quarantine.Request{
+			Caller: caller, Method: x.req.Method, Host: x.req.Host, URI: x.req.RequestURI, Body: x.body,
+		}.Fingerprint()
+		x.hasPrint = true
+	}
+	return x.print
+}
+
 var errNoReply = errors.New("no answer within the time of one attempt")
 
 func isTimeout(err error) bool {
--- a/router/relay.go
+++ b/router/relay.go
@@ -197,14 +197,16 @@
 
 // broken is for an answer that broke off on its way from the target.
 func (x *exchange) broken(ctx context.Context, l lease, err error) *failure {
-	if ctx.Err() == nil {
-		outcome := health.Failed
-		if isTimeout(err) {
-			outcome = health.Unreachable
-		}
-		x.router.pool.observe(l.member, outcome)
+	f := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: err}
+	switch {
+	case ctx.Err() != nil:
+	case isTimeout(err):
+		x.router.pool.observe(l.member, health.Unreachable)
+	default:
+		x.router.pool.observe(l.member, health.Failed)
+		x.closedByTarget(l, f)
 	}
-	return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: err}
+	return f
 }
 
 // callerLost is for a caller that takes no more of its answer.
