Show in tests that a request may end each target that runs it

What callers saw: requests cut off, as one request that came again and again, to whichever node, ended a target each time. The stand-in engine takes a body that ends it.

--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -59,6 +59,10 @@
 // LargeFailure is larger than what a node reads of an answer before it passes it on.
 const LargeFailure = 3 << 19
 
+// EndingBody is the body of a request that ends each engine that runs it, after the
+// time that BeforeHeader sets.
+const EndingBody = "ends its engine"
+
 // DefaultEvents is the number of events of a stream.
 const DefaultEvents = 5
 
@@ -121,6 +125,22 @@
 	j.turned++
 }
 
+// Ended returns the number of engines that a request with EndingBody has ended, by
+// their starts.
+func (j *Journal) Ended() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	starts := make(map[string]bool)
+	for _, runs := range j.runs {
+		for _, r := range runs {
+			if r.Body == EndingBody {
+				starts[fmt.Sprint(r.Engine, r.Born)] = true
+			}
+		}
+	}
+	return len(starts)
+}
+
 func (j *Journal) begin(r *Run, id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -222,6 +242,11 @@
 		Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.begin(run, id)
+	if run.Body == EndingBody {
+		e.work(r, run, headerTime(r, BeforeHeader, 0))
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	e.answer(w, r, run, fault, id)
 }
 
