Keep a request from targets after it has ended three of them

What callers saw: requests cut off on targets that ended one after the other, under copies of one request that came to whichever node (21 targets in 17 s). Cause: a query of death. What a node knew of a request ended with the exchange, the end of a target was not told from a lost answer, and nodes told each other nothing of requests. The mend: quarantine, pure and by fingerprints of caller, method, host, path and body. A run whose connection the target closed and whose next dial is refused (or whose target shows a new start) is a strike if it was sent after the end before and no run was answered since; three put the request into quarantine. Nodes merge what each saw by the union of ends, told behind the heartbeats while it is news, and noted in the store for the case that all nodes die. Why it holds: three ends are enough wherever they are seen; a request that was on those targets by chance is cleared by its next whole answer; ends at one moment count once; a wrong quarantine ends by a run after a minute, of which there is one, since the harmful request comes again. No byte is added to a message while nothing is known, and no fingerprint is taken. Ruled out: a memory of each node alone (five of six nodes saw the request twice); owners of requests by hash, whose count is lost with them. Refused runs get 503 with the time until which the quarantine holds: not run, and no earlier return is of use.

--- a/heartbeat/fleet_test.go
+++ b/heartbeat/fleet_test.go
@@ -23,6 +23,8 @@
 	cut  func(from, to *fleetNode) bool
 	// fill adds what a node runs to its report, besides its own target.
 	fill func(n *fleetNode, r *Report)
+	// hear takes what a node received.
+	hear func(n *fleetNode, r Report)
 	// messages and bytes count what each node received since the last reset.
 	messages, bytes map[*fleetNode]int
 }
@@ -63,6 +65,7 @@
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, by: make(map[string]*fleetNode),
 		cut: func(_, _ *fleetNode) bool { return false }, fill: func(*fleetNode, *Report) {},
+		hear:     func(*fleetNode, Report) {},
 		messages: make(map[*fleetNode]int), bytes: make(map[*fleetNode]int),
 	}
 	for i := range n {
@@ -184,6 +187,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if a.News {
+		f.hear(n, a.Report)
+	}
 	if a.News && a.Stranger {
 		out, err := n.Brief(f.own(n), []string{a.Report.Node}, f.now)
 		if err != nil {
--- a/heartbeat/machine.go
+++ b/heartbeat/machine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -87,7 +86,7 @@
 func (m *Machine) header(own Report) Report {
 	m.sequence++
 	own.Node, own.Incarnation, own.Sequence = m.self, m.incarnation, m.sequence
-	own.Brief, own.Targets, own.Uses = true, nil, nil
+	own.Brief, own.Targets, own.Uses, own.Requests = true, nil, nil, nil
 	return own
 }
 
@@ -138,15 +137,14 @@
 
 func (m *Machine) encode(c content, header, own Report, now time.Time) ([]byte, error) {
 	if c != ownReport {
-		return encode(kindSum, m.groupSum(c == sumWithMembers, header, own, now))
+		return encode(kindSum, m.groupSum(c == sumWithMembers, header, own, now), own.Requests)
 	}
 	r := header
 	r.Brief, r.Targets, r.Uses = false, own.Targets, own.Uses
 	if m.steps%nodesEvery == 1 || m.steps < firstReports {
 		r.Nodes = m.view.LiveAddresses(now, maxNodes)
 	}
-	raw, err := cbor.Marshal(r)
-	return raw, errors.Wrap(err, "heartbeat: encode")
+	return marshal(r, own.Requests)
 }
 
 // groupSum adds up this node's group.
@@ -171,7 +169,7 @@
 	if len(due) == 0 {
 		return nil, nil
 	}
-	body, err := encode(kindSubscription, Subscription{From: m.header(own), Wanted: m.wanted})
+	body, err := encode(kindSubscription, Subscription{From: m.header(own), Wanted: m.wanted}, own.Requests)
 	if err != nil {
 		return nil, err
 	}
@@ -194,9 +192,9 @@
 	if len(to) == 1 {
 		r.Nodes = m.view.LiveAddresses(now, maxNodes)
 	}
-	raw, err := cbor.Marshal(r)
+	raw, err := marshal(r, own.Requests)
 	if err != nil {
-		return nil, errors.Wrap(err, "heartbeat: encode")
+		return nil, err
 	}
 	out := make([]Datagram, 0, len(to))
 	for _, n := range to {
@@ -217,10 +215,12 @@
 		return m.receiveSubscription(body[1:], now)
 	}
 	var r Report
-	if err := cbor.Unmarshal(body, &r); err != nil {
+	requests, err := unmarshal(body, &r)
+	if err != nil {
 		return Arrival{}, errors.Wrap(err, "heartbeat: report")
 	}
 	a := Arrival{Report: r, Stranger: !m.view.isLive(r.Node, now)}
+	a.Report.Requests = requests
 	a.News = m.view.Receive(r, now)
 	if a.News && m.view.inOwnGroup(m.view.peers[r.Node]) {
 		m.uses.add(r.Uses, now)
@@ -232,7 +232,8 @@
 
 func (m *Machine) receiveSum(body []byte, now time.Time) (Arrival, error) {
 	var s GroupSum
-	if err := cbor.Unmarshal(body, &s); err != nil {
+	requests, err := unmarshal(body, &s)
+	if err != nil {
 		return Arrival{}, errors.Wrap(err, "heartbeat: sum of a group")
 	}
 	counts, err := unpack(s.Counts)
@@ -249,12 +250,14 @@
 	if s.Groups == m.view.groups && m.subs.deliver(s.From.Node, s.Group, s.Nodes, now) {
 		m.view.receiveSum(s.Group, counts, now)
 	}
+	s.From.Requests = requests
 	return Arrival{Report: s.From, News: true}, nil
 }
 
 func (m *Machine) receiveSubscription(body []byte, now time.Time) (Arrival, error) {
 	var s Subscription
-	if err := cbor.Unmarshal(body, &s); err != nil {
+	requests, err := unmarshal(body, &s)
+	if err != nil {
 		return Arrival{}, errors.Wrap(err, "heartbeat: subscription")
 	}
 	s.From.Brief = true
@@ -263,5 +266,6 @@
 	}
 	m.claim(s.Wanted, now)
 	m.leases.add(s.From.Node, now.Add(m.cfg.Lease))
+	s.From.Requests = requests
 	return Arrival{Report: s.From, News: true}, nil
 }
--- a/heartbeat/report.go
+++ b/heartbeat/report.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/health"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 )
 
 // Report is what a node says of itself. Later reports replace earlier ones.
@@ -34,6 +35,9 @@
 	Uses []affinity.Use
 	// Nodes are the nodes that the sender heard lately, in some reports only.
 	Nodes []string
+	// Requests are those under which targets ended, as far as they are to be told. They
+	// follow the message, if there are any.
+	Requests []quarantine.Record `cbor:"-"`
 }
 
 // TargetReport is what a node runs at a target and saw of it. Targets without
--- a/heartbeat/sum.go
+++ b/heartbeat/sum.go
@@ -8,7 +8,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/knapweedgw/knapweedgw/quarantine"
 )
 
 // kind is the first byte of a datagram that is no Report. A Report is a CBOR array,
@@ -54,10 +55,10 @@
 	Wanted int
 }
 
-func encode(k kind, message any) ([]byte, error) {
-	raw, err := cbor.Marshal(message)
+func encode(k kind, message any, requests []quarantine.Record) ([]byte, error) {
+	raw, err := marshal(message, requests)
 	if err != nil {
-		return nil, errors.Wrap(err, "heartbeat: encode")
+		return nil, err
 	}
 	return append([]byte{byte(k)}, raw...), nil
 }
--- a/lab/standin/quarantine_test.go
+++ b/lab/standin/quarantine_test.go
@@ -117,3 +117,60 @@
 	t.Log("targets ended:", before, "and after all nodes began anew:", s.Journal.Ended())
 	is.True(s.Journal.Ended() <= mostEnded)
 }
+
+// A request that shared its target with a harmful one is served by its retry, and its
+// later copies are served as ever.
+func TestRequestBesideAHarmfulOneIsServed(t *testing.T) {
+	is, s := is.New(t), start(t, 3)
+	beside := Request{Path: ResumePath + "beside", Body: "x", Header: http.Header{BeforeHeader: {"150"}}}
+	ended := make(map[*Engine]bool)
+	for round := range 6 {
+		var work sync.WaitGroup
+		for _, n := range s.Nodes { // few enough for the retry budget
+			work.Go(func() {
+				a := n.Do(beside)
+				if a.Status != http.StatusOK || a.Err != nil {
+					t.Errorf("round %d: status %d, error %v", round, a.Status, a.Err)
+				}
+			})
+		}
+		a := s.Nodes[round%len(s.Nodes)].Do(endingRequest(StreamPath))
+		noteEnded(s, a.ID, ended)
+		work.Wait()
+		revive(s, ended)
+		time.Sleep(endingPause)
+	}
+	is.True(s.Journal.Ended() <= mostEnded)
+}
+
+// A target that loses its answers and lives has not ended: the request is run again and
+// again, as its caller sends it.
+func TestLostAnswersQuarantineNothing(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	for _, e := range s.Plain {
+		e.SetFault(Drop, -1)
+	}
+	for i := range 6 {
+		a := s.Nodes[i%2].Do(Request{Path: UnsafePath + "same", Body: "x"})
+		is.Equal(a.Status, http.StatusBadGateway)
+		is.Equal(len(s.Journal.Runs(a.ID)), 1)
+	}
+}
+
+// Nobody puts another caller's request into quarantine by sending the same one.
+func TestQuarantineIsOfOneCaller(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	s.Configure(func(cfg map[string]any) {
+		cfg["tenants"] = append(cfg["tenants"].([]any), map[string]any{"name": "tenant-two", "api_keys": []string{"key-other"}})
+	})
+	s.Eventually("the other workspace is known", func() bool {
+		return s.Nodes[0].Do(Request{Path: SafePath, Key: "key-other"}).Status == http.StatusOK
+	})
+	_ = sendEnding(s, StreamPath, 4, 1)
+	refused := s.Nodes[0].Do(endingRequest(StreamPath))
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+	is.True(refused.Header.Get("Retry-After") != "")
+	others := endingRequest(StreamPath)
+	others.Key = "key-other"
+	is.Equal(len(s.Journal.Runs(s.Nodes[0].Do(others).ID)), 1)
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,8 @@
 	ClaimDone          Reason = "idempotency_done"
 	ClaimsUnavailable  Reason = "claims_unavailable"
 	StreamNotResumable Reason = "stream_not_resumable"
+	Quarantined        Reason = "quarantined"
+	SuspectBusy        Reason = "suspect_busy"
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
@@ -91,6 +93,8 @@
 	ClaimDone:          {http.StatusConflict, "The request was run and its answer is no longer held", "Ask the service for the result; use a new key only for a new request."},
 	ClaimsUnavailable:  {http.StatusServiceUnavailable, "Idempotency keys can't be recorded now", "Send the request again with the same key after Retry-After."},
 	StreamNotResumable: {http.StatusGone, "The stream is no longer held", "Send the whole request again without Last-Event-ID."},
+	Quarantined:        {http.StatusServiceUnavailable, "Targets end when they run this request", "Don't send this request again as it is: change it, or ask the operator why targets end under its fingerprint."},
+	SuspectBusy:        {http.StatusServiceUnavailable, "A copy of this request is being run with care", "Send the request again after Retry-After."},
 	Stopping:           {http.StatusServiceUnavailable, "This node is stopping", "Send the request again on a new connection."},
 	Internal:           {http.StatusInternalServerError, "The node failed", "Report the request ID to the operator."},
 }
--- a/quarantine/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package quarantine tells requests by fingerprints, so that one under which targets
-// end is known when it comes again.
-package quarantine
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -53,6 +53,9 @@
 	// print is the request's fingerprint, if hasPrint.
 	print    quarantine.Fingerprint
 	hasPrint bool
+	// guarded says that the guard counts the attempt in progress, completed that the
+	// last attempt's target answered it whole.
+	guarded, completed bool
 
 	// reserved says that the retry budget has already paid for the next attempt.
 	reserved atomic.Bool
@@ -291,6 +294,9 @@
 	if n := len(x.call.Parts); n > 0 {
 		fields = append(fields, "key", uint32(x.call.Parts[n-1].Hash), "shared", x.sharedTokens())
 	}
+	if x.hasPrint {
+		fields = append(fields, "fingerprint", x.print)
+	}
 	if x.done.fetchFrom != "" {
 		fields = append(fields, "fetch_from", x.done.fetchFrom)
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -16,7 +16,6 @@
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
-	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
@@ -55,6 +54,9 @@
 	local bool
 	// overdue means that the target was left only because it took too long.
 	overdue bool
+	// probed is closed when it is known whether the target has ended; nil if it didn't
+	// close the connection.
+	probed <-chan struct{}
 }
 
 // forward tries targets until one answers or no further attempt is allowed.
@@ -67,11 +69,16 @@
 		if _, expired := x.remaining(); expired {
 			return x.giveUp(ctx, &failure{reason: problem.DeadlineExceeded, cause: context.DeadlineExceeded})
 		}
+		if fail := x.beginRun(); fail != nil {
+			return x.giveUp(ctx, fail)
+		}
 		l, admission, ok := x.acquire()
 		if !ok {
+			x.endRun(false)
 			return x.giveUp(ctx, noPlace(admission))
 		}
 		fail := x.attempt(ctx, l)
+		x.endRun(x.completed)
 		if fail == nil {
 			return nil
 		}
@@ -80,6 +87,7 @@
 			return x.conclude(ctx, fail, verdict)
 		}
 		x.logRetry(l, fail)
+		x.awaitProbe(ctx, fail)
 		if !fail.stale {
 			x.tried = append(x.tried, l.target.ID)
 		}
@@ -156,6 +164,7 @@
 	ctx, cancelHeld := x.heldContext(ctx)
 	defer cancelHeld()
 	x.tries++
+	x.completed = false
 	x.sentAt = x.router.now()
 	x.done.target, x.done.running, x.done.limit = l.target.ID, l.choice.Running, l.choice.Limit
 	x.done.kept, x.done.reason = l.choice.Kept, l.choice.Reason
@@ -203,6 +212,8 @@
 		}
 	case upstream.IsLocal(err):
 		f.local, f.reason = true, problem.Saturated
+	case upstream.IsRefused(err):
+		x.router.pool.ended(l.member)
 	case upstream.IsDial(err) || isTimeout(err):
 		x.router.pool.observe(l.member, health.Unreachable)
 	case p == retry.NotSent:
@@ -214,29 +225,6 @@
 	return f
 }
 
-// closedByTarget is for a connection that a target closed before its answer was whole:
-// the answer was lost, or the target has ended.
-func (x *exchange) closedByTarget(l lease, f *failure) {
-	x.router.log.Info("target closed the connection", "request", x.call.ID, "fingerprint", x.fingerprint(),
-		"target", l.target.ID, "started", l.target.Started, "running", l.choice.Running,
-		"sent_ms_ago", x.router.now().Sub(x.sentAt).Milliseconds(), "begun", x.begun, "cause", f.cause)
-}
-
-// fingerprint tells the request from others of its caller, and from those of others.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if !x.hasPrint {
-		caller := x.workspace
-		if caller == "" {
-			caller = x.call.Key
-		}
-		x.print = quarantine.Request{
-			Caller: caller, Method: x.req.Method, Host: x.req.Host, URI: x.req.RequestURI, Body: x.body,
-		}.Fingerprint()
-		x.hasPrint = true
-	}
-	return x.print
-}
-
 var errNoReply = errors.New("no answer within the time of one attempt")
 
 func isTimeout(err error) bool {
@@ -355,6 +343,7 @@
 	case len(body) > maxHeldFailure:
 		return x.relayLarge(ctx, l, resp, body)
 	default:
+		x.noteWhole(resp)
 		x.held = &heldAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	}
 	return fail
--- a/router/pool.go
+++ b/router/pool.go
@@ -15,6 +15,7 @@
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/placement"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
 	"github.com/knapweedgw/knapweedgw/upstream"
@@ -72,11 +73,16 @@
 	reported   int
 	reportedAt time.Time
 	gone       bool
+	// closed are the runs whose connection the target closed lately. probe is closed
+	// when it is known whether it refuses connections, nil while nobody asks.
+	closed []closedRun
+	probe  chan struct{}
 }
 
 // pool holds the members of all services.
 type pool struct {
 	fleet        Fleet
+	guard        *quarantine.Guard
 	healthConfig health.Config
 	domain       string
 	log          *log.Logger
@@ -100,9 +106,9 @@
 	at  time.Time
 }
 
-func newPool(f Fleet, domain string, l *log.Logger) *pool {
+func newPool(f Fleet, g *quarantine.Guard, domain string, l *log.Logger) *pool {
 	return &pool{
-		fleet: f, healthConfig: health.DefaultConfig(),
+		fleet: f, guard: g, healthConfig: health.DefaultConfig(),
 		domain: domain, log: l, now: clock.Steady, try: tryDial,
 		members: make(map[string]*member), services: make(map[string][]*member),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -130,6 +136,7 @@
 		if ok && !m.target.Started.Equal(t.Started) {
 			// What this node knows of the earlier run, its connections included,
 			// is of no use for the new one.
+			p.blame(m)
 			m.leave()
 			ok = false
 		}
@@ -145,6 +152,7 @@
 	}
 	for id, m := range p.members {
 		if !present[id] {
+			p.blame(m)
 			m.leave()
 			delete(p.members, id)
 		}
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -8,10 +8,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/roster"
 )
 
@@ -52,8 +54,10 @@
 
 func newTestPool(targets ...roster.Target) *testPool {
 	p := &testPool{fleet: &told{view: heartbeat.NewView(heartbeat.DefaultConfig(), "self")}, at: start}
-	p.pool = newPool(p.fleet, "z", log.New(io.Discard))
-	p.now = func() time.Time { return p.at }
+	now := func() time.Time { return p.at }
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), now, log.New(io.Discard), prometheus.NewRegistry())
+	p.pool = newPool(p.fleet, guard, "z", log.New(io.Discard))
+	p.now = now
 	p.keeper = roster.NewKeeper()
 	p.keeper.Reset(targets, p.at)
 	p.update(p.keeper.Snapshot())
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -11,7 +11,11 @@
 	"github.com/knapweedgw/knapweedgw/retry"
 )
 
-var errNoTarget = errors.New("no target of the service is left")
+var (
+	errNoTarget    = errors.New("no target of the service is left")
+	errQuarantined = errors.New("targets ended under earlier copies of this request, so it is kept from them")
+	errSuspectBusy = errors.New("a copy of this request is being run, and targets ended under earlier ones")
+)
 
 // noPlace is for a request that no target may get now.
 func noPlace(d overload.Decision) *failure {
--- a/router/relay.go
+++ b/router/relay.go
@@ -45,10 +45,17 @@
 	if len(body) > maxHeldAnswer {
 		return x.relayLarge(ctx, l, resp, body)
 	}
+	x.noteWhole(resp)
 	x.deliver(&heldAnswer{status: resp.StatusCode, header: resp.Header, body: body})
 	return nil
 }
 
+// noteWhole notes that the answer was read to its end. One that only ends with its
+// connection may as well have been cut by the end of its target.
+func (x *exchange) noteWhole(resp *http.Response) {
+	x.completed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // deliver writes an answer that was read whole.
 func (x *exchange) deliver(a *heldAnswer) {
 	x.begin(a.status, a.header)
@@ -114,6 +121,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			x.noteWhole(resp)
 			x.beginStream(resp)
 			return nil
 		}
@@ -163,6 +171,7 @@
 
 func (x *exchange) endEvents(l lease, resp *http.Response, pending []byte) *failure {
 	if len(pending) == 0 {
+		x.noteWhole(resp)
 		x.beginStream(resp)
 		return nil
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/replica"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
@@ -63,10 +64,14 @@
 	beliefs Beliefs
 	fleet   Fleet
 	pool    *pool
+	guard   *quarantine.Guard
 	log     *log.Logger
 	metrics *metrics
 	now     func() time.Time
 
+	// noteDue has an element while a note is to be written at once.
+	noteDue chan struct{}
+
 	windowsMu sync.Mutex
 	windows   map[string]*retry.Window
 	replies   *replyTimes
@@ -86,9 +91,11 @@
 func New(
 	cfg *config.Router, d Dialect, b *replica.Replica, x *heartbeat.Exchange, l *log.Logger, reg prometheus.Registerer,
 ) *Router {
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Steady, l, reg)
 	r := &Router{
 		cfg: cfg, dialect: d, beliefs: b, fleet: x, log: l, now: clock.Steady,
-		pool:    newPool(x, cfg.FailureDomain, l),
+		guard: guard, noteDue: make(chan struct{}, 1),
+		pool:    newPool(x, guard, cfg.FailureDomain, l),
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
 		replies: newReplyTimes(),
 	}
@@ -98,6 +105,9 @@
 	x.SetReporter(r)
 	x.OnReport(r.pool.hear)
 	x.OnReport(func(rep heartbeat.Report) { b.Heard(rep.Catalog, rep.Revision) })
+	x.OnReport(func(rep heartbeat.Report) { guard.Hear(rep.Node, rep.Requests) })
+	guard.OnNews(func() { go x.Announce() })
+	guard.OnPut(r.wantNote)
 	return r
 }
 
@@ -113,6 +123,7 @@
 	}
 	rep.Leaving = r.draining.Load()
 	rep.StoreLost = r.beliefs.StoreLost()
+	rep.Requests = r.guard.Tell()
 	if !rep.Brief {
 		r.pool.fillReport(rep, now)
 	}
@@ -121,6 +132,7 @@
 // Start implements kernel.Starter: it listens before it returns.
 func (r *Router) Start(ctx context.Context) error {
 	go r.keepNotes(ctx)
+	go r.saveQuarantines(ctx)
 	work, endWork := context.WithCancelCause(context.WithoutCancel(ctx))
 	r.endWork = endWork
 	r.front = &http.Server{
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -84,6 +84,10 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// IsRefused says whether a connection was refused: nothing listens at the target's
+// address, while its VM lives.
+func IsRefused(err error) bool { return IsDial(err) && errors.Is(err, syscall.ECONNREFUSED) }
+
 // IsLocal says whether a request failed for want of this node's own resources,
 // which says nothing of the target.
 func IsLocal(err error) bool {
