Keep such requests from the targets of the callers' own interface too

What callers would see: a chat that ends its engine was tried at three engines in each attempt and was new with each return; four copies ended 12 of the test's targets, shown on the code before. It asks the same guard now, and a closed connection is followed by a dial. The test ends 3 targets now. Left: they note nothing in the store, so quarantines end with all nodes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -67,6 +67,8 @@
 	// held is the answer of a target that failed the request, to be delivered if
 	// nothing better comes; nil for none.
 	held *heldAnswer
+	// guarded tells what targets the request ended; nil until it is forwarded.
+	guarded *guardedRequest
 	// captured is the answer kept for callers that repeat the key; nil
 	// unless the request is claimed.
 	captured *capture
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -51,12 +51,21 @@
 	ctx, cancel := c.workContext(f.repeatable)
 	defer cancel()
 	g.budget.Request(time.Now())
+	guarded := g.guarded(c, f)
+	c.guarded = guarded
+	defer guarded.done()
 	for number := 1; ; number++ {
+		if err := guarded.begin(); err != nil {
+			return g.giveUp(ctx, c, err)
+		}
 		grant, err := g.admitter.Acquire(ctx, f.admission)
 		if err != nil {
 			return g.giveUp(ctx, c, err)
 		}
+		guarded.sendTo(grant.Target)
 		fail := g.attempt(ctx, c, f, grant)
+		guarded.note(ctx, fail)
+		guarded.done()
 		if fail == nil {
 			return nil
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,8 @@
 	"github.com/knapweedgw/knapweedgw/claims"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/kernel"
+	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -73,6 +75,7 @@
 
 	settings SettingsSource
 	admitter admission.Admitter
+	guard    *quarantine.Guard
 	claimer  claims.Claimer  // nil if the node has none
 	targets  TargetSource    // nil if the node has none
 	loads    LoadObserver    // nil if the node has none
@@ -110,6 +113,9 @@
 	if g.admitter, err = kernel.Lookup[admission.Admitter](k, admission.ServiceID); err != nil {
 		return err
 	}
+	if g.guard, err = lookupGuard(k); err != nil {
+		return err
+	}
 	g.claimer = optional[claims.Claimer](k, claims.ServiceID)
 	g.targets = optional[TargetSource](k, targets.ServiceID)
 	g.loads = optional[LoadObserver](k, admission.ServiceID)
@@ -117,6 +123,14 @@
 	return nil
 }
 
+func lookupGuard(k *kernel.Kernel) (*quarantine.Guard, error) {
+	s, err := kernel.Lookup[GuardSource](k, gossip.ServiceID)
+	if err != nil {
+		return nil, err
+	}
+	return s.Guard(), nil
+}
+
 func optional[T any](k *kernel.Kernel, id kernel.ID) T {
 	s, _ := kernel.Lookup[T](k, id)
 	return s
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -19,9 +19,12 @@
 
 	"github.com/knapweedgw/knapweedgw/admission"
 	"github.com/knapweedgw/knapweedgw/claims"
+	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
 )
@@ -115,6 +118,11 @@
 	f.leaving = append(f.leaving, target)
 }
 
+type fakeGuard struct{ guard *quarantine.Guard }
+
+func (fakeGuard) ID() kernel.ID              { return gossip.ServiceID }
+func (f fakeGuard) Guard() *quarantine.Guard { return f.guard }
+
 // node is a gateway behind a real HTTP server.
 type node struct {
 	*Gateway
@@ -158,7 +166,8 @@
 		targets:  &fakeTargets{pool: pool},
 		metrics:  prometheus.NewRegistry(),
 	}
-	services := []kernel.Service{n.settings, n.admitter, n.targets}
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Steady, log.New(io.Discard), prometheus.NewRegistry())
+	services := []kernel.Service{n.settings, n.admitter, n.targets, fakeGuard{guard}}
 	for _, o := range opts {
 		o(cfg, &services)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -79,6 +79,7 @@
 	if err != nil && c.req.Context().Err() == nil {
 		g.metrics.refusals.WithLabelValues(string(problem.TargetFailed)).Inc()
 		c.log().Warn("answer cut by target", "target", t.ID, "err", err)
+		c.guarded.cut()
 		panic(http.ErrAbortHandler)
 	}
 	if err == nil {
--- a/lab/bench/node.go
+++ b/lab/bench/node.go
@@ -18,6 +18,8 @@
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
 )
@@ -51,7 +53,8 @@
 	for i, addr := range addrs {
 		pool = append(pool, targets.Target{ID: "e" + string(rune('a'+i)), Addr: addr, Pool: Model})
 	}
-	k, err := kernel.New(benchSettings{}, pool, &turning{pool: pool}, n.Gateway)
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), time.Now, log.New(io.Discard), n.Metrics)
+	k, err := kernel.New(benchSettings{}, pool, &turning{pool: pool}, alone{guard}, n.Gateway)
 	if err != nil {
 		return nil, err
 	}
@@ -61,6 +64,12 @@
 // URL is where the node listens.
 func (n *Node) URL() string { return "http://" + n.Addr() }
 
+// alone is the guard of a node without others.
+type alone struct{ guard *quarantine.Guard }
+
+func (alone) ID() kernel.ID              { return gossip.ServiceID }
+func (a alone) Guard() *quarantine.Guard { return a.guard }
+
 type benchSettings struct{}
 
 var benchSnapshot = settings.NewSnapshot(1, map[string]settings.Team{"bench": {
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedgw/knapweedgw/admission"
 	"github.com/knapweedgw/knapweedgw/claims"
 	"github.com/knapweedgw/knapweedgw/claims/core"
+	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
@@ -18,6 +19,8 @@
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/orders"
 	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
 	"github.com/knapweedgw/knapweedgw/store"
@@ -83,6 +86,11 @@
 	}, lease.ConfigFor(cfg.DutyTTL), lease.NewMetrics(reg))
 }
 
+func provideGossip(hub *peer.Hub, mem *membership.Members, l *log.Logger, reg prometheus.Registerer) *gossip.Service {
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Steady, l, reg)
+	return gossip.New(guard, hub, mem, l)
+}
+
 // provideKernel registers the services in the order in which they start.
 func provideKernel(
 	tel telemetry.Service,
@@ -94,7 +102,8 @@
 	adm *admission.Service,
 	clm *claims.Service,
 	ord *orders.Service,
+	gos *gossip.Service,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(tel, hub, mem, reg, set, acc, adm, clm, ord, gw)
+	return kernel.New(tel, hub, mem, reg, set, acc, adm, clm, ord, gos, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -32,6 +32,7 @@
 	provideAdmission,
 	provideClaims,
 	provideOrders,
+	provideGossip,
 	gateway.New,
 	provideKernel,
 )
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -59,8 +59,9 @@
 	admissionService := provideAdmission(cfg, logger, registry)
 	claimsService := provideClaims(cfg, store, hub, members, logger, registry)
 	ordersService := provideOrders(cfg, store, logger, registry)
+	gossipService := provideGossip(hub, members, logger, registry)
 	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(service, hub, targetsRegistry, members, followerFollower, acceptorAcceptor, admissionService, claimsService, ordersService, gatewayGateway)
+	kernelKernel, err := provideKernel(service, hub, targetsRegistry, members, followerFollower, acceptorAcceptor, admissionService, claimsService, ordersService, gossipService, gatewayGateway)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +78,8 @@
 	provideHub,
 	provideMembers, follower.New, acceptor.New, provideAdmission,
 	provideClaims,
-	provideOrders, gateway.New, provideKernel,
+	provideOrders,
+	provideGossip, gateway.New, provideKernel,
 )
 
 // routerServices is the set of providers of a router node.
