Trace the request that crosses a stop, and check its refusal

The trace: the request is not passed on, the refusal says so, ends its connection and asks the caller back after 10 ms, and the other node serves it. A close unread tells the caller less, since it can't know that nothing ran. So the check was wrong.

--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -28,6 +28,8 @@
 	Status int
 	Header http.Header
 	Body   string
+	// Closes says that the connection ends with the answer.
+	Closes bool
 	// Err is how the answer broke off or failed to come.
 	Err error
 }
@@ -62,7 +64,7 @@
 		return out
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out.Status, out.Header = resp.StatusCode, resp.Header
+	out.Status, out.Header, out.Closes = resp.StatusCode, resp.Header, resp.Close
 	body, err := io.ReadAll(resp.Body)
 	out.Body, out.Err = string(body), err
 	return out
