Soak a request that ends its targets, and count each end once

What callers would have seen: a request that many send at once was quarantined for a moment though nothing ended under it. The mend: a target that takes a connection after it closed one lives, and its lost answers are no strikes; without a reply, the first close is the end, and what was sent after it met no target; only the node that saw an end tells it from others of that target. A late evidence counts from the close (TestLateEvidenceCountsFromTheClose). Also: a target's address is read under the pool's lock before a trial.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -25,9 +25,9 @@
 
 // guardedRequest is a request under the guard's eye.
 type guardedRequest struct {
-	guard *quarantine.Guard
-	id    string
-	print quarantine.Fingerprint
+	guard       *quarantine.Guard
+	id          string
+	fingerprint quarantine.Fingerprint
 	// counted says that the guard counts the attempt in progress, which went to target at
 	// sent.
 	counted bool
@@ -36,7 +36,7 @@
 }
 
 func (g *Gateway) guarded(c *call, f forwardRequest) *guardedRequest {
-	return &guardedRequest{guard: g.guard, id: c.id, print: quarantine.Request{
+	return &guardedRequest{guard: g.guard, id: c.id, fingerprint: quarantine.Request{
 		Caller: c.workspace.Team + "/" + c.workspace.Name, Method: f.method,
 		Host: f.admission.Pool.Name, URI: f.path + "?" + f.query, Body: f.body,
 	}.Fingerprint()}
@@ -47,13 +47,13 @@
 	if !r.guard.Active() {
 		return nil
 	}
-	d := r.guard.Begin(r.print)
+	d := r.guard.Begin(r.fingerprint)
 	r.counted = d.Counted
 	switch d.Verdict {
 	case quarantine.Busy:
 		return problem.New(problem.SuspectBusy, problem.RanNo, "").After(d.For)
 	case quarantine.Quarantined:
-		return problem.New(problem.Quarantined, problem.RanNo, "fingerprint "+r.print.String()).After(d.For)
+		return problem.New(problem.Quarantined, problem.RanNo, "fingerprint "+r.fingerprint.String()).After(d.For)
 	case quarantine.Free:
 	}
 	return nil
@@ -63,7 +63,7 @@
 func (r *guardedRequest) done() {
 	if r.counted {
 		r.counted = false
-		r.guard.Done(r.print)
+		r.guard.Done(r.fingerprint)
 	}
 }
 
@@ -83,17 +83,19 @@
 // completed is for a whole answer.
 func (r *guardedRequest) completed() {
 	if r.guard.Active() {
-		r.guard.Completed(r.print)
+		r.guard.Completed(r.fingerprint)
 	}
 }
 
 // cut is for a connection that the target closed before its answer was whole.
 func (r *guardedRequest) cut() {
+	closed := clock.Steady()
 	if !refusesConnections(r.target.Addr) {
 		return
 	}
 	run := routing.Rank(uint64(r.target.Incarnation), routing.Hash(r.target.ID))
-	r.guard.Ended(r.target.ID, run, []quarantine.Suspect{{Request: r.id, Fingerprint: r.print, Sent: r.sent}})
+	suspect := quarantine.Suspect{Request: r.id, Fingerprint: r.fingerprint, Sent: r.sent, Closed: closed}
+	r.guard.Ended(r.target.ID, run, []quarantine.Suspect{suspect})
 }
 
 // closedByTarget says whether the target closed the connection of a request that it may
--- a/heartbeat/fleet_requests_test.go
+++ b/heartbeat/fleet_requests_test.go
@@ -51,7 +51,7 @@
 // strike has a node see a target end under a request, and announce it.
 func (f *requestFleet) strike(n *fleetNode, request quarantine.Fingerprint) {
 	f.target++
-	f.tables[n].Ended(request, f.target, f.now.Add(-endingRun), f.now)
+	f.tables[n].Ended(request, f.target, f.now.Add(-endingRun), f.now, f.now)
 	out, err := n.Brief(f.own(n), n.view.LiveAddresses(f.now, DefaultConfig().Announced), f.now)
 	if err != nil {
 		panic(err)
@@ -165,7 +165,7 @@
 		}
 		f.target++
 		n := f.nodes[f.rng.IntN(len(f.nodes))]
-		f.tables[n].Ended(fingerprint(i+10), f.target, f.now.Add(-endingRun), f.now)
+		f.tables[n].Ended(fingerprint(i+10), f.target, f.now.Add(-endingRun), f.now, f.now)
 	}
 	f.reset()
 	f.strikes()
@@ -193,7 +193,7 @@
 func TestMessagesBringRequests(t *testing.T) {
 	is := is.New(t)
 	tab := quarantine.NewTable(quarantine.DefaultConfig())
-	tab.Ended(harmful, 7, start, start.Add(endingRun))
+	tab.Ended(harmful, 7, start, start.Add(endingRun), start.Add(endingRun))
 	own := Report{Requests: tab.Tell(start.Add(time.Second / 2))}
 	is.Equal(len(own.Requests), 1)
 	from := NewMachine(DefaultConfig(), nodeName(0), 1, nil)
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/lab/standin"
+	"github.com/knapweedgw/knapweedgw/problem"
 )
 
 // Report is the outcome of a run.
@@ -103,6 +104,9 @@
 	case x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests:
 		c.report.Refused++
 		c.refused = append(c.refused, x.id)
+		if strings.Contains(x.body, string(problem.Quarantined)) {
+			c.broken("request %s: quarantined, though no target ends under it", x.id)
+		}
 	case x.status == http.StatusUnauthorized || x.status == http.StatusNotFound:
 		c.broken("request %s: %d for what the configuration allows", x.id, x.status)
 	default:
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -153,12 +153,24 @@
 		// The system ends a program by a signal that comes before it has asked
 		// for its signals.
 		p.early = append(p.early, fault)
+		go p.startAgain(g)
 	default:
 		p.faults = append(p.faults, fault)
 	}
 	close(g.ended)
 }
 
+// startAgain starts the program after one that ended before it could take signals, as a
+// platform does.
+func (p *process) startAgain(ended *incarnation) {
+	<-ended.ended
+	if err := p.startAfter(ended); err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.faults = append(p.faults, fmt.Sprintf("was not started again: %v", err))
+	}
+}
+
 // logSize returns the size of the node's log in bytes, 0 if there is none.
 func (p *process) logSize() int64 {
 	info, err := os.Stat(p.logs)
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -42,6 +42,9 @@
 	Planned Profile = "planned"
 	// Own plays nodes of the callers' own interface, on the laboratory's platform.
 	Own Profile = "own"
+	// Ending has callers that send a request which ends its targets again and again, at
+	// any node, while nodes end and start and the store is away.
+	Ending Profile = "ending"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, Retime}
@@ -52,12 +55,16 @@
 
 var own = []Kind{Term, Term, Kill, Freeze, StoreBusy, StoreDeaf, TargetDoes}
 
+var ending = []Kind{Term, Kill, KillAll, Hup, CutStore, StoreBusy, StoreDeaf, Revive, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
 		return planned
 	case Own:
 		return own
+	case Ending:
+		return ending
 	default:
 		return mixed
 	}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -29,9 +29,10 @@
 
 // Proxy passes TCP connections on to a target, and harms them on order.
 type Proxy struct {
-	ln net.Listener
+	addr string
 
 	mu     sync.Mutex
+	ln     net.Listener
 	target string
 	harm   Harm
 	conns  map[net.Conn]struct{}
@@ -44,13 +45,34 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, ln: ln, harm: Pass, conns: make(map[net.Conn]struct{}), wake: make(chan struct{})}
-	go p.accept()
+	p := &Proxy{addr: ln.Addr().String(), target: target, ln: ln, harm: Pass, conns: make(map[net.Conn]struct{}), wake: make(chan struct{})}
+	go p.accept(ln)
 	return p, nil
 }
 
 // Addr is the ip:port of the proxy.
-func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+func (p *Proxy) Addr() string { return p.addr }
+
+// Leave has new connections refused, as a target does that has ended, until Return.
+func (p *Proxy) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close()
+}
+
+// Return takes connections again.
+func (p *Proxy) Return() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close() // another may have returned
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.ln = ln
+	go p.accept(ln)
+	return nil
+}
 
 // Set changes what happens to all connections.
 func (p *Proxy) Set(h Harm) {
@@ -83,7 +105,7 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	_ = p.ln.Close()
+	p.Leave()
 	p.Set(Reset)
 }
 
@@ -94,9 +116,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(ln net.Listener) {
 	for {
-		in, err := p.ln.Accept()
+		in, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -37,6 +37,7 @@
 	nodes   []*process
 	checker *checker
 	lost    *lostRule
+	ends    *endsRule
 	// configuring orders the versions of the configuration.
 	configuring sync.Mutex
 	version     int
@@ -78,11 +79,17 @@
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
 	}
+	if o.Profile == Ending {
+		work.Go(func() { r.sendEnding(ctx) })
+	}
 	play(ctx, report.Steps, r.step)
 	<-ctx.Done()
 	work.Wait()
 	r.checkCalm()
 	r.checker.settle()
+	if ended, most := r.ends.count(); ended > most {
+		r.checker.broken("a request ended %d targets, %d allowed", ended, most)
+	}
 	r.addTraces()
 	return report, nil
 }
@@ -92,6 +99,7 @@
 		Options: o, host: host, store: standin.NewStore(host), journal: standin.NewJournal(),
 		timeout: timeouts[0], harms: make(map[string]*timeline),
 	}
+	r.ends = &endsRule{journal: r.journal, store: func(from, to time.Time) bool { return r.lost.core.touches(from, to) }}
 	r.lost = &lostRule{journal: r.journal, targets: r.harmOf}
 	r.checker = newChecker(r.journal, o.Seed, r.lost)
 	r.configure(func() {})
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -44,8 +44,9 @@
 // shortRuns are the usual mix, and each seed that ever broke a promise, with its
 // cause.
 var shortRuns = map[string]Options{
-	"usual mix":     {Seed: 1, Profile: Mixed, Nodes: 4, Callers: 12, Length: mixLength},
-	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
+	"usual mix":                  {Seed: 1, Profile: Mixed, Nodes: 4, Callers: 12, Length: mixLength},
+	"a request ends its targets": {Seed: 2, Profile: Ending, Nodes: 4, Callers: 12, Length: mixLength},
+	"own interface":              {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
 	},
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -29,6 +29,7 @@
 func (t *target) put(r *run, id, service, zone string) {
 	e := standin.NewEngine(r.host, id, service, zone, r.journal)
 	e.Pace, e.StallFor, e.Public = enginePace, stallTime, t.proxy.Addr()
+	e.OnEnd = func() { r.noteEnd(t, e) }
 	t.proxy.Redirect(e.Addr())
 	t.mu.Lock()
 	t.engine = e
@@ -114,6 +115,7 @@
 }
 
 func (r *run) killAll() {
+	r.ends.killsAll()
 	var work sync.WaitGroup
 	defer work.Wait()
 	for _, n := range r.nodes {
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -163,6 +163,8 @@
 	StallFor time.Duration
 	// Public is the address in the engine's entry; its own one if empty.
 	Public string
+	// OnEnd is called before a request with EndingBody ends the engine; nil for nothing.
+	OnEnd func()
 
 	journal *Journal
 	owner   Owner
@@ -244,6 +246,9 @@
 	e.journal.begin(run, id)
 	if run.Body == EndingBody {
 		e.work(r, run, headerTime(r, BeforeHeader, 0))
+		if e.OnEnd != nil {
+			e.OnEnd()
+		}
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -18,7 +18,7 @@
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
 // Request is what a fingerprint is taken of. Caller names who sent it, so that nobody
-// puts another's requests into quarantine.
+// puts another's requests into quarantine; callers without a key are one caller.
 type Request struct {
 	Caller, Method, Host, URI string
 	Body                      []byte
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -93,6 +93,9 @@
 	Request     string // its ID
 	Fingerprint Fingerprint
 	Sent        time.Time
+	// Closed is when the target closed the connection. Evidence that it has ended may
+	// come seconds later.
+	Closed time.Time
 }
 
 // Ended notes that a target has ended under some runs. run is the hash of the target's run.
@@ -114,7 +117,7 @@
 	g.metrics.ends.Inc()
 	for _, s := range suspects {
 		was := g.table.Quarantined(s.Fingerprint)
-		strikes := g.table.Ended(s.Fingerprint, uint32(run), s.Sent, now)
+		strikes := g.table.Ended(s.Fingerprint, uint32(run), s.Sent, s.Closed, now)
 		g.log.Info("target ended under a request", "target", target, "request", s.Request,
 			"fingerprint", s.Fingerprint, "strikes", strikes, "sent_ms_ago", now.Sub(s.Sent).Milliseconds())
 		if !was && g.table.Quarantined(s.Fingerprint) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,6 +23,9 @@
 	_ struct{} `cbor:",toarray"`
 	// Target is the lower half of the hash of the target's run.
 	Target uint32
+	// Nth tells ends of the same target: one that starts again may end again before its
+	// new start is known.
+	Nth uint8
 	// Sent is when the request was sent there, Ended when the target was found to have
 	// ended.
 	Sent, Ended int64
@@ -34,6 +37,7 @@
 // end is a target that ended under a request.
 type end struct {
 	target      uint32
+	nth         uint8
 	sent, ended time.Time
 }
 
@@ -52,16 +56,22 @@
 
 // maxEnds is the most ends that are kept of a request: more than speak against it, since
 // some end at the same moment.
-const maxEnds = 8
+const maxEnds = 16
 
 // restartTime is less than any target takes to start again.
 const restartTime = 200 * time.Millisecond
 
-// same says whether two words are on the same end of a target. A target that starts again
-// may end before its new start is known, so its hash alone doesn't tell.
-func (a end) same(b end) bool {
-	return a.target == b.target &&
-		a.sent.Before(b.ended.Add(restartTime)) && b.sent.Before(a.ended.Add(restartTime))
+// observe adds an end that this node saw. One whose run was sent well after a known end of
+// the target is another. Only the node that saw it decides that: times that come from
+// other nodes are younger by the way of their messages.
+func (e *entry) observe(n end) (news bool) {
+	n.nth = 1
+	for _, known := range e.ends {
+		if known.target == n.target && n.sent.After(known.ended.Add(restartTime)) {
+			n.nth = max(n.nth, known.nth+1)
+		}
+	}
+	return e.addEnd(n)
 }
 
 // addEnd adds a target's end. Of two words on the same end the older one holds: it comes
@@ -69,21 +79,39 @@
 func (e *entry) addEnd(n end) bool {
 	for i := range e.ends {
 		known := &e.ends[i]
-		if known.same(n) {
+		if known.target == n.target && known.nth == n.nth {
 			known.sent = earlier(known.sent, n.sent)
 			known.ended = earlier(known.ended, n.ended)
+			slices.SortFunc(e.ends, end.compare)
 			return false
 		}
 	}
-	e.ends = slices.DeleteFunc(e.ends, func(x end) bool {
-		return len(e.ends) >= maxEnds && x.sent.Before(e.completed)
-	})
-	if len(e.ends) >= maxEnds {
+	at, _ := slices.BinarySearchFunc(e.ends, n, end.compare)
+	e.ends = slices.Insert(e.ends, at, n)
+	return !e.drop(n)
+}
+
+// compare orders ends by time; of those at the same moment the order is any, but the same
+// on all nodes.
+func (a end) compare(b end) int {
+	return cmp.Or(a.ended.Compare(b.ended), a.sent.Compare(b.sent), cmp.Compare(a.target, b.target), cmp.Compare(a.nth, b.nth))
+}
+
+// drop drops an end if there are too many: the newest that is no strike, else the oldest,
+// which a whole answer clears first. It returns whether that is n.
+func (e *entry) drop(n end) bool {
+	if len(e.ends) <= maxEnds {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(e.ends, n, func(a, b end) int { return a.ended.Compare(b.ended) })
-	e.ends = slices.Insert(e.ends, at, n)
-	return true
+	at := 0
+	for i, strike := range e.counting() {
+		if !strike {
+			at = i
+		}
+	}
+	dropped := e.ends[at]
+	e.ends = slices.Delete(e.ends, at, at+1)
+	return dropped == n
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -106,15 +134,26 @@
 // before another was completed don't count: what ended them was not the request.
 func (e *entry) strikes() int {
 	n := 0
+	for _, counts := range e.counting() {
+		if counts {
+			n++
+		}
+	}
+	return n
+}
+
+// counting says of each end whether it is a strike.
+func (e *entry) counting() []bool {
+	counts := make([]bool, len(e.ends))
 	var last time.Time
-	for _, end := range e.ends {
+	for i, end := range e.ends {
 		if end.sent.Before(e.completed) || end.sent.Before(last) {
 			continue
 		}
-		n++
+		counts[i] = true
 		last = end.ended
 	}
-	return n
+	return counts
 }
 
 // newest returns when anything was last known to happen with the request.
@@ -133,7 +172,7 @@
 	}
 	for _, end := range e.ends {
 		r.Ends = append(r.Ends, EndRecord{
-			Target: end.target, Sent: ageOf(end.sent, now), Ended: ageOf(end.ended, now),
+			Target: end.target, Nth: end.nth, Sent: ageOf(end.sent, now), Ended: ageOf(end.ended, now),
 		})
 	}
 	return r
@@ -145,7 +184,7 @@
 func (e *entry) merge(r Record, now time.Time) bool {
 	news := false
 	for _, n := range r.Ends {
-		news = e.addEnd(end{n.Target, timeOf(n.Sent, now), timeOf(n.Ended, now)}) || news
+		news = e.addEnd(end{n.Target, n.Nth, timeOf(n.Sent, now), timeOf(n.Ended, now)}) || news
 	}
 	news = e.complete(timeOf(r.Completed, now)) || news
 	news = advance(&e.trial, timeOf(r.Trial, now), messageDelay) || news
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -152,11 +152,11 @@
 
 func (t *Table) inQuarantine(e *entry) bool { return e.strikes() >= t.cfg.Strikes }
 
-// Ended notes that a target has ended which began to run the request at sent. It returns
-// the request's strikes.
-func (t *Table) Ended(f Fingerprint, target uint32, sent, now time.Time) int {
+// Ended notes that a target ended, at the time given, which was sent the request at sent.
+// It returns the request's strikes.
+func (t *Table) Ended(f Fingerprint, target uint32, sent, ended, now time.Time) int {
 	e := t.entry(f, now)
-	if e.addEnd(end{target, sent, now}) {
+	if e.observe(end{target: target, sent: sent, ended: ended}) {
 		e.changed = now
 	}
 	e.seen = later(e.seen, sent)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -14,20 +14,20 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func print(n int) Fingerprint {
+func numbered(n int) Fingerprint {
 	var f Fingerprint
 	binary.BigEndian.PutUint64(f[:], uint64(n))
 	return f
 }
 
-var request = print(1)
+var request = numbered(1)
 
 // run is how long a run lasts that ends its target.
 const run = 100 * time.Millisecond
 
 // strike has a run end its target.
 func strike(t *Table, f Fingerprint, target uint32, sent time.Time) {
-	t.Ended(f, target, sent, sent.Add(run))
+	t.Ended(f, target, sent, sent.Add(run), sent.Add(run))
 }
 
 // struck is a table in which n runs of the request, a second apart, ended their targets.
@@ -44,7 +44,7 @@
 	for n, want := range map[int]Verdict{0: Free, 1: Free, 2: Free, 3: Quarantined, 4: Quarantined} {
 		is.Equal(struck(n).Begin(request, at(5*time.Second)).Verdict, want)
 	}
-	is.Equal(struck(3).Begin(print(2), at(5*time.Second)).Verdict, Free) // others go on
+	is.Equal(struck(3).Begin(numbered(2), at(5*time.Second)).Verdict, Free) // others go on
 }
 
 // After two ends a copy waits for the outcome of the one that is being run.
@@ -67,7 +67,7 @@
 	tab := NewTable(DefaultConfig())
 	for i := range 5 {
 		sent := at(time.Duration(i) * 10 * time.Millisecond)
-		tab.Ended(request, uint32(i), sent, at(time.Second))
+		tab.Ended(request, uint32(i), sent, at(time.Second), at(time.Second))
 	}
 	is.Equal(tab.Begin(request, at(2*time.Second)).Strikes, 1)
 }
@@ -76,9 +76,9 @@
 func TestOneEndCountsOnce(t *testing.T) {
 	is := is.New(t)
 	tab := NewTable(DefaultConfig())
-	tab.Ended(request, 7, at(0), at(run))
-	tab.Ended(request, 7, at(run/2), at(run+5*time.Millisecond))
-	tab.Ended(request, 7, at(run+time.Millisecond), at(run+6*time.Millisecond)) // sent as it ended
+	tab.Ended(request, 7, at(0), at(run), at(run))
+	tab.Ended(request, 7, at(run/2), at(run+5*time.Millisecond), at(run+time.Second))
+	tab.Ended(request, 7, at(run+time.Millisecond), at(run+6*time.Millisecond), at(run+time.Second)) // sent as it ended
 	is.Equal(tab.Begin(request, at(time.Second)).Strikes, 1)
 }
 
@@ -92,13 +92,25 @@
 	is.Equal(tab.Begin(request, at(2*time.Second)).Verdict, Quarantined)
 }
 
+// Evidence may come late: runs that were sent after the target had closed its connections
+// count, though that it had ended was not known yet.
+func TestLateEvidenceCountsFromTheClose(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable(DefaultConfig())
+	for i := range 3 {
+		sent := at(time.Duration(i) * 300 * time.Millisecond)
+		tab.Ended(request, uint32(i), sent, sent.Add(run), at(2*time.Second))
+	}
+	is.Equal(tab.Begin(request, at(3*time.Second)).Verdict, Quarantined)
+}
+
 func TestWholeAnswerClears(t *testing.T) {
 	is := is.New(t)
 	tab := struck(2)
 	is.True(tab.Completed(request, at(3*time.Second)))
 	strike(tab, request, 9, at(4*time.Second))
 	is.Equal(tab.Begin(request, at(5*time.Second)).Strikes, 1)
-	is.True(!tab.Completed(print(2), at(5*time.Second))) // nothing was known of it
+	is.True(!tab.Completed(numbered(2), at(5*time.Second))) // nothing was known of it
 }
 
 // A hot request is on many targets when a quarter of them ends, three times. Its other
@@ -126,7 +138,7 @@
 		for m := range moments {
 			moment := time.Duration(m+1) * 2 * time.Second
 			if target < targets/4 && now < moment && now+length > moment {
-				n.Ended(request, uint32(target), at(now), at(moment))
+				n.Ended(request, uint32(target), at(now), at(moment), at(moment))
 				ended = true
 			}
 		}
@@ -203,7 +215,7 @@
 	is := is.New(t)
 	tab := struck(3)
 	for i := range 100_000 {
-		tab.Ended(print(i+10), uint32(i), at(time.Minute), at(time.Minute+run))
+		tab.Ended(numbered(i+10), uint32(i), at(time.Minute), at(time.Minute+run), at(time.Minute+run))
 		is.True(tab.Len() <= DefaultConfig().MaxEntries)
 	}
 	is.Equal(tab.Begin(request, at(2*time.Minute)).Strikes, 3)
@@ -215,16 +227,30 @@
 	is := is.New(t)
 	tab := struck(2)
 	for i := range 1000 {
-		tab.Ended(print(i+10), uint32(i), at(time.Second), at(time.Second+run))
+		tab.Ended(numbered(i+10), uint32(i), at(time.Second), at(time.Second+run), at(time.Second+run))
 	}
 	is.Equal(tab.Tell(at(time.Second + run))[0].Request, request)
 }
 
+// A late message makes an end seem younger, and not another one.
+func TestLateMessagesAddNoStrikes(t *testing.T) {
+	is := is.New(t)
+	a, b := struck(1), NewTable(DefaultConfig())
+	now := run
+	for range 20 {
+		now += 2 * time.Second // a node that waited for its processor
+		b.Hear([]Record{a.entries[request].record(request, at(now-2*time.Second))}, at(now))
+		a.Hear([]Record{b.entries[request].record(request, at(now-2*time.Second))}, at(now))
+	}
+	is.Equal(a.Begin(request, at(now)).Strikes, 1)
+	is.Equal(b.Begin(request, at(now)).Strikes, 1)
+}
+
 // A node that begins takes the quarantines from a note.
 func TestNote(t *testing.T) {
 	is := is.New(t)
 	from := struck(3)
-	strike(from, print(2), 1, at(2*time.Second))
+	strike(from, numbered(2), 1, at(2*time.Second))
 	noted := from.Note(at(4 * time.Second))
 	is.Equal(len(noted), 1) // suspects are not worth a write
 	to := NewTable(DefaultConfig())
@@ -234,8 +260,8 @@
 	is.Equal(to.Begin(request, at(9*time.Second)).Verdict, Quarantined)
 }
 
-// News of several nodes give the same strikes in whatever order they come, and however
-// often.
+// News of several nodes lead to the same verdict in whatever order they come, and however
+// often. No verdict tells more strikes apart than one that follows a quarantine.
 func TestNewsComeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		var news [][]Record
@@ -258,7 +284,7 @@
 					tab.Hear(news[i], now)
 				}
 			}
-			return tab.entries[request].strikes()
+			return min(tab.entries[request].strikes(), DefaultConfig().Strikes+1)
 		}
 		straight := make([]int, len(news))
 		for i := range straight {
--- a/router/ends.go
+++ b/router/ends.go
@@ -13,13 +13,16 @@
 
 // A connection that a target closes before its answer is whole is either a lost answer or
 // the end of the target. Which of the two is found out by opening another connection: a
-// target that has ended refuses it. One that is back already shows by the start in its
-// entry.
+// target that has ended refuses it, and one that lives, or something before it that goes
+// on listening, takes it. If neither comes, a later refusal or start of the target tells.
 
 const (
 	// suspectFor is how long a run whose connection was closed waits for evidence that
-	// its target has ended: until an entry of the next start is known.
+	// its target has ended.
 	suspectFor = 3 * time.Second
+	// closeSpread is how far apart a node sees the connections close that end with their
+	// target.
+	closeSpread = 200 * time.Millisecond
 	// maxSuspects bounds the runs of a target that wait so.
 	maxSuspects = 64
 	// probeWait is the longest that a request waits to learn whether it ended its target
@@ -27,37 +30,35 @@
 	probeWait = 50 * time.Millisecond
 )
 
-// closedRun is a run whose target closed the connection.
-type closedRun struct {
-	quarantine.Suspect
-	at time.Time
-}
-
-// closed notes a run whose target closed the connection. The channel is closed when it is
-// known whether the target refuses connections.
+// closed notes a run whose target closed the connection. The channel is closed when the
+// target was asked whether it takes another.
 func (p *pool) closed(m *member, s quarantine.Suspect) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	m.closed = slices.DeleteFunc(m.closed, func(c closedRun) bool { return now.Sub(c.at) > suspectFor })
+	m.closed = slices.DeleteFunc(m.closed, func(c quarantine.Suspect) bool { return now.Sub(c.Closed) > suspectFor })
 	if len(m.closed) < maxSuspects {
-		m.closed = append(m.closed, closedRun{s, now})
+		s.Closed = now
+		m.closed = append(m.closed, s)
 	}
 	if m.probe == nil {
 		m.probe = make(chan struct{})
-		go p.probeEnd(m)
+		go p.probeEnd(m, m.target.Addr)
 	}
 	return m.probe
 }
 
-// probeEnd finds out whether a target refuses connections.
-func (p *pool) probeEnd(m *member) {
-	err := p.try(m.target.Addr)
+// probeEnd finds out whether a target takes connections.
+func (p *pool) probeEnd(m *member, addr string) {
+	err := p.try(addr)
 	if upstream.IsRefused(err) {
 		p.ended(m)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err == nil {
+		m.closed = nil // the answers were lost
+	}
 	close(m.probe)
 	m.probe = nil
 }
@@ -70,16 +71,18 @@
 	p.blame(m)
 }
 
-// blame tells the guard of the runs under which a target ended. It is called with the
-// lock held.
+// blame tells the guard of the runs under which a target ended. That was when it closed
+// the first of their connections; what was sent later met no target. It is called with
+// the lock held.
 func (p *pool) blame(m *member) {
-	now := p.now()
-	var suspects []quarantine.Suspect
-	for _, c := range m.closed {
-		if now.Sub(c.at) <= suspectFor {
-			suspects = append(suspects, c.Suspect)
-		}
+	if len(m.closed) == 0 {
+		return
 	}
+	now, ended := p.now(), m.closed[0].Closed
+	suspects := slices.DeleteFunc(m.closed, func(c quarantine.Suspect) bool {
+		late := c.Closed.Sub(ended) > closeSpread || !c.Sent.Before(ended)
+		return late || now.Sub(c.Closed) > suspectFor
+	})
 	m.closed = nil
 	p.guard.Ended(m.target.ID, m.target.RunHash(), suspects)
 }
@@ -110,17 +113,17 @@
 
 // fingerprint tells the request from others of its caller, and from those of others.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if !x.hasPrint {
+	if !x.hasFingerprint {
 		caller := x.workspace
 		if caller == "" {
 			caller = x.call.Key
 		}
-		x.print = quarantine.Request{
+		x.knownFingerprint = quarantine.Request{
 			Caller: caller, Method: x.req.Method, Host: x.req.Host, URI: x.req.RequestURI, Body: x.body,
 		}.Fingerprint()
-		x.hasPrint = true
+		x.hasFingerprint = true
 	}
-	return x.print
+	return x.knownFingerprint
 }
 
 // beginRun asks whether the request may be run. It returns why not, nil if it may; then
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -50,9 +50,9 @@
 	sentAt        time.Time
 	attemptCancel context.CancelFunc
 
-	// print is the request's fingerprint, if hasPrint.
-	print    quarantine.Fingerprint
-	hasPrint bool
+	// knownFingerprint is the request's fingerprint, if hasFingerprint: few need one.
+	knownFingerprint quarantine.Fingerprint
+	hasFingerprint   bool
 	// guarded says that the guard counts the attempt in progress, completed that the
 	// last attempt's target answered it whole.
 	guarded, completed bool
@@ -294,8 +294,8 @@
 	if n := len(x.call.Parts); n > 0 {
 		fields = append(fields, "key", uint32(x.call.Parts[n-1].Hash), "shared", x.sharedTokens())
 	}
-	if x.hasPrint {
-		fields = append(fields, "fingerprint", x.print)
+	if x.hasFingerprint {
+		fields = append(fields, "fingerprint", x.knownFingerprint)
 	}
 	if x.done.fetchFrom != "" {
 		fields = append(fields, "fetch_from", x.done.fetchFrom)
--- a/router/pool.go
+++ b/router/pool.go
@@ -73,9 +73,10 @@
 	reported   int
 	reportedAt time.Time
 	gone       bool
-	// closed are the runs whose connection the target closed lately. probe is closed
-	// when it is known whether it refuses connections, nil while nobody asks.
-	closed []closedRun
+	// closed are the runs whose connection the target closed since it was last seen to
+	// take one, oldest first. probe is closed when it was asked for another, nil while
+	// nobody asks.
+	closed []quarantine.Suspect
 	probe  chan struct{}
 }
 
@@ -255,7 +256,7 @@
 				"failed", all[i].Failed, "service_answered", service.Answered, "service_failed", service.Failed)
 		}
 		if m.state.Trial(now) {
-			go p.trial(m)
+			go p.trial(m, m.target.Addr)
 		}
 	}
 	return sums
@@ -270,8 +271,8 @@
 }
 
 // trial opens a connection to an unreachable target, and closes it.
-func (p *pool) trial(m *member) {
-	err := p.try(m.target.Addr)
+func (p *pool) trial(m *member, addr string) {
+	err := p.try(addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if upstream.IsLocal(err) {
