--- a/heartbeat/fleet_requests_test.go
+++ b/heartbeat/fleet_requests_test.go
@@ -133,6 +133,7 @@
 	} {
 		for _, size := range tt.sizes {
 			t.Run(fmt.Sprint(tt.name, "/", size), func(t *testing.T) {
+				t.Parallel()
 				f := newRequestFleet(size, 5)
 				f.loss = tt.loss
 				if tt.before != nil {
@@ -157,6 +158,7 @@
 // A failure domain that loses 800 targets leaves 13,000 suspects in a second. The harmful
 // request among them is known everywhere as soon as ever.
 func TestHarmfulRequestAmongManySuspects(t *testing.T) {
+	t.Parallel()
 	const suspects = 13_000
 	f := newRequestFleet(370, 6)
 	for i := range suspects {
