--- a/placement/placement.go
+++ b/placement/placement.go
@@ -184,7 +184,8 @@
 	return choice, true
 }
 
-// filter returns the candidates that may get work. Each step gives way if it
+// filter returns the candidates that may get work. Targets that drain, were tried or
+// are in an evacuated failure domain never do. Each other step gives way if it
 // would leave none: first suspensions, then targets that can't be reached, then
 // fallback targets. Suspensions are a guess from failures and give way sooner,
 // when they would take most of a service; what can't be reached is no use however
@@ -195,7 +196,7 @@
 	suspended := 0
 	for _, c := range cands {
 		switch {
-		case c.Draining || c.Excluded:
+		case c.Draining || c.Excluded || c.Evacuated:
 		case c.Fallback:
 			fallback = append(fallback, c)
 		default:
--- a/replica/copying.go
+++ b/replica/copying.go
@@ -58,6 +58,9 @@
 	r.log.Info("copied from a node that is ahead", "peer", node, "revision", got.Revision,
 		"own_revision", own, "whole", got.Whole, "entries", len(got.Entries))
 	r.publish(ch, sourcePeer)
+	if got.Revision > own && !got.Evacuations {
+		r.readAgain()
+	}
 	if got.Revision > own {
 		r.changed()
 	}
@@ -66,6 +69,22 @@
 	}
 }
 
+// readAgainAfter is the least time between two reads of all by a node that copies from
+// one which can't tell of evacuations. It leaves half of the time in which an evacuation
+// must be in force.
+const readAgainAfter = 2500 * time.Millisecond
+
+// readAgain has all be read from the store: the copy came from a node of a release that
+// doesn't know of evacuations. It is called with the lock held.
+func (r *Replica) readAgain() {
+	if r.now().Sub(r.readAt) < readAgainAfter {
+		return
+	}
+	r.stale = true
+	r.restartWatch()
+	r.wakeFollow()
+}
+
 func (r *Replica) serveCopy(_ context.Context, params json.RawMessage) (any, error) {
 	var w Want
 	if err := json.Unmarshal(params, &w); err != nil {
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -18,6 +18,7 @@
 	audits      *prometheus.CounterVec
 	storeErrors prometheus.Counter
 	invalid     prometheus.Counter
+	evacuated   prometheus.Gauge
 	// unusable counts the changes of entries that name no target to use.
 	unusable *prometheus.CounterVec
 }
@@ -30,7 +31,8 @@
 		storeErrors: f.Counter("store_errors_total",
 			"reads and watches of the store that failed"),
 		invalid: f.Counter("invalid_values_total",
-			"configurations of the store that could not be used"),
+			"values of the store that could not be read"),
+		evacuated: f.Gauge("evacuated_domains", "failure domains that the operator has evacuated"),
 		unusable: f.Counters("unusable_entries_total",
 			"changes of entries that name no target to use, by what is wrong with them", "fault"),
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -83,7 +83,11 @@
 	storeRevision int64
 	// stale means that the copy lacks changes which the watch did not bring.
 	stale bool
-	rng   *rand.Rand
+	// readAt is when all was read from the store last.
+	readAt time.Time
+	// evacuated are the failure domains that are, as they were published last.
+	evacuated map[string]bool
+	rng       *rand.Rand
 	// restart ends the watch in progress.
 	restart   context.CancelFunc
 	onTargets []func(*roster.Snapshot)
@@ -169,7 +173,9 @@
 	defer r.mu.Unlock()
 	r.confirmed = r.now()
 	r.readNote(p)
-	r.publish(r.state.put(entries, p.Revision, r.now()), sourceStore)
+	r.readAt = r.now()
+	all := Copy{Entries: entries, Revision: p.Revision, Whole: true, Evacuations: true}
+	r.publish(r.state.put(all, r.now()), sourceStore)
 }
 
 // events takes a batch of changes of the store.
@@ -196,11 +202,40 @@
 	if ch.catalog {
 		r.publishCatalog(source)
 	}
+	if ch.evacuations {
+		r.publishEvacuations(source)
+	}
 	if ch.targets {
 		r.publishTargets(source)
 	}
 }
 
+// publishEvacuations is called with the lock held.
+func (r *Replica) publishEvacuations(source string) {
+	now := r.state.evacuated()
+	for domain := range now {
+		if !r.evacuated[domain] {
+			r.logEvacuation("failure domain evacuated", domain, source)
+		}
+	}
+	for domain := range r.evacuated {
+		if !now[domain] {
+			r.logEvacuation("failure domain taken back", domain, source)
+		}
+	}
+	r.evacuated = now
+	r.metrics.evacuated.Set(float64(len(now)))
+	r.metrics.changes.WithLabelValues("evacuations", source).Inc()
+	r.changed()
+}
+
+// logEvacuation is called with the lock held. A domain without targets may be one that
+// the operator misspelt.
+func (r *Replica) logEvacuation(msg, domain, source string) {
+	r.log.Info(msg, "failure_domain", domain, "targets", r.state.keeper.CountIn(domain),
+		"revision", r.state.revision, "source", source)
+}
+
 // publishCatalog is called with the lock held.
 func (r *Replica) publishCatalog(source string) {
 	c := r.state.catalog
--- a/replica/runs_test.go
+++ b/replica/runs_test.go
@@ -35,11 +35,11 @@
 			c.change(late, start)
 			c.advance(late.Revision)
 		},
-		"list": func(c *copyState, late Entry) { c.put([]Entry{late}, late.Revision, start) },
+		"list": func(c *copyState, late Entry) { c.put(everything([]Entry{late}, late.Revision), start) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, c := is.New(t), startsState(t)
-			c.put([]Entry{target("a", "old@10", 5)}, 5, start)
+			c.put(everything([]Entry{target("a", "old@10", 5)}, 5), start)
 			is.True(c.change(target("a", "new@11", 6), start).targets)
 			c.advance(6)
 			deliver(c, target("a", "old@10", 7))
@@ -49,7 +49,7 @@
 			fresh.take(c.newer(Want{}), start)
 			is.Equal(address(fresh), "new")
 			behind := startsState(t)
-			behind.put([]Entry{target("a", "old@10", 5)}, 5, start)
+			behind.put(everything([]Entry{target("a", "old@10", 5)}, 5), start)
 			behind.take(c.newer(Want{Revision: 5}), start)
 			is.Equal(address(behind), "new")
 		})
@@ -60,9 +60,9 @@
 // it is remembered.
 func TestLateWriteAfterTheLaterRunLeft(t *testing.T) {
 	is, c := is.New(t), startsState(t)
-	c.put([]Entry{target("a", "new@11", 5)}, 5, start)
+	c.put(everything([]Entry{target("a", "new@11", 5)}, 5), start)
 	c.change(Entry{Key: "t/a", Revision: 6, Removed: true}, start)
-	c.put([]Entry{target("a", "old@10", 7)}, 7, start)
+	c.put(everything([]Entry{target("a", "old@10", 7)}, 7), start)
 	is.Equal(address(c), "new")
 	is.True(c.keeper.Expire(start.Add(roster.FallbackGrace)))
 	is.Equal(c.keeper.Snapshot().Count(), 0)
--- a/replica/state.go
+++ b/replica/state.go
@@ -19,6 +19,11 @@
 	CatalogKey() string
 	// TargetPrefix starts the keys of the targets' entries.
 	TargetPrefix() string
+	// EvacuationPrefix starts the keys that are there while a failure domain is
+	// evacuated; the rest of the key is its name.
+	EvacuationPrefix() string
+	// CheckEvacuation says whether the value of such a key can be read.
+	CheckEvacuation(value []byte) error
 	// NoteKey holds the nodes' own note, see Replica.SaveNote.
 	NoteKey() string
 	DecodeCatalog(value []byte) (*catalog.Catalog, error)
@@ -55,7 +60,10 @@
 	revision int64
 	targets  map[string]heldEntry
 	keeper   *roster.Keeper
-	// recent are the last changes of targets, all of those since recentFrom.
+	// evacuations are the entries of evacuated failure domains, by key.
+	evacuations map[string]Entry
+	// recent are the last changes of targets and evacuations, all of those since
+	// recentFrom.
 	recent     []Entry
 	recentFrom int64
 	// problems takes configurations that can't be used; the last good one stays.
@@ -70,7 +78,8 @@
 func newCopyState(s Schema, problems, unusable noticeFunc) *copyState {
 	return &copyState{
 		schema: s, targets: make(map[string]heldEntry), keeper: roster.NewKeeper(),
-		problems: problems, unusable: unusable,
+		evacuations: make(map[string]Entry),
+		problems:    problems, unusable: unusable,
 	}
 }
 
@@ -101,31 +110,38 @@
 }
 
 // changes says what an update changed.
-type changes struct{ catalog, targets bool }
+type changes struct{ catalog, targets, evacuations bool }
 
 func (c *changes) add(d changes) {
 	c.catalog = c.catalog || d.catalog
 	c.targets = c.targets || d.targets
+	c.evacuations = c.evacuations || d.evacuations
 }
 
-// put replaces the whole copy by the entries at revision.
-func (c *copyState) put(entries []Entry, revision int64, now time.Time) changes {
-	if revision < c.revision {
+// put replaces the whole copy by that of got. Evacuations that got doesn't cover stay
+// as they are.
+func (c *copyState) put(got Copy, now time.Time) changes {
+	if got.Revision < c.revision {
 		return changes{}
 	}
-	c.revision = revision
-	c.recent, c.recentFrom = nil, revision
+	c.revision = got.Revision
+	c.recent, c.recentFrom = nil, got.Revision
 	var out changes
-	var targets []Entry
-	for _, e := range entries {
+	var targets, evacuations []Entry
+	for _, e := range got.Entries {
 		switch {
 		case e.Key == c.schema.CatalogKey():
 			out.catalog = c.putCatalog(e)
 		case c.isTarget(e.Key):
 			targets = append(targets, e)
+		case c.isEvacuation(e.Key):
+			evacuations = append(evacuations, e)
 		}
 	}
 	out.targets = c.putTargets(targets, now)
+	if got.Evacuations {
+		out.add(c.putEvacuations(evacuations, now))
+	}
 	return out
 }
 
@@ -136,10 +152,12 @@
 		return changes{}
 	case e.Key == c.schema.CatalogKey() && !e.Removed:
 		return changes{catalog: c.putCatalog(e)}
-	case !c.isTarget(e.Key):
-		return changes{}
+	case c.isTarget(e.Key):
+		return changes{targets: c.changeTarget(e, now)}
+	case c.isEvacuation(e.Key):
+		return c.changeEvacuation(e, now)
 	}
-	return changes{targets: c.changeTarget(e, now)}
+	return changes{}
 }
 
 // advance records that all changes up to revision are in the copy.
@@ -166,11 +184,14 @@
 	Entries  []Entry `json:"entries,omitempty"`
 	Revision int64   `json:"revision"`
 	Whole    bool    `json:"whole,omitempty"`
+	// Evacuations says that evacuated failure domains are among what is passed on.
+	// Nodes of releases that don't know of them leave it out.
+	Evacuations bool `json:"evacuations,omitempty"`
 }
 
 // newer returns what the copy has beyond w.
 func (c *copyState) newer(w Want) Copy {
-	out := Copy{Revision: max(c.revision, w.Revision)}
+	out := Copy{Revision: max(c.revision, w.Revision), Evacuations: true}
 	if c.catalogEntry.Revision > w.CatalogRevision {
 		out.Entries = append(out.Entries, c.catalogEntry)
 	}
@@ -189,13 +210,16 @@
 	for _, e := range c.targets {
 		out.Entries = append(out.Entries, e.Entry)
 	}
+	for _, e := range c.evacuations {
+		out.Entries = append(out.Entries, e)
+	}
 	return out
 }
 
 // take applies what another node passed on.
 func (c *copyState) take(got Copy, now time.Time) changes {
 	if got.Whole {
-		return c.put(got.Entries, got.Revision, now)
+		return c.put(got, now)
 	}
 	var out changes
 	for _, e := range got.Entries {
--- a/replica/state_test.go
+++ b/replica/state_test.go
@@ -25,6 +25,15 @@
 func (plain) TargetPrefix() string { return "t/" }
 func (plain) NoteKey() string      { return "note" }
 
+func (plain) EvacuationPrefix() string { return "e/" }
+
+func (plain) CheckEvacuation(value []byte) error {
+	if len(value) == 0 {
+		return errors.New("empty")
+	}
+	return nil
+}
+
 func (plain) DecodeCatalog(value []byte) (*catalog.Catalog, error) {
 	var version int64
 	if err := json.Unmarshal(value, &version); err != nil {
@@ -40,6 +49,11 @@
 	return roster.Target{ID: key, Service: "s", Addr: string(value)}, nil
 }
 
+// everything is all that the store holds at a revision.
+func everything(entries []Entry, revision int64) Copy {
+	return Copy{Entries: entries, Revision: revision, Whole: true, Evacuations: true}
+}
+
 func newState(t interface{ Log(...any) }) *copyState {
 	notice := func(key string, _ int64, err error) { t.Log(key, err) }
 	return newCopyState(plain{}, notice, notice)
@@ -65,8 +79,8 @@
 
 func TestOlderCopyChangesNothing(t *testing.T) {
 	is, c := is.New(t), newState(t)
-	c.put([]Entry{target("a", "1", 5), target("b", "1", 6)}, 6, start)
-	is.Equal(c.put([]Entry{target("a", "1", 5)}, 5, start), changes{})
+	c.put(everything([]Entry{target("a", "1", 5), target("b", "1", 6)}, 6), start)
+	is.Equal(c.put(everything([]Entry{target("a", "1", 5)}, 5), start), changes{})
 	is.Equal(c.keeper.Snapshot().Count(), 2)
 }
 
@@ -82,7 +96,7 @@
 			revision++
 			e := drawChange(t, revision)
 			if i == begun {
-				ahead.put(entries(ahead), ahead.revision, start) // forgets its changes
+				ahead.put(everything(entries(ahead), ahead.revision), start) // forgets its changes
 			}
 			ahead.change(e, start)
 			ahead.advance(revision)
--- a/replica/unusable_test.go
+++ b/replica/unusable_test.go
@@ -47,7 +47,7 @@
 func TestUnusableEntryCostsNoOther(t *testing.T) {
 	const bad = 42
 	for name, deliver := range map[string]func(c *copyState){
-		"list": func(c *copyState) { c.put(hundred(bad), 100, start) },
+		"list": func(c *copyState) { c.put(everything(hundred(bad), 100), start) },
 		"changes": func(c *copyState) {
 			for _, e := range hundred(bad) {
 				c.change(e, start)
@@ -59,7 +59,7 @@
 			is, first, whole, changed := is.New(t), newState(t), newState(t), newState(t)
 			deliver(first)
 			whole.take(passed(t, first, Want{}), start)
-			changed.put(nil, 0, start)
+			changed.put(everything(nil, 0), start)
 			changed.take(passed(t, first, Want{Revision: 0}), start)
 			for _, c := range []*copyState{first, whole, changed} {
 				is.Equal(c.keeper.Snapshot().Count(), 99)
@@ -77,16 +77,16 @@
 	bad := Entry{Key: "t/a", Revision: 7}
 	for name, deliver := range map[string]func(c *copyState){
 		"change": func(c *copyState) { c.change(bad, start) },
-		"list":   func(c *copyState) { c.put([]Entry{bad, target("b", "2", 6)}, 7, start) },
+		"list":   func(c *copyState) { c.put(everything([]Entry{bad, target("b", "2", 6)}, 7), start) },
 		"copy of a node that never knew it": func(c *copyState) {
 			other := newState(t)
-			other.put([]Entry{bad, target("b", "2", 6)}, 7, start)
+			other.put(everything([]Entry{bad, target("b", "2", 6)}, 7), start)
 			c.take(passed(t, other, Want{Revision: 6}), start)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, c := is.New(t), newState(t)
-			c.put([]Entry{target("a", "1", 5), target("b", "2", 6)}, 6, start)
+			c.put(everything([]Entry{target("a", "1", 5), target("b", "2", 6)}, 6), start)
 			c.keeper.Disturbed(start)
 			deliver(c)
 			c.advance(7)
@@ -115,7 +115,7 @@
 func TestEntryThatLostItsStart(t *testing.T) {
 	is, notices := is.New(t), 0
 	c := newCopyState(starts{}, nil, func(string, int64, error) { notices++ })
-	c.put([]Entry{target("a", "new@11", 5)}, 5, start)
+	c.put(everything([]Entry{target("a", "new@11", 5)}, 5), start)
 	c.change(target("a", "new@-62135596800", 6), start) // the zero time
 	is.Equal(c.keeper.Snapshot().Count(), 0)
 	is.Equal(notices, 1)
@@ -126,7 +126,7 @@
 	is := is.New(t)
 	c := newCopyState(unreadable{}, nil, func(string, int64, error) {})
 	large := Entry{Key: "t/a", Value: bytes.Repeat([]byte("x"), 1<<20), Revision: 1}
-	c.put([]Entry{large}, 1, start)
+	c.put(everything([]Entry{large}, 1), start)
 	large.Revision = 2
 	c.change(large, start)
 	c.advance(2)
--- a/roster/diff.go
+++ b/roster/diff.go
@@ -8,8 +8,10 @@
 	Joined    Change = "joined"
 	Restarted Change = "restarted" // a later run under the same ID
 	Drains    Change = "drains"
-	Lapses    Change = "lapses"    // its entry is gone; it is a last resort
-	Withdrawn Change = "withdrawn" // its entry is unusable
+	Evacuates Change = "evacuates"  // its failure domain is evacuated
+	TakenBack Change = "taken_back" // its failure domain is taken back
+	Lapses    Change = "lapses"     // its entry is gone; it is a last resort
+	Withdrawn Change = "withdrawn"  // its entry is unusable
 	Gone      Change = "gone"
 	Modified  Change = "modified"
 )
@@ -52,6 +54,10 @@
 		return Lapses
 	case now.Draining && !old.Draining:
 		return Drains
+	case now.Evacuated && !old.Evacuated:
+		return Evacuates
+	case old.Evacuated && !now.Evacuated:
+		return TakenBack
 	}
 	return Modified
 }
--- /dev/null
+++ b/roster/evacuation.go
@@ -0,0 +1,31 @@
+package roster
+
+import "time"
+
+// Evacuate replaces the evacuated failure domains. It returns true if that changes a
+// target.
+func (k *Keeper) Evacuate(domains map[string]bool, _ time.Time) bool {
+	k.evacuated = domains
+	changed := false
+	for id, t := range k.targets {
+		if t.Evacuated == domains[t.FailureDomain] {
+			continue
+		}
+		next := *t
+		next.Evacuated = !t.Evacuated
+		k.targets[id] = &next
+		changed = true
+	}
+	return changed
+}
+
+// CountIn returns the number of targets in a failure domain.
+func (k *Keeper) CountIn(domain string) int {
+	n := 0
+	for _, t := range k.targets {
+		if t.FailureDomain == domain {
+			n++
+		}
+	}
+	return n
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -32,6 +32,9 @@
 	// Withdrawn targets have an entry that is unusable now. Requests in progress
 	// there end as they may; nothing else goes there.
 	Withdrawn bool
+	// Evacuated targets are in a failure domain that the operator has evacuated. Nothing
+	// new goes there, whatever else is left; requests in progress end as they may.
+	Evacuated bool
 	// Hash is the key of the target's ID in placement. A later run has the same,
 	// so that nodes which don't know of it yet rank the targets alike.
 	Hash uint64
@@ -105,6 +108,8 @@
 	// missing are the targets whose entries vanished while the store was
 	// disturbed, with the time at which they are taken for gone.
 	missing map[string]time.Time
+	// evacuated are the failure domains that the operator has evacuated.
+	evacuated map[string]bool
 	// disturbedUntil is the end of the time in which vanished entries may
 	// have lapsed.
 	disturbedUntil time.Time
@@ -153,6 +158,7 @@
 	}
 	_, wasMissing := k.missing[t.ID]
 	delete(k.missing, t.ID)
+	t.Evacuated = k.evacuated[t.FailureDomain]
 	old, known := k.targets[t.ID]
 	if known && old.Started.Equal(t.Started) {
 		t.Joined = old.Joined
--- a/router/lease.go
+++ b/router/lease.go
@@ -81,6 +81,13 @@
 	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
 }
 
+// hasEvacuated says whether targets of a service are in evacuated failure domains.
+func (p *pool) hasEvacuated(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.services[service], func(m *member) bool { return m.target.Evacuated })
+}
+
 // gate is called with the lock held.
 func (p *pool) gate(service string) *overload.Gate {
 	g, ok := p.gates[service]
--- a/router/pool.go
+++ b/router/pool.go
@@ -255,7 +255,7 @@
 			p.log.Warn("target suspended", "target", m.target.ID, "answered", all[i].Answered,
 				"failed", all[i].Failed, "service_answered", service.Answered, "service_failed", service.Failed)
 		}
-		if m.state.Trial(now) {
+		if !m.target.Evacuated && m.state.Trial(now) {
 			go p.trial(m, m.target.Addr)
 		}
 	}
