--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/warmup"
 )
 
 // Kind says what may be repeated of the requests of a route.
@@ -69,6 +71,8 @@
 	// ModelEngine says that the targets are model engines, which can fetch
 	// cached prompt parts from each other.
 	ModelEngine bool
+	// WarmUp is what a target bears that has just started.
+	WarmUp warmup.Limit
 }
 
 // Workspace is a customer of the fleet.
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -44,6 +44,7 @@
 	// groups and lives are those of notedAt.
 	groups, lives int
 	notedAt       time.Time
+	began         time.Time
 	// leaving says that this node stops.
 	leaving bool
 }
@@ -55,7 +56,7 @@
 	e := &Exchange{
 		cfg: cfg, self: self, seeds: seeds, log: l, now: time.Now, metrics: newMetrics(reg),
 		machine: NewMachine(cfg, self, time.Now().UnixNano(), rng), alive: make(map[string]bool),
-		groups: 1, lives: 1,
+		groups: 1, lives: 1, began: time.Now(),
 	}
 	e.machine.onRelay = e.noteRelay
 	return e
@@ -269,6 +270,26 @@
 	return e.lives
 }
 
+// Known returns the number of nodes, this one included, that there are or were within
+// the last minute. Of a node that can't hear the others any more, or has just begun, it
+// is still the whole fleet: what each may have of a common bound must not grow then.
+func (e *Exchange) Known() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.machine.view.size()
+	if e.now().Sub(e.began) < acquaint {
+		return max(known, assumedFleet)
+	}
+	return known
+}
+
+const (
+	// acquaint is how long a node that has just begun needs to hear of all others.
+	acquaint = time.Second
+	// assumedFleet is the largest fleet that is planned for.
+	assumedFleet = 370
+)
+
 // Interval returns the time between two messages to the same node.
 func (e *Exchange) Interval() time.Duration {
 	e.mu.Lock()
--- /dev/null
+++ b/heartbeat/known_test.go
@@ -0,0 +1,33 @@
+package heartbeat
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// A node that has just begun, or was cut off from the others, takes no larger part of a
+// bound that all share than the whole fleet leaves it.
+func TestKnownNodes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	e := NewExchange(DefaultConfig(), "10.0.0.1:1", nil, log.New(io.Discard), prometheus.NewRegistry())
+	e.now = func() time.Time { return now }
+	e.began = now
+	is.Equal(e.Known(), assumedFleet)
+
+	now = now.Add(acquaint)
+	for _, other := range []string{"10.0.0.2:1", "10.0.0.3:1"} {
+		e.machine.view.Receive(Report{Node: other, Sequence: 1}, now)
+	}
+	is.Equal(e.Known(), 3)
+
+	now = now.Add(30 * time.Second)
+	e.machine.view.Expire(now)
+	is.Equal(e.machine.view.Lives(now), 1)
+	is.Equal(e.Known(), 3)
+}
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -163,6 +164,10 @@
 	StallFor time.Duration
 	// Public is the address in the engine's entry; its own one if empty.
 	Public string
+	// ColdFor is how long the engine is cold after its first start. A cold engine bears
+	// ColdPerSecond requests in any second, and ends at more; 0 for any number.
+	ColdFor       time.Duration
+	ColdPerSecond int
 	// OnEnd is called before a request with EndingBody ends the engine; nil for nothing.
 	OnEnd func()
 
@@ -176,6 +181,8 @@
 	born     int64 // Unix milliseconds
 	fault    Fault
 	left     int // requests for which the fault holds, -1 for all
+	// arrived are the times of the requests that came while the engine was cold.
+	arrived []time.Time
 }
 
 // Entry is what the engine writes to the store.
@@ -186,11 +193,51 @@
 	}
 	return map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1",
-		"slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+		"slots": 8, "state": state, "cold_remaining_ms": e.coldLeft().Milliseconds(), "sequence": 1,
 		"born": e.Born(),
 	}
 }
 
+// coldLeft is how much longer the engine is cold.
+func (e *Engine) coldLeft() time.Duration {
+	return max(time.Until(time.UnixMilli(e.Born()).Add(e.ColdFor)), 0)
+}
+
+// arrive notes a request. It says whether a cold engine bears it.
+func (e *Engine) arrive() bool {
+	if e.ColdPerSecond == 0 || e.coldLeft() == 0 {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrived = append(e.arrived, time.Now())
+	return inSecond(e.arrived) <= e.ColdPerSecond
+}
+
+// inSecond returns how many of the times, in their order, are in the second that ends
+// with the last.
+func inSecond(times []time.Time) int {
+	n := 0
+	for _, t := range slices.Backward(times) {
+		if times[len(times)-1].Sub(t) >= time.Second {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+// ColdArrivals returns how many requests came while the engine was cold, and the most
+// in a second.
+func (e *Engine) ColdArrivals() (all, most int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.arrived {
+		most = max(most, inSecond(e.arrived[:i+1]))
+	}
+	return len(e.arrived), most
+}
+
 // SetFault makes the next n requests suffer f, all for n = -1.
 func (e *Engine) SetFault(f Fault, n int) {
 	e.mu.Lock()
@@ -238,6 +285,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !e.arrive() {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	body, _ := io.ReadAll(r.Body) // a short body shows in the journal
 	run := &Run{
 		Engine: e.ID, Service: e.Service, Born: e.Born(),
--- /dev/null
+++ b/placement/cold_test.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEvacuatedTargetsAreNoLastResort(t *testing.T) {
+	is := is.New(t)
+	cands := pool(3)
+	cands[0].Evacuated = true
+	cands[1].Unreachable, cands[1].Suspended = true, true
+	cands[2].Fallback = true
+	is.Equal(pick(t, cands, Request{Key: 7}).Target.ID, "engine-1")
+	cands[1].Draining = true
+	is.Equal(pick(t, cands, Request{}).Target.ID, "engine-2")
+	cands[2].Excluded = true
+	_, ok := NewService(cands, DefaultPolicy()).Pick(Request{Key: 7}, rng())
+	is.True(!ok)
+	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
+}
+
+// The bound doesn't grow when a failure domain is evacuated.
+func TestBoundCountsEvacuatedTargets(t *testing.T) {
+	is := is.New(t)
+	cands := pool(4)
+	for i := range cands {
+		cands[i].Running = 10
+	}
+	before := pick(t, cands, Request{Key: 7}).Limit
+	cands[0].Evacuated, cands[0].Running = true, 0
+	is.True(pick(t, cands, Request{Key: 7}).Limit < before)
+}
+
+func TestColdTargetGetsNoMoreThanItsShare(t *testing.T) {
+	is := is.New(t)
+	cands := pool(2)
+	cands[0].Running = 20
+	cands[1].Cold, cands[1].Kept, cands[1].ColdRoom = true, 100, 5
+	for range 20 {
+		is.Equal(pick(t, cands, Request{Key: 7, Shared: 100}).Target.ID, "engine-0")
+		is.Equal(pick(t, cands, Request{}).Target.ID, "engine-0")
+	}
+	cands[1].MaySend = true
+	is.Equal(pick(t, cands, Request{Key: 7, Shared: 100}).Target.ID, "engine-1")
+	is.Equal(pick(t, cands, Request{}).Target.ID, "engine-1")
+}
+
+// If all targets are cold, requests are spread by what these bear, and refused when
+// none bears more.
+func TestAllTargetsCold(t *testing.T) {
+	is := is.New(t)
+	cands := pool(3)
+	for i := range cands {
+		cands[i].Cold, cands[i].ColdRoom = true, i
+	}
+	seen := make(map[string]int)
+	r := rng()
+	for range 300 {
+		c, ok := NewService(cands, DefaultPolicy()).Pick(Request{Key: 7, Shared: 10}, r)
+		is.True(ok)
+		seen[c.Target.ID]++
+	}
+	is.Equal(seen["engine-0"], 0)
+	is.True(seen["engine-1"] > 50 && seen["engine-2"] > seen["engine-1"])
+	cands[1].ColdRoom, cands[2].ColdRoom = 0, 0
+	_, ok := NewService(cands, DefaultPolicy()).Pick(Request{}, r)
+	is.True(!ok)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,11 @@
 	Unreachable bool
 	// Excluded targets were tried for this request.
 	Excluded bool
+	// Cold targets have just started and bear few requests. One gets the request only
+	// if MaySend, the node's share of what it bears, allows it; if no other is left, it
+	// may if ColdRoom, how many more a second it bears, is over 0.
+	Cold, MaySend bool
+	ColdRoom      int
 	// Kept is the number of the request's shared prompt tokens that the target
 	// probably keeps. Settled says that it has surely read them by now.
 	Kept    int
@@ -152,11 +157,29 @@
 	all    []Candidate
 	// eligible are those that may get work now, whatever the request.
 	eligible []Candidate
+	// open are the eligible ones without the cold ones that have had their share.
+	open []Candidate
+	// bounded are those by whose mean load the bound goes.
+	bounded []Candidate
 }
 
 // NewService sorts out which candidates of a service may get work.
 func NewService(cands []Candidate, p Policy) Service {
-	return Service{policy: p, all: cands, eligible: filter(cands, p)}
+	eligible := filter(cands, p)
+	return Service{policy: p, all: cands, eligible: eligible, open: open(eligible), bounded: bounded(cands, eligible)}
+}
+
+// bounded returns the eligible candidates and those in evacuated failure domains. The
+// bound is a multiple of the mean over a service's targets, of which these still are: by
+// the mean of the others it would grow with each domain that is evacuated.
+func bounded(all, eligible []Candidate) []Candidate {
+	out := eligible
+	for _, c := range all {
+		if c.Evacuated && !c.Draining {
+			out = append(out[:len(out):len(out)], c)
+		}
+	}
+	return out
 }
 
 // Eligible returns the candidates that may get work now. The caller must not
@@ -168,12 +191,21 @@
 	if len(s.eligible) == 0 {
 		return Choice{}, false
 	}
-	limit := loadLimit(s.eligible, s.policy)
+	limit := loadLimit(s.bounded, s.policy)
+	var chosen Candidate
+	switch {
+	case len(s.open) == 0:
+		if chosen, ok = leastCold(s.eligible, rng); !ok {
+			return Choice{}, false
+		}
+	case req.Key == 0:
+		chosen = unkeyed(s.open, req, s.policy, rng)
+	default:
+		chosen = s.keyed(req, limit, rng)
+	}
 	if req.Key == 0 {
-		chosen := unkeyed(s.eligible, req, s.policy, rng)
 		return Choice{Target: chosen.Target, Limit: limit, Running: chosen.Running, Reason: NoParts}, true
 	}
-	chosen := s.keyed(req, limit, rng)
 	choice := Choice{
 		Target: chosen.Target, Limit: limit, Running: chosen.Running, Kept: chosen.Kept,
 		Reason: s.reason(req, chosen),
@@ -263,8 +295,8 @@
 // least loaded.
 func (s Service) keyed(req Request, limit int, rng *rand.Rand) Candidate {
 	var whole, rest []Candidate
-	allFull := allFull(s.eligible, req)
-	for _, c := range s.eligible {
+	allFull := allFull(s.open, req)
+	for _, c := range s.open {
 		switch {
 		case c.Running > limit || !allFull && req.full(c.Running, c.Slots):
 		case req.keptBy(c):
@@ -277,7 +309,7 @@
 	case len(whole) > 0:
 		return spread(whole, req, limit, rng)
 	case len(rest) == 0:
-		return leastLoaded(s.eligible, req, rng)
+		return leastLoaded(s.open, req, rng)
 	}
 	return s.leave(rest, req)
 }
--- a/roster/diff.go
+++ b/roster/diff.go
@@ -10,8 +10,10 @@
 	Drains    Change = "drains"
 	Evacuates Change = "evacuates"  // its failure domain is evacuated
 	TakenBack Change = "taken_back" // its failure domain is taken back
-	Lapses    Change = "lapses"     // its entry is gone; it is a last resort
-	Withdrawn Change = "withdrawn"  // its entry is unusable
+	Cold      Change = "cold"       // it bears few requests for a while
+	Warm      Change = "warm"
+	Lapses    Change = "lapses"    // its entry is gone; it is a last resort
+	Withdrawn Change = "withdrawn" // its entry is unusable
 	Gone      Change = "gone"
 	Modified  Change = "modified"
 )
@@ -58,6 +60,10 @@
 		return Evacuates
 	case old.Evacuated && !now.Evacuated:
 		return TakenBack
+	case now.ColdUntil.After(old.ColdUntil):
+		return Cold
+	case now.ColdUntil.Before(old.ColdUntil):
+		return Warm
 	}
 	return Modified
 }
--- a/roster/evacuation.go
+++ b/roster/evacuation.go
@@ -4,7 +4,7 @@
 
 // Evacuate replaces the evacuated failure domains. It returns true if that changes a
 // target.
-func (k *Keeper) Evacuate(domains map[string]bool, _ time.Time) bool {
+func (k *Keeper) Evacuate(domains map[string]bool, now time.Time) bool {
 	k.evacuated = domains
 	changed := false
 	for id, t := range k.targets {
@@ -13,6 +13,9 @@
 		}
 		next := *t
 		next.Evacuated = !t.Evacuated
+		if t.Evacuated {
+			next.TakenBack = now
+		}
 		k.targets[id] = &next
 		changed = true
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -35,6 +35,14 @@
 	// Evacuated targets are in a failure domain that the operator has evacuated. Nothing
 	// new goes there, whatever else is left; requests in progress end as they may.
 	Evacuated bool
+	// ColdFor is how much longer the target is cold, as its entry says. The Keeper turns
+	// it into ColdUntil, which is zero for a target that isn't. An entry may be read long
+	// after it was written, so that a target is rather taken for cold too long.
+	ColdFor   time.Duration
+	ColdUntil time.Time
+	// TakenBack is when its failure domain was last taken back from an evacuation, zero
+	// for never. It may be cold then, and say so only later.
+	TakenBack time.Time
 	// Hash is the key of the target's ID in placement. A later run has the same,
 	// so that nodes which don't know of it yet rank the targets alike.
 	Hash uint64
@@ -159,9 +167,13 @@
 	_, wasMissing := k.missing[t.ID]
 	delete(k.missing, t.ID)
 	t.Evacuated = k.evacuated[t.FailureDomain]
+	if t.ColdFor > 0 {
+		t.ColdUntil = now.Add(t.ColdFor)
+		t.ColdFor = 0
+	}
 	old, known := k.targets[t.ID]
 	if known && old.Started.Equal(t.Started) {
-		t.Joined = old.Joined
+		t.Joined, t.TakenBack = old.Joined, old.TakenBack
 	} else if len(k.targets) > 0 {
 		t.Joined = now
 	}
--- a/router/lease.go
+++ b/router/lease.go
@@ -68,6 +68,9 @@
 	}
 	m := p.members[c.Target.ID]
 	m.running++
+	if m.warmUp != nil {
+		m.warmUp.Send(now)
+	}
 	p.noteUses(w.parts, c.Target, now)
 	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
@@ -81,11 +84,18 @@
 	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
 }
 
-// hasEvacuated says whether targets of a service are in evacuated failure domains.
-func (p *pool) hasEvacuated(service string) bool {
+// lack says why there is no target for a request that has tried some.
+func (p *pool) lack(service string, tried []string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.services[service], func(m *member) bool { return m.target.Evacuated })
+	left := func(m *member) bool { return !m.target.Draining && !slices.Contains(tried, m.target.ID) }
+	switch {
+	case slices.ContainsFunc(p.services[service], func(m *member) bool { return left(m) && m.warmUp != nil && !m.target.Evacuated }):
+		return errCold
+	case slices.ContainsFunc(p.services[service], func(m *member) bool { return left(m) && m.target.Evacuated }):
+		return errEvacuated
+	}
+	return errNoTarget
 }
 
 // gate is called with the lock held.
--- a/router/pool.go
+++ b/router/pool.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
 	"github.com/knapweedgw/knapweedgw/upstream"
+	"github.com/knapweedgw/knapweedgw/warmup"
 )
 
 const (
@@ -55,6 +56,8 @@
 type Fleet interface {
 	Targets(hashes []uint64, f func(i int, s heartbeat.Sum))
 	Lives() int
+	// Known is the number of nodes that there are or were lately.
+	Known() int
 	// Interval is the time between two reports of a node.
 	Interval() time.Duration
 	// CountAge is how old the other nodes' counts get.
@@ -73,6 +76,8 @@
 	reported   int
 	reportedAt time.Time
 	gone       bool
+	// warmUp is this node's share of a cold target, nil of others.
+	warmUp *warmup.Sender
 	// closed are the runs whose connection the target closed since it was last seen to
 	// take one, oldest first. probe is closed when it was asked for another, nil while
 	// nobody asks.
@@ -89,6 +94,10 @@
 	log          *log.Logger
 	now          func() time.Time
 	try          func(addr string) error
+	// self names this node in the order in which nodes send to cold targets, warmUpOf
+	// is what those of a service bear.
+	self     uint64
+	warmUpOf func(service string) warmup.Limit
 
 	mu       sync.Mutex
 	members  map[string]*member
@@ -109,7 +118,8 @@
 
 func newPool(f Fleet, g *quarantine.Guard, domain string, l *log.Logger) *pool {
 	return &pool{
-		fleet: f, guard: g, healthConfig: health.DefaultConfig(),
+		warmUpOf: func(string) warmup.Limit { return warmup.Limit{} },
+		fleet:    f, guard: g, healthConfig: health.DefaultConfig(),
 		domain: domain, log: l, now: clock.Steady, try: tryDial,
 		members: make(map[string]*member), services: make(map[string][]*member),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -214,6 +224,7 @@
 func (p *pool) candidates(members []*member, w want, now time.Time) []placement.Candidate {
 	sums := p.judge(members, now)
 	kept := p.parts.Kept(w.parts, now)
+	limit := p.warmUpOf(w.service)
 	cands := make([]placement.Candidate, len(members))
 	for i, m := range members {
 		holding := kept[uint32(m.target.RunHash())]
@@ -228,6 +239,7 @@
 			Kept:        holding.Tokens,
 			Settled:     holding.Settled,
 		}
+		p.warmUp(&cands[i], m, limit, now)
 	}
 	return cands
 }
@@ -325,6 +337,7 @@
 	for service, members := range p.services {
 		var sum health.Counts
 		for _, m := range members {
+			r.Targets = append(r.Targets, m.coldReport(now)...)
 			c := m.state.Counts(p.healthConfig, now)
 			sum = sum.Plus(c)
 			if m.running == 0 && c.Failed == 0 && !m.state.Unreachable() {
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -14,17 +14,15 @@
 var (
 	errNoTarget    = errors.New("no target of the service is left")
 	errEvacuated   = errors.New("the targets of the service that are left are in evacuated failure domains")
+	errCold        = errors.New("the targets of the service that are left are still warming up and bear no more requests now")
 	errQuarantined = errors.New("targets ended under earlier copies of this request, so it is kept from them")
 	errSuspectBusy = errors.New("a copy of this request is being run, and targets ended under earlier ones")
 )
 
-// noPlace is for a request that no target may get now. evacuated says that there are
-// targets in evacuated failure domains.
-func noPlace(d overload.Decision, evacuated bool) *failure {
-	f := &failure{reason: problem.NoTarget, cause: errNoTarget, retryAfter: d.RetryAfter}
-	if evacuated {
-		f.cause = errEvacuated
-	}
+// noPlace is for a request that no target may get now, and why not if it isn't for want
+// of places.
+func noPlace(d overload.Decision, lack error) *failure {
+	f := &failure{reason: problem.NoTarget, cause: lack, retryAfter: d.RetryAfter}
 	switch d.Reason {
 	case overload.Full:
 		f.reason = problem.Saturated
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,8 @@
 	"github.com/knapweedgw/knapweedgw/replica"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
+	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/warmup"
 )
 
 // ServiceID is the kernel name of the Router.
@@ -99,6 +101,8 @@
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
 		replies: newReplyTimes(),
 	}
+	r.pool.self = routing.Hash(cfg.PeerListen)
+	r.pool.warmUpOf = r.warmUpOf
 	r.conns = newConnTracker(connLimit(cfg.MaxFiles), r.metrics)
 	b.OnTargets(r.pool.update)
 	b.OnNote(r.readNote)
@@ -172,6 +176,19 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// warmUpOf returns what a cold target of a service bears.
+func (r *Router) warmUpOf(service string) warmup.Limit {
+	c := r.beliefs.Catalog()
+	if c == nil {
+		return warmup.Limit{}
+	}
+	s, ok := c.Service(service)
+	if !ok {
+		return warmup.Limit{}
+	}
+	return s.WarmUp
+}
+
 // window returns the retry window of a service.
 func (r *Router) window(service string) *retry.Window {
 	r.windowsMu.Lock()
