--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -55,6 +55,8 @@
 	PromptRouting bool
 	// Resumable streams may go on at another target after their last event.
 	Resumable bool
+	// Regions are those to whose targets the requests may go.
+	Regions Regions
 }
 
 // Repeatable says whether a request of the route may run more than once.
@@ -82,6 +84,9 @@
 	// Priority goes before that of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are those to whose targets its requests may go. Those of the route bind
+	// too.
+	Regions Regions
 }
 
 // Limits bound what callers may send.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -70,3 +70,13 @@
 		is.New(t).True(errors.Is(err, ErrInvalid))
 	}
 }
+
+func TestRegions(t *testing.T) {
+	is := is.New(t)
+	is.True(Regions(nil).Allow("a"))
+	is.True(!Regions{}.Allow("a"))
+	is.True(Regions{"a"}.And(nil).Allow("a"))
+	is.True(!Regions(nil).And(Regions{"a"}).Allow("b"))
+	is.True(!Regions{"a"}.And(Regions{"b"}).Allow("a")) // not nil, which would allow any
+	is.Equal(Regions{"a", "b"}.And(Regions{"b", "c"}), Regions{"b"})
+}
--- a/config/router.go
+++ b/config/router.go
@@ -12,6 +12,8 @@
 	NodeID        string
 	Region        string
 	FailureDomain string
+	// Regions are those of all failure domains, by the domain's name.
+	Regions map[string]string
 	// Listen takes callers, ReadyListen the balancer's readiness checks.
 	Listen      string
 	ReadyListen string
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -21,6 +21,19 @@
 	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
 }
 
+// Targets outside the regions get nothing, and nothing is fetched from them.
+func TestTargetsOutsideTheRegions(t *testing.T) {
+	is := is.New(t)
+	cands := pool(2)
+	cands[0].Outside, cands[0].Kept, cands[0].Settled = true, 100, true
+	c := pick(t, cands, Request{Key: 7, Shared: 100})
+	is.Equal(c.Target.ID, "engine-1")
+	is.Equal(c.FetchFrom, nil)
+	cands[1].Excluded = true
+	_, ok := NewService(cands, DefaultPolicy()).Pick(Request{Key: 7}, rng())
+	is.True(!ok)
+}
+
 // The bound doesn't grow when a failure domain is evacuated.
 func TestBoundCountsEvacuatedTargets(t *testing.T) {
 	is := is.New(t)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,8 @@
 	Unreachable bool
 	// Excluded targets were tried for this request.
 	Excluded bool
+	// Outside targets are in a region to which the request may not go.
+	Outside bool
 	// Cold targets have just started and bear few requests. One gets the request only
 	// if MaySend, the node's share of what it bears, allows it; if no other is left, it
 	// may if ColdRoom, how many more a second it bears, is over 0.
@@ -216,8 +218,8 @@
 	return choice, true
 }
 
-// filter returns the candidates that may get work. Targets that drain, were tried or
-// are in an evacuated failure domain never do. Each other step gives way if it
+// filter returns the candidates that may get work. Targets that drain, were tried, or
+// are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
 // would leave none: first suspensions, then targets that can't be reached, then
 // fallback targets. Suspensions are a guess from failures and give way sooner,
 // when they would take most of a service; what can't be reached is no use however
@@ -228,7 +230,7 @@
 	suspended := 0
 	for _, c := range cands {
 		switch {
-		case c.Draining || c.Excluded || c.Evacuated:
+		case c.Draining || c.Excluded || c.Evacuated || c.Outside:
 		case c.Fallback:
 			fallback = append(fallback, c)
 		default:
@@ -386,7 +388,7 @@
 func holder(cands []Candidate, chosen Candidate) (from Candidate, ok bool) {
 	most := -1
 	for i, c := range cands {
-		if c.Suspended || !c.Settled || c.Target == chosen.Target {
+		if c.Suspended || c.Outside || !c.Settled || c.Target == chosen.Target {
 			continue
 		}
 		if most < 0 || c.Kept > cands[most].Kept {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -43,6 +43,8 @@
 	service   string
 	workspace string
 	priority  int
+	// regions are those to whose targets the request may go.
+	regions catalog.Regions
 	// deadline is when the caller or the route gives up; zero for never.
 	deadline time.Time
 
@@ -185,10 +187,11 @@
 }
 
 func (x *exchange) authorize() error {
-	x.priority = x.route.Priority
+	x.priority, x.regions = x.route.Priority, x.route.Regions
 	w, ok := x.catalog.Workspace(x.call.Key)
 	if ok {
 		x.workspace = w.Name
+		x.regions = x.regions.And(w.Regions)
 		if w.HasPriority {
 			x.priority = w.Priority
 		}
--- a/router/forward.go
+++ b/router/forward.go
@@ -75,7 +75,7 @@
 		l, admission, ok := x.acquire()
 		if !ok {
 			x.endRun(false)
-			return x.giveUp(ctx, noPlace(admission, x.router.pool.lack(x.service, x.tried)))
+			return x.giveUp(ctx, noPlace(admission, x.router.pool.lack(x.want())))
 		}
 		fail := x.attempt(ctx, l)
 		x.endRun(x.completed)
@@ -113,7 +113,7 @@
 
 func (x *exchange) want() want {
 	return want{
-		service: x.service, parts: x.parts(), tried: x.tried,
+		service: x.service, parts: x.parts(), tried: x.tried, regions: x.regions,
 		request: overload.Request{
 			Class: x.route.Name, Workspace: x.workspace, Priority: x.priority,
 			TargetLatency: x.route.TargetLatency, Remaining: x.call.Deadline, Begun: x.begun || x.runs > 0,
--- a/router/lease.go
+++ b/router/lease.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/knapweedgw/knapweedgw/affinity"
+	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/roster"
@@ -30,6 +33,8 @@
 	tried []string
 	// only is the one target that may be taken, empty for any.
 	only string
+	// regions are those to whose targets the request may go.
+	regions catalog.Regions
 	// request is what decides whether the request is turned away when the
 	// service is full.
 	request overload.Request
@@ -75,27 +80,33 @@
 	return lease{member: m, choice: c, target: c.Target, service: w.service, since: now, queued: d.Queued()}, d, true
 }
 
-// hasOther says whether a target that wasn't tried may get a request.
-func (p *pool) hasOther(service string, tried []string) bool {
+// hasOther says whether a target may get a request that isn't among those it has tried.
+func (p *pool) hasOther(w want) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cands := p.candidates(p.services[service], want{tried: tried}, p.now())
+	cands := p.candidates(p.services[w.service], w, p.now())
 	eligible := placement.NewService(cands, placement.PolicyFor(p.fleet.CountAge())).Eligible()
 	return slices.ContainsFunc(eligible, func(c placement.Candidate) bool { return !c.Unreachable })
 }
 
-// lack says why there is no target for a request that has tried some.
-func (p *pool) lack(service string, tried []string) error {
+// lack says why there is no target for a request: the last of the reasons that would
+// have to go for it to have one.
+func (p *pool) lack(w want) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left := func(m *member) bool { return !m.target.Draining && !slices.Contains(tried, m.target.ID) }
-	switch {
-	case slices.ContainsFunc(p.services[service], func(m *member) bool { return left(m) && m.warmUp != nil && !m.target.Evacuated }):
-		return errCold
-	case slices.ContainsFunc(p.services[service], func(m *member) bool { return left(m) && m.target.Evacuated }):
-		return errEvacuated
+	why := errNoTarget
+	for _, c := range p.candidates(p.services[w.service], w, p.now()) {
+		switch {
+		case c.Draining || c.Excluded:
+		case c.Cold && !c.Outside && !c.Evacuated:
+			return errCold
+		case c.Evacuated && !c.Outside:
+			why = errEvacuated
+		case c.Outside && !errors.Is(why, errEvacuated):
+			why = errOutside
+		}
 	}
-	return errNoTarget
+	return why
 }
 
 // gate is called with the lock held.
--- a/router/lease_test.go
+++ b/router/lease_test.go
@@ -32,7 +32,7 @@
 			if tt.unreachable {
 				p.observe(p.members["b"], health.Unreachable)
 			}
-			is.New(t).Equal(p.hasOther(service, tt.tried), tt.want)
+			is.New(t).Equal(p.hasOther(want{service: service, tried: tt.tried}), tt.want)
 		})
 	}
 }
--- a/router/patience.go
+++ b/router/patience.go
@@ -245,7 +245,7 @@
 	switch {
 	case last || (!x.deadline.IsZero() && left < max(wait, minRemaining)):
 		return overdueNoTime
-	case !x.router.pool.hasOther(x.service, tried):
+	case !x.router.pool.hasOther(want{service: x.service, tried: tried, regions: x.regions}):
 		return overdueNoTarget
 	case !x.router.window(x.service).Take(x.router.now(), x.router.fleet.Lives()):
 		return overdueNoBudget
--- a/router/pool.go
+++ b/router/pool.go
@@ -96,7 +96,9 @@
 	try          func(addr string) error
 	// self names this node in the order in which nodes send to cold targets, warmUpOf
 	// is what those of a service bear.
-	self     uint64
+	self uint64
+	// regionOf is the region of each failure domain.
+	regionOf map[string]string
 	warmUpOf func(service string) warmup.Limit
 
 	mu       sync.Mutex
@@ -236,6 +238,7 @@
 			Suspended:   m.state.Suspended(now) || sums[i].Unreachable >= quorum,
 			Unreachable: m.state.Unreachable(),
 			Excluded:    w.excludes(m.target.ID),
+			Outside:     !w.regions.Allow(p.regionOf[m.target.FailureDomain]),
 			Kept:        holding.Tokens,
 			Settled:     holding.Settled,
 		}
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -14,6 +14,7 @@
 var (
 	errNoTarget    = errors.New("no target of the service is left")
 	errEvacuated   = errors.New("the targets of the service that are left are in evacuated failure domains")
+	errOutside     = errors.New("the targets of the service that are left are in regions where this request may not go")
 	errCold        = errors.New("the targets of the service that are left are still warming up and bear no more requests now")
 	errQuarantined = errors.New("targets ended under earlier copies of this request, so it is kept from them")
 	errSuspectBusy = errors.New("a copy of this request is being run, and targets ended under earlier ones")
--- a/router/router.go
+++ b/router/router.go
@@ -101,6 +101,7 @@
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
 		replies: newReplyTimes(),
 	}
+	r.pool.regionOf = cfg.Regions
 	r.pool.self = routing.Hash(cfg.PeerListen)
 	r.pool.warmUpOf = r.warmUpOf
 	r.conns = newConnTracker(connLimit(cfg.MaxFiles), r.metrics)
