--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -29,6 +29,8 @@
 	Retime     Kind = "retime" // routes get other timeouts
 	Revive     Kind = "revive" // a target crashes and starts again under its ID
 	Reuse      Kind = "reuse"  // a target's address goes to another service
+	Evacuate   Kind = "evacuate"
+	ColdReturn Kind = "cold_return" // a failure domain's targets end and others start, cold
 )
 
 // Profile is which kinds of steps a plan holds.
@@ -45,6 +47,9 @@
 	// Ending has callers that send a request which ends its targets again and again, at
 	// any node, while nodes end and start and the store is away.
 	Ending Profile = "ending"
+	// Evacuating has failure domains evacuated and come back cold, while nodes end and
+	// start and the store is away.
+	Evacuating Profile = "evacuating"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, Retime}
@@ -57,6 +62,8 @@
 
 var ending = []Kind{Term, Kill, KillAll, Hup, CutStore, StoreBusy, StoreDeaf, Revive, Configure}
 
+var evacuating = []Kind{Evacuate, Evacuate, ColdReturn, ColdReturn, Term, Kill, KillAll, Hup, CutStore, StoreBusy, StoreDeaf, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -65,11 +72,20 @@
 		return own
 	case Ending:
 		return ending
+	case Evacuating:
+		return evacuating
 	default:
 		return mixed
 	}
 }
 
+func (p Profile) pause() time.Duration {
+	if p == Evacuating {
+		return longPause
+	}
+	return meanPause
+}
+
 // Step is one entry of a plan.
 type Step struct {
 	At   time.Duration
@@ -92,7 +108,10 @@
 // Shape of a plan: faults come in series and overlap, and leave the last part
 // of a run calm, in which everything must be well again.
 const (
-	meanPause  = 600 * time.Millisecond
+	meanPause = 600 * time.Millisecond
+	// longPause is that of Evacuating: what must hold of a domain that is evacuated does
+	// so some seconds after the last harm.
+	longPause  = 1500 * time.Millisecond
 	minFault   = 200 * time.Millisecond
 	maxFault   = 2500 * time.Millisecond
 	calmAtEnd  = 6 * time.Second
@@ -115,7 +134,7 @@
 	var out []Step
 	series, which := false, 0
 	for at := time.Duration(0); len(out) < maxSteps; {
-		pause := meanPause
+		pause := profile.pause()
 		if series {
 			pause = seriesPause
 		} else {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -38,6 +38,7 @@
 	checker *checker
 	lost    *lostRule
 	ends    *endsRule
+	domains *domainsRule
 	// configuring orders the versions of the configuration.
 	configuring sync.Mutex
 	version     int
@@ -87,6 +88,7 @@
 	work.Wait()
 	r.checkCalm()
 	r.checker.settle()
+	r.checkDomains()
 	if ended, most := r.ends.count(); ended > most {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, most)
 	}
@@ -100,6 +102,7 @@
 		timeout: timeouts[0], harms: make(map[string]*timeline),
 	}
 	r.ends = &endsRule{journal: r.journal, store: func(from, to time.Time) bool { return r.lost.core.touches(from, to) }}
+	r.domains = &domainsRule{evacuated: make(map[string]*timeline)}
 	r.lost = &lostRule{journal: r.journal, targets: r.harmOf}
 	r.checker = newChecker(r.journal, o.Seed, r.lost)
 	r.configure(func() {})
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -39,6 +39,8 @@
 const (
 	mixLength  = 14 * time.Second
 	seedLength = 20 * time.Second
+	// evacuateLength leaves room for two evacuations.
+	evacuateLength = 30 * time.Second
 )
 
 // shortRuns are the usual mix, and each seed that ever broke a promise, with its
@@ -46,7 +48,10 @@
 var shortRuns = map[string]Options{
 	"usual mix":                  {Seed: 1, Profile: Mixed, Nodes: 4, Callers: 12, Length: mixLength},
 	"a request ends its targets": {Seed: 2, Profile: Ending, Nodes: 4, Callers: 12, Length: mixLength},
-	"own interface":              {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
+	"failure domains are evacuated and come back cold": {
+		Seed: 1, Profile: Evacuating, Nodes: 4, Callers: 40, Length: evacuateLength,
+	},
+	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
 	},
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -30,6 +30,10 @@
 	e := standin.NewEngine(r.host, id, service, zone, r.journal)
 	e.Pace, e.StallFor, e.Public = enginePace, stallTime, t.proxy.Addr()
 	e.OnEnd = func() { r.noteEnd(t, e) }
+	if r.domains.cold() {
+		e.ColdFor, e.ColdPerSecond = coldFor, coldBound
+	}
+	r.domains.add(e)
 	t.proxy.Redirect(e.Addr())
 	t.mu.Lock()
 	t.engine = e
@@ -101,6 +105,10 @@
 		r.revive(r.target(s), s)
 	case Reuse:
 		r.reuse(r.target(s), s)
+	case Evacuate:
+		r.evacuate(s)
+	case ColdReturn:
+		r.coldReturn(s)
 	case Configure:
 		r.configure(func() { r.later = s.Which%2 == 0 })
 	case Retime:
@@ -225,6 +233,9 @@
 		changes = append(changes, standin.AddRoute)
 	}
 	changes = append(changes, r.setTimeouts)
+	if r.Profile == Evacuating {
+		changes = append(changes, limitCold)
+	}
 	r.lost.timeouts.set(r.timeout)
 	defer r.lost.configs.begin()()
 	r.store.Put("op/config", standin.Config(r.version, changes...))
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -70,6 +70,8 @@
 // Run is one run of a request, as an engine saw it.
 type Run struct {
 	Engine, Service string
+	// Began is when the engine began the run.
+	Began time.Time
 	// Born is the start of that engine, in Unix milliseconds.
 	Born   int64
 	Method string
@@ -291,7 +293,7 @@
 	}
 	body, _ := io.ReadAll(r.Body) // a short body shows in the journal
 	run := &Run{
-		Engine: e.ID, Service: e.Service, Born: e.Born(),
+		Engine: e.ID, Service: e.Service, Began: time.Now(), Born: e.Born(),
 		Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.begin(run, id)
