--- a/heartbeat/machine.go
+++ b/heartbeat/machine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,6 +101,9 @@
 	m.leases.expire(now)
 	m.uses.expire(m.view.interval(), now)
 	m.steps++
+	if m.view.groups > 1 {
+		own.Targets = append(slices.Clone(own.Targets), heardReport(m.view.counted(now)))
+	}
 	recipients := m.recipients(seeds, now)
 	batch, rest := m.nextBatch(recipients, now)
 	out, err := m.messages(own, batch, now)
@@ -247,7 +251,7 @@
 	m.claim(s.Wanted, now)
 	m.view.name(s.Members, now)
 	// A relay that goes by another number of groups has another group's sum.
-	if s.Groups == m.view.groups && m.subs.deliver(s.From.Node, s.Group, s.Nodes, now) {
+	if s.Groups == m.view.groups && m.subs.deliver(s.From.Node, s.Group, lacksNode(s.Nodes, counts), now) {
 		m.view.receiveSum(s.Group, counts, now)
 	}
 	s.From.Requests = requests
--- a/heartbeat/relay.go
+++ b/heartbeat/relay.go
@@ -21,11 +21,8 @@
 	delivered bool
 	heard     time.Time
 	previous  []string
-	// nodes is of how many nodes the sum of the relays good was, and fewer that the
-	// first one of those after them was of fewer.
-	nodes int
-	good  []string
-	fewer bool
+	// lacks says that the last sum was without a node that others of its group hear.
+	lacks bool
 	// silent counts the changes in a row because of silence.
 	silent int
 	// turn counts the relays that were asked.
@@ -39,9 +36,8 @@
 const (
 	relayFirst  relayChange = "first"
 	relaySilent relayChange = "silent"
-	// relayFewer: its first sum is of fewer nodes than the last of the relay before, to
-	// which the subscription goes back. There is a node that it can't hear.
-	relayFewer   relayChange = "fewer_nodes"
+	// relayLacks: there is a node that it can't hear and others of its group can.
+	relayLacks   relayChange = "lacks_node"
 	relayRotated relayChange = "rotated"
 )
 
@@ -64,27 +60,24 @@
 		return relayFirst
 	case !s.delivered && now.Sub(s.since) > interval*3/4, s.delivered && now.Sub(s.heard) > silent:
 		return relaySilent
-	case s.fewer:
-		return relayFewer
+	case s.lacks:
+		return relayLacks
 	case !now.Before(s.until):
 		return relayRotated
 	}
 	return ""
 }
 
-// deliver notes a sum of so many nodes and says whether it is to be taken: one of an
-// earlier relay would put older counts in the place of newer ones.
-func (s *subscription) deliver(node string, nodes int, now time.Time) bool {
+// deliver notes a sum and says whether it is to be taken: one of an earlier relay would
+// put older counts in the place of newer ones. lacks says that a node is not in it which
+// others of the group hear.
+func (s *subscription) deliver(node string, lacks bool, now time.Time) bool {
 	if !slices.Contains(s.relays, node) {
 		return !s.delivered && slices.Contains(s.previous, node)
 	}
-	s.fewer = !s.delivered && nodes < s.nodes && !slices.Contains(s.good, node)
 	// Of several that were asked, the first that answers is the relay.
 	s.relays = []string{node}
-	if !s.fewer {
-		s.nodes, s.good = nodes, s.relays
-	}
-	s.delivered, s.heard, s.silent = true, now, 0
+	s.delivered, s.heard, s.lacks, s.silent = true, now, lacks, 0
 	return true
 }
 
@@ -93,7 +86,7 @@
 	if s.delivered {
 		s.previous = s.relays
 	}
-	s.relays, s.delivered, s.fewer = relays, false, false
+	s.relays, s.delivered, s.lacks = relays, false, false
 	s.since, s.until = now, until
 }
 
@@ -146,11 +139,8 @@
 
 // choose returns the relays to ask for a reason: the more, the more were silent.
 func (s *subscriptions) choose(reason relayChange, relays []relay, sub *subscription) []string {
-	switch reason {
-	case relaySilent:
+	if reason == relaySilent {
 		sub.silent = min(sub.silent+1, mostSilent)
-	case relayFewer:
-		return sub.good
 	}
 	return s.next(relays, sub, 1<<sub.silent)
 }
@@ -168,9 +158,9 @@
 }
 
 // deliver notes a sum and says whether it is to be taken.
-func (s *subscriptions) deliver(node string, group, nodes int, now time.Time) bool {
+func (s *subscriptions) deliver(node string, group int, lacks bool, now time.Time) bool {
 	sub, ok := s.all[group]
-	return ok && sub.deliver(node, nodes, now)
+	return ok && sub.deliver(node, lacks, now)
 }
 
 // relay is a node that may be asked for the sum of its group, with its place in the
--- a/heartbeat/relay_test.go
+++ b/heartbeat/relay_test.go
@@ -39,7 +39,7 @@
 		sub := m.subs.all[due[0].group]
 		for now.Before(sub.until) {
 			is.Equal(len(m.subs.renew(m.view, now)), 0)
-			is.True(m.subs.deliver(relay, due[0].group, 3, now))
+			is.True(m.subs.deliver(relay, due[0].group, false, now))
 			now = now.Add(DefaultConfig().Interval)
 		}
 	}
@@ -64,7 +64,7 @@
 	}
 	sub := m.subs.all[first.group]
 	relay := sub.relays[1]
-	is.True(m.subs.deliver(relay, first.group, 3, now))
+	is.True(m.subs.deliver(relay, first.group, false, now))
 	is.Equal(sub.relays, []string{relay}) // the first that answers
 	// One that has delivered has more time.
 	now = now.Add(DefaultConfig().Interval)
@@ -78,33 +78,55 @@
 	is := is.New(t)
 	m, _ := subscriber(t)
 	a := m.subs.renew(m.view, start)[0]
-	is.True(m.subs.deliver(a.relays[0], a.group, 3, start))
+	is.True(m.subs.deliver(a.relays[0], a.group, false, start))
 	later := start.Add(DefaultConfig().Lease)
-	is.True(m.subs.deliver(a.relays[0], a.group, 3, later))
+	is.True(m.subs.deliver(a.relays[0], a.group, false, later))
 	b := m.subs.renew(m.view, later)[0]
 	is.Equal(b.reason, relayRotated)
-	is.True(m.subs.deliver(a.relays[0], a.group, 3, later))
-	is.True(m.subs.deliver(b.relays[0], b.group, 3, later))
-	is.True(!m.subs.deliver(a.relays[0], a.group, 3, later))
-	is.True(!m.subs.deliver("10.9.9.9:1", a.group, 3, later))
-	is.True(!m.subs.deliver(b.relays[0], m.view.group, 3, later))
+	is.True(m.subs.deliver(a.relays[0], a.group, false, later))
+	is.True(m.subs.deliver(b.relays[0], b.group, false, later))
+	is.True(!m.subs.deliver(a.relays[0], a.group, false, later))
+	is.True(!m.subs.deliver("10.9.9.9:1", a.group, false, later))
+	is.True(!m.subs.deliver(b.relays[0], m.view.group, false, later))
 }
 
-// A relay whose first sum is of fewer nodes is left for the one before; when that one's
-// own sum is of fewer, a node is dead.
+// A relay whose sum lacks a node, the first or a later one, is left for the next until
+// one lacks none.
 func TestRelayThatCannotHearANodeIsLeft(t *testing.T) {
 	is := is.New(t)
-	m, _ := subscriber(t)
+	m, relays := subscriber(t)
 	a := m.subs.renew(m.view, start)[0]
-	now := start.Add(DefaultConfig().Lease)
-	is.True(m.subs.deliver(a.relays[0], a.group, 3, now))
-	b := m.subs.renew(m.view, now)[0]
-	is.True(m.subs.deliver(b.relays[0], b.group, 2, now))
-	back := m.subs.renew(m.view, now)[0]
-	is.Equal(back.reason, relayFewer)
-	is.Equal(back.relays, a.relays)
-	is.True(m.subs.deliver(a.relays[0], a.group, 2, now))
-	is.Equal(len(m.subs.renew(m.view, now)), 0)
+	is.True(m.subs.deliver(a.relays[0], a.group, false, start))
+	is.Equal(len(m.subs.renew(m.view, start)), 0)
+	is.True(m.subs.deliver(a.relays[0], a.group, true, start))
+	asked := a.relays[0]
+	for range len(relays) - 1 {
+		next := m.subs.renew(m.view, start)[0]
+		is.Equal(next.reason, relayLacks)
+		is.Equal(len(next.relays), 1)
+		is.True(next.relays[0] != asked)
+		asked = next.relays[0]
+		is.True(m.subs.deliver(asked, next.group, true, start))
+	}
+	last := m.subs.renew(m.view, start)[0]
+	is.True(m.subs.deliver(last.relays[0], last.group, false, start))
+	is.Equal(len(m.subs.renew(m.view, start)), 0)
+}
+
+// Nodes that hear more others than the sum has tell that it lacks one.
+func TestSumThatLacksANode(t *testing.T) {
+	for _, tt := range []struct {
+		nodes, heard int
+		lacks        bool
+	}{{3, 6, false}, {3, 7, true}, {1, 0, false}, {1, 1, true}, {22, 22*21 + 1, true}, {22, 22 * 21, false}} {
+		counts := sums{}
+		counts.addReports([]TargetReport{heardReport(tt.heard), {Target: 7, Running: 900}}, 1)
+		unpacked, err := unpack(counts.pack())
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(lacksNode(tt.nodes, unpacked), tt.lacks)
+		is.True(!lacksNode(tt.nodes, nil)) // of a release that doesn't tell
+	}
 }
 
 func TestSubscribersAreBounded(t *testing.T) {
