--- a/heartbeat/config.go
+++ b/heartbeat/config.go
@@ -45,11 +45,11 @@
 }
 
 // DefaultConfig gives 30 reports a second at 7 nodes: within 200 ms a node of a
-// small fleet starts about 7 requests, which the load bound leaves room for. 85
+// small fleet starts about 7 requests, which the load bound leaves room for. 87
 // messages a second leave room under 100 for subscriptions and news of versions.
 func DefaultConfig() Config {
 	return Config{
-		Interval: 200 * time.Millisecond, MaxInbound: 85, Batch: 12,
+		Interval: 200 * time.Millisecond, MaxInbound: 87, Batch: 12,
 		Fresh: 3, MinFresh: 800 * time.Millisecond, Lost: 4, MinLost: 1600 * time.Millisecond,
 		SumFresh: 1100 * time.Millisecond, Silent: 2, Lease: 2200 * time.Millisecond, Announced: 8, Forget: time.Minute,
 	}
--- a/heartbeat/relay.go
+++ b/heartbeat/relay.go
@@ -25,8 +25,9 @@
 	lacks bool
 	// silent counts the changes in a row because of silence.
 	silent int
-	// turn counts the relays that were asked.
-	turn int
+	// turn counts the relays that were asked, renewals the leases of the relay but the
+	// first.
+	turn, renewals int
 }
 
 // relayChange says why a node asks another relay.
@@ -39,6 +40,8 @@
 	// relayLacks: there is a node that it can't hear and others of its group can.
 	relayLacks   relayChange = "lacks_node"
 	relayRotated relayChange = "rotated"
+	// relayRenewed asks the same relay for another lease.
+	relayRenewed relayChange = "renewed"
 )
 
 const (
@@ -46,6 +49,11 @@
 	// moment double, to 8. When a failure domain is cut off, 15 of 18 nodes of a group
 	// may be silent on its side.
 	mostSilent = 3
+	// mostRenewals is how often a lease is renewed before the next relay takes over, so
+	// that no node carries more subscribers than others for long. Each relay that takes
+	// over sends beside the one before until that one's lease ends, and its first sum may
+	// be lost.
+	mostRenewals = 3
 	// renewSpread: the last part of a lease, one in so many, is when the next relay is
 	// asked.
 	renewSpread = 8
@@ -62,6 +70,8 @@
 		return relaySilent
 	case s.lacks:
 		return relayLacks
+	case !now.Before(s.until) && s.renewals < mostRenewals:
+		return relayRenewed
 	case !now.Before(s.until):
 		return relayRotated
 	}
@@ -86,7 +96,7 @@
 	if s.delivered {
 		s.previous = s.relays
 	}
-	s.relays, s.delivered, s.lacks = relays, false, false
+	s.relays, s.delivered, s.lacks, s.renewals = relays, false, false, 0
 	s.since, s.until = now, until
 }
 
@@ -132,6 +142,11 @@
 		// The next relay is asked before the lease ends, at times that are spread, or
 		// all nodes would ask at once.
 		until := now.Add(s.cfg.Lease - time.Duration(s.rng.Int64N(int64(s.cfg.Lease/renewSpread))))
+		if reason == relayRenewed {
+			sub.until = until
+			sub.renewals++
+			continue
+		}
 		sub.change(next, until, now)
 	}
 	return out
@@ -139,8 +154,11 @@
 
 // choose returns the relays to ask for a reason: the more, the more were silent.
 func (s *subscriptions) choose(reason relayChange, relays []relay, sub *subscription) []string {
-	if reason == relaySilent {
+	switch reason {
+	case relaySilent:
 		sub.silent = min(sub.silent+1, mostSilent)
+	case relayRenewed:
+		return sub.relays
 	}
 	return s.next(relays, sub, 1<<sub.silent)
 }
--- a/heartbeat/relay_test.go
+++ b/heartbeat/relay_test.go
@@ -25,15 +25,19 @@
 	return m, relays
 }
 
-func TestRelayRotatesWithItsLease(t *testing.T) {
+// A relay's lease is renewed some times, then the next relay takes over; all are asked
+// equally often.
+func TestRelayRotates(t *testing.T) {
 	is := is.New(t)
 	m, relays := subscriber(t)
 	asked := make(map[string]int)
 	now := start
-	for range 8 {
+	const leases = mostRenewals + 1
+	for i := range 8 * leases {
 		due := m.subs.renew(m.view, now)
 		is.Equal(len(due), 1)
 		is.Equal(len(due[0].relays), 1)
+		is.Equal(due[0].reason == relayRenewed, i%leases > 0)
 		relay := due[0].relays[0]
 		asked[relay]++
 		sub := m.subs.all[due[0].group]
@@ -45,7 +49,7 @@
 	}
 	is.Equal(len(asked), len(relays))
 	for _, n := range asked {
-		is.Equal(n, 2)
+		is.Equal(n, 2*leases)
 	}
 }
 
@@ -80,6 +84,7 @@
 	a := m.subs.renew(m.view, start)[0]
 	is.True(m.subs.deliver(a.relays[0], a.group, false, start))
 	later := start.Add(DefaultConfig().Lease)
+	m.subs.all[a.group].renewals = mostRenewals
 	is.True(m.subs.deliver(a.relays[0], a.group, false, later))
 	b := m.subs.renew(m.view, later)[0]
 	is.Equal(b.reason, relayRotated)
