--- a/replica/replica.go
+++ b/replica/replica.go
@@ -100,6 +100,9 @@
 	noteRead bool
 	lines    lineBudget
 
+	// begun is closed with the first configuration, by begin.
+	begun    chan struct{}
+	begin    sync.Once
 	elected  chan struct{}
 	announce chan struct{}
 	poke     chan struct{}
@@ -110,6 +113,7 @@
 	r := &Replica{
 		store: st, schema: s, peers: p, network: n, log: l, now: time.Now, metrics: newMetrics(reg),
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		begun:   make(chan struct{}),
 		elected: make(chan struct{}, 1), announce: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
 	r.state = newCopyState(s, r.problem, r.unusable)
@@ -208,8 +212,14 @@
 	if ch.targets {
 		r.publishTargets(source)
 	}
+	if r.state.catalog != nil {
+		r.begin.Do(func() { close(r.begun) })
+	}
 }
 
+// Begun is closed when the node has its first configuration, and what was read with it.
+func (r *Replica) Begun() <-chan struct{} { return r.begun }
+
 // publishEvacuations is called with the lock held.
 func (r *Replica) publishEvacuations(source string) {
 	now := r.state.evacuated()
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -21,6 +21,10 @@
 	// startRetryAfter is for callers of a node that has just begun: it usually
 	// has the configuration within a few round trips to the store.
 	startRetryAfter = 300 * time.Millisecond
+	// startWait is how long a request waits for that: some round trips to the store, and
+	// short beside the shortest target latencies known, so that one that has to be
+	// refused all the same is not held for long.
+	startWait = 150 * time.Millisecond
 	// timeoutSlack lets a target's own answer at the deadline arrive.
 	timeoutSlack = 40 * time.Millisecond
 )
@@ -119,7 +123,7 @@
 	if x.call, err = x.router.dialect.DecodeCall(x.req); err != nil {
 		return problem.New(problem.BadRequest, problem.RanNo, err.Error())
 	}
-	if x.router.beliefs.Catalog() == nil {
+	if !x.awaitCatalog() {
 		return problem.New(problem.NoSettings, problem.RanNo, "").After(startRetryAfter)
 	}
 	if err := x.readBody(); err != nil {
@@ -137,6 +141,22 @@
 	return x.authorize()
 }
 
+// awaitCatalog waits for the configuration at a node that has just begun. Callers come
+// back only once or twice: one that is refused here may have had its last try.
+func (x *exchange) awaitCatalog() bool {
+	if x.router.beliefs.Catalog() != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(x.req.Context(), startWait)
+	defer cancel()
+	select {
+	case <-x.router.beliefs.Begun():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (x *exchange) readBody() error {
 	limit := x.router.beliefs.Catalog().Limits().MaxBodyBytes
 	if x.req.Body == nil || x.req.ContentLength == 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,8 @@
 // Beliefs is the node's copy of the configuration and the targets.
 type Beliefs interface {
 	Catalog() *catalog.Catalog
+	// Begun is closed when the node has its first configuration and targets.
+	Begun() <-chan struct{}
 	Versions() (catalogVersion, revision int64)
 	ConfirmedAge(now time.Time) (age time.Duration, ok bool)
 	StoreLost() bool
