--- a/router/forward.go
+++ b/router/forward.go
@@ -75,7 +75,7 @@
 		l, admission, ok := x.acquire()
 		if !ok {
 			x.endRun(false)
-			return x.giveUp(ctx, noPlace(admission, x.router.pool.lack(x.want())))
+			return x.giveUp(ctx, x.noPlace(admission))
 		}
 		fail := x.attempt(ctx, l)
 		x.endRun(x.completed)
--- a/router/pool.go
+++ b/router/pool.go
@@ -94,11 +94,11 @@
 	log          *log.Logger
 	now          func() time.Time
 	try          func(addr string) error
-	// self names this node in the order in which nodes send to cold targets, warmUpOf
-	// is what those of a service bear.
+	// self names this node in the order in which nodes send to cold targets.
 	self uint64
 	// regionOf is the region of each failure domain.
 	regionOf map[string]string
+	// warmUpOf is what a cold target of a service bears.
 	warmUpOf func(service string) warmup.Limit
 
 	mu       sync.Mutex
@@ -120,13 +120,14 @@
 
 func newPool(f Fleet, g *quarantine.Guard, domain string, l *log.Logger) *pool {
 	return &pool{
-		warmUpOf: func(string) warmup.Limit { return warmup.Limit{} },
-		fleet:    f, guard: g, healthConfig: health.DefaultConfig(),
+		fleet: f, guard: g, healthConfig: health.DefaultConfig(),
 		domain: domain, log: l, now: clock.Steady, try: tryDial,
 		members: make(map[string]*member), services: make(map[string][]*member),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		parts: affinity.NewTable(affinity.DefaultConfig()),
 		gates: make(map[string]*overload.Gate),
+
+		warmUpOf: func(string) warmup.Limit { return warmup.Limit{} },
 	}
 }
 
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -32,8 +32,7 @@
 		g(i, f.view.Target(h))
 	}
 }
-func (f *told) Lives() int { return 2 }
-
+func (f *told) Lives() int            { return 2 }
 func (*told) Known() int              { return 2 }
 func (*told) Interval() time.Duration { return 200 * time.Millisecond }
 func (*told) CountAge() time.Duration { return 200 * time.Millisecond }
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -20,16 +20,16 @@
 	errSuspectBusy = errors.New("a copy of this request is being run, and targets ended under earlier ones")
 )
 
-// noPlace is for a request that no target may get now, and why not if it isn't for want
-// of places.
-func noPlace(d overload.Decision, lack error) *failure {
-	f := &failure{reason: problem.NoTarget, cause: lack, retryAfter: d.RetryAfter}
+// noPlace is for a request that no target may get now.
+func (x *exchange) noPlace(d overload.Decision) *failure {
+	f := &failure{reason: problem.NoTarget, retryAfter: d.RetryAfter}
 	switch d.Reason {
 	case overload.Full:
 		f.reason = problem.Saturated
 	case overload.Surging:
 		f.reason = problem.WorkspaceLimit
 	case overload.None:
+		f.cause = x.router.pool.lack(x.want())
 		return f
 	}
 	f.cause = errors.Newf("%.2f of the places are taken, limit %.2f: running %.0f, counted %d, own %d, slots %d, may wait %.2f a slot",
--- a/router/warmup.go
+++ b/router/warmup.go
@@ -1,12 +1,12 @@
 package router
 
 import (
+	"time"
+
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/routing"
 	"github.com/knapweedgw/knapweedgw/warmup"
-
-	"time"
 )
 
 // warmUp says what a target bears that may be cold. It is called with the lock held.
