--- a/heartbeat/fleet_counts_test.go
+++ b/heartbeat/fleet_counts_test.go
@@ -27,10 +27,16 @@
 )
 
 // Counts are young at every size, and nobody is left out or counted twice.
-func TestCountsAreYoung(t *testing.T) { countsAreYoung(t, 7, 16, 17, 66) }
+func TestCountsAreYoung(t *testing.T) {
+	t.Parallel()
+	countsAreYoung(t, 7, 16, 17, 66)
+}
 
 // The same in the largest fleets.
-func TestCountsAreYoungInLargeFleets(t *testing.T) { countsAreYoung(t, largeFleet, 370) }
+func TestCountsAreYoungInLargeFleets(t *testing.T) {
+	t.Parallel()
+	countsAreYoung(t, largeFleet, 370)
+}
 
 func countsAreYoung(t *testing.T, sizes ...int) {
 	for _, n := range sizes {
@@ -76,6 +82,7 @@
 // targets. A request lasts 0.56 s on average where long and short answers mix, so that
 // each node has 7 in progress; a prompt part's use is told each time that it is new.
 func TestBytesOfTheLargestFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		nodes, targets, running = 370, 5500, 7
 		newUses                 = 0.5 // a second and node
--- a/heartbeat/fleet_faults_test.go
+++ b/heartbeat/fleet_faults_test.go
@@ -80,6 +80,7 @@
 // Half of the nodes die at once. Nobody counts them after that, and nobody who lives
 // is left out for longer.
 func TestHalfOfTheNodesDie(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes(largeFleet) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
@@ -102,6 +103,7 @@
 // All nodes start at once and know three of them. Each counts each other within three
 // seconds, and goes on to.
 func TestAllNodesStart(t *testing.T) {
+	t.Parallel()
 	const within = 3 * time.Second
 	for _, n := range faultSizes(largeFleet) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -118,6 +120,7 @@
 // A node that comes back after it was frozen brings no counts back, and is counted
 // again.
 func TestFrozenNodeComesBack(t *testing.T) {
+	t.Parallel()
 	const frozen = 5 * time.Second
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -148,6 +151,7 @@
 // A node hears others, but a third of the nodes don't hear it, some in its own group.
 // The others of its group tell of it.
 func TestNodeThatSomeDoNotHear(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
@@ -167,6 +171,7 @@
 
 // A relay that sends nothing to other groups, though it hears all, is left for another.
 func TestMuteRelayIsLeft(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
@@ -183,6 +188,7 @@
 
 // A node sends and hears nothing, so that as a relay it would tell of itself alone.
 func TestDeafNodeRelaysNothing(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
@@ -199,6 +205,7 @@
 // A failure domain is cut off. Both sides count their own and not the other's, and
 // all again when the cut ends.
 func TestFailureDomainIsCutOff(t *testing.T) {
+	t.Parallel()
 	const cut = 10 * time.Second
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -227,6 +234,7 @@
 // A node starts again under its address. A datagram of its earlier process that comes
 // late brings nothing back.
 func TestEarlierIncarnationStaysGone(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
@@ -269,6 +277,7 @@
 
 // What one node knows of the store's revision is known everywhere in a second.
 func TestConfirmationReachesAll(t *testing.T) {
+	t.Parallel()
 	for _, n := range faultSizes() {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
--- a/heartbeat/fleet_requests_test.go
+++ b/heartbeat/fleet_requests_test.go
@@ -94,6 +94,7 @@
 // Copies of a request come to any nodes, so that each of three saw one target end. All
 // nodes have to know, whatever happens to some of them meanwhile.
 func TestQuarantineIsKnownEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		name    string
 		sizes   []int
@@ -182,6 +183,7 @@
 
 // What is told of requests adds no byte to a message while there is nothing to tell.
 func TestNothingIsToldOnACalmDay(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	report := Report{Node: nodeName(0), Targets: []TargetReport{{Target: 1, Running: 2}}}
 	bare, err := cbor.Marshal(report)
@@ -193,6 +195,7 @@
 
 // Each kind of message brings what is told of requests.
 func TestMessagesBringRequests(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	tab := quarantine.NewTable(quarantine.DefaultConfig())
 	tab.Ended(harmful, 7, start, start.Add(endingRun), start.Add(endingRun))
@@ -217,6 +220,7 @@
 
 // A message whose end can't be read is not taken.
 func TestGarbledRequestsAreNotTaken(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	from := NewMachine(DefaultConfig(), nodeName(0), 1, nil)
 	raw, err := from.encode(ownReport, from.header(Report{}), Report{}, start)
