--- a/warmup/sim_test.go
+++ b/warmup/sim_test.go
@@ -72,6 +72,8 @@
 	// killed is the part of the nodes that are dead, cut that of those who hear no other
 	// and are heard by none.
 	killed, cut float64
+	// surge is how many times the usual requests come, 0 for once.
+	surge float64
 	// fresh nodes have just begun, hear the others after acquainted, and take the fleet
 	// for the largest one until then.
 	fresh bool
@@ -227,7 +229,7 @@
 // arrive has the requests of a tick come: a Poisson number of each kind.
 func (s *sim) arrive(now time.Duration) {
 	for i, k := range simKinds {
-		mean := k.perSecond * simTick.Seconds()
+		mean := k.perSecond * max(s.surge, 1) * simTick.Seconds()
 		for next := s.rng.ExpFloat64(); next < mean; next += s.rng.ExpFloat64() {
 			key := s.draw(i)
 			if i == 0 && now >= s.hotFrom && s.rng.Float64() < s.hot {
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// All targets are cold and more requests come than they bear together: nodes without a
+// share spread requests by what the reports leave room for, all until the next reports.
+func TestSurgeOnColdTargetsStaysWithinTheBound(t *testing.T) {
+	t.Parallel()
+	const seeds, surge = 3, 6
+	for _, nodes := range sizes {
+		l := load{name: "all, six times the requests", nodes: nodes, cold: simTargets, surge: surge}
+		sum, broken := l.seeds(ofPackage, seeds)
+		t.Logf("%d nodes, %s: %s", nodes, l.name, sum)
+		if broken > 0 {
+			t.Errorf("%d nodes, %s: over the bound with %d of %d seeds", nodes, l.name, broken, seeds)
+		}
+	}
+}
+
 // The other ways break the bound where the package's doesn't, or cost more: a few nodes a
 // target keep it, and have prompts read at more targets.
 func TestOtherWaysOfWarmingUp(t *testing.T) {
