Log what targets say of themselves in answers: leaving and rest

Before any change of logic: the nodes' logs couldn't say whether an answer told that its target leaves or asked for rest, nor when the node had that before it. DecodeReply reads both words now, and the first answer of a run that leaves, each rest that ends later than the last, and a Retry-After that says no time get a line with the request, the status and the age of the send, and count in knapweedgw_router_notices_total. Nothing decides by it yet. An answer counts only if it is surely the target's own: not a 421, not to another request, not an unsigned success.

--- /dev/null
+++ b/notice/notice.go
@@ -0,0 +1,74 @@
+// Package notice keeps what targets say of themselves in their answers: that they leave,
+// and that they want no requests from this node for a while. It is pure: the caller
+// passes the time and the random source.
+package notice
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Notice is what one answer says of the target that gave it. The zero Notice says
+// nothing.
+type Notice struct {
+	// Leaving means that the target is about to stop.
+	Leaving bool
+	// Rest is how long the target wants no requests from this node, 0 for no wish.
+	Rest time.Duration
+	// Unreadable is a Retry-After that says no time, empty for none.
+	Unreadable string
+}
+
+const (
+	// restSpread is the largest part of a rest by which it is lengthened at random, up
+	// to maxSpread, so that nodes which were turned away together return apart.
+	restSpread = 0.1
+	maxSpread  = 500 * time.Millisecond
+)
+
+// State is what one run of a target has said so far. The zero State says nothing.
+type State struct {
+	leaving    bool
+	restUntil  time.Time
+	unreadable bool
+}
+
+// Change is what a notice adds to what was known.
+type Change struct {
+	// Leaves: the target was not known to leave. Rests: its rest ends later than known.
+	// Unreadable: it had not sent an unreadable Retry-After before.
+	Leaves, Rests, Unreadable bool
+}
+
+// Hear takes a notice. A run that leaves never comes back, and a shorter rest doesn't
+// end a longer one: answers may overtake each other.
+func (s *State) Hear(n Notice, now time.Time, rng *rand.Rand) Change {
+	var c Change
+	if n.Leaving && !s.leaving {
+		s.leaving, c.Leaves = true, true
+	}
+	if until := now.Add(n.Rest + spread(n.Rest, rng)); n.Rest > 0 && until.After(s.restUntil) {
+		s.restUntil, c.Rests = until, true
+	}
+	if n.Unreadable != "" && !s.unreadable {
+		s.unreadable, c.Unreadable = true, true
+	}
+	return c
+}
+
+func spread(rest time.Duration, rng *rand.Rand) time.Duration {
+	most := min(time.Duration(restSpread*float64(rest)), maxSpread)
+	return time.Duration(rng.Float64() * float64(most))
+}
+
+// Leaving says whether the run has said that it leaves.
+func (s *State) Leaving() bool { return s != nil && s.leaving }
+
+// RestsUntil returns when the rest that the run asked for ends; ok is false if it is
+// over at now, or was never asked for.
+func (s *State) RestsUntil(now time.Time) (until time.Time, ok bool) {
+	if s == nil || !now.Before(s.restUntil) {
+		return time.Time{}, false
+	}
+	return s.restUntil, true
+}
--- /dev/null
+++ b/notice/notice_test.go
@@ -0,0 +1,114 @@
+package notice
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestRetryAfterOfA503IsARest(t *testing.T) {
+	is := is.New(t)
+	date := func(d time.Duration) string { return start.Add(d).UTC().Format(http.TimeFormat) }
+	tests := map[string]struct {
+		value, date string
+		want        Notice
+	}{
+		"seconds":             {value: "3", want: Notice{Rest: 3 * time.Second}},
+		"a fraction":          {value: " 0.25 ", want: Notice{Rest: 250 * time.Millisecond}},
+		"none":                {value: "0"},
+		"no header":           {},
+		"a date":              {value: date(5 * time.Second), want: Notice{Rest: 5 * time.Second}},
+		"a date that is past": {value: date(-5 * time.Second)},
+		"the target's clock":  {value: date(time.Hour + 4*time.Second), date: date(time.Hour), want: Notice{Rest: 4 * time.Second}},
+		"too long":            {value: "1000000000", want: Notice{Rest: maxRest}},
+		"out of range":        {value: strings.Repeat("9", 400), want: Notice{Rest: maxRest}},
+		"a far date":          {value: date(1000 * time.Hour), want: Notice{Rest: maxRest}},
+		"negative":            {value: "-1", want: Notice{Unreadable: "-1"}},
+		"not a number":        {value: "NaN", want: Notice{Unreadable: "NaN"}},
+		"hexadecimal":         {value: "0x10", want: Notice{Unreadable: "0x10"}},
+		"long words":          {value: strings.Repeat("soon", 100), want: Notice{Unreadable: strings.Repeat("soon", maxShown/4)}},
+		"words":               {value: "soon", want: Notice{Unreadable: "soon"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := http.Header{}
+			h.Set("Retry-After", tt.value)
+			h.Set("Date", tt.date)
+			is.Equal(FromHeader(http.StatusServiceUnavailable, h, start), tt.want)
+			is.Equal(FromHeader(http.StatusTooManyRequests, h, start), Notice{}) // the caller's
+		})
+	}
+	is.Equal(FromHeader(http.StatusServiceUnavailable, http.Header{}, start), Notice{})
+}
+
+func TestLeavingLastsAndRestEnds(t *testing.T) {
+	is := is.New(t)
+	var s State
+	is.True(!s.Leaving())
+	is.Equal(s.Hear(Notice{Leaving: true, Rest: 3 * time.Second}, start, random()), Change{Leaves: true, Rests: true})
+	is.Equal(s.Hear(Notice{Leaving: true, Rest: time.Second}, start, random()), Change{})
+	_, rests := s.RestsUntil(start.Add(3*time.Second - 1))
+	is.True(rests)
+	_, rests = s.RestsUntil(start.Add(3*time.Second + maxSpread))
+	is.True(!rests)
+	s.Hear(Notice{}, start.Add(time.Hour), random())
+	is.True(s.Leaving())
+}
+
+func TestUnreadableIsNewsOnce(t *testing.T) {
+	is := is.New(t)
+	var s State
+	is.True(s.Hear(Notice{Unreadable: "soon"}, start, random()).Unreadable)
+	is.True(!s.Hear(Notice{Unreadable: "later"}, start, random()).Unreadable)
+	_, rests := s.RestsUntil(start)
+	is.True(!rests)
+}
+
+// In whatever order notices come, no rest ends before any of them asked, nor much later
+// than the longest.
+func TestRestIsTheLongestAskedFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s State
+		var end time.Time
+		now := start
+		for range rapid.IntRange(1, 8).Draw(t, "notices") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "later ms")) * time.Millisecond)
+			rest := time.Duration(rapid.IntRange(0, 5000).Draw(t, "rest ms")) * time.Millisecond
+			s.Hear(Notice{Rest: rest}, now, random())
+			if at := now.Add(rest); rest > 0 && at.After(end) {
+				end = at
+			}
+		}
+		until, rests := s.RestsUntil(now)
+		if rests != now.Before(until) || rests && (until.Before(end) || until.After(end.Add(maxSpread))) {
+			t.Fatalf("rests %v until %v, asked until %v", rests, until, end)
+		}
+		if !rests && now.Before(end) {
+			t.Fatalf("rest ended at %v, asked until %v", now, end)
+		}
+	})
+}
+
+func TestBookKeepsRunsApartAndIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(2)
+	old, later, other := Run{"a", 1}, Run{"a", 2}, Run{"b", 0}
+	b.Hear(old, Notice{Leaving: true}, start, random())
+	is.True(b.State(old).Leaving())
+	is.True(!b.State(later).Leaving())
+	b.Hear(later, Notice{Rest: time.Second}, start, random())
+	b.Hear(other, Notice{Leaving: true}, start, random())
+	is.Equal(len(b.states), 2)
+	is.True(!b.State(old).Leaving()) // forgotten
+	is.True(b.State(other).Leaving())
+}
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/problem"
 )
 
@@ -57,6 +58,23 @@
 	// Running is the number of requests in progress at the target, if HasLoad.
 	Running int
 	HasLoad bool
+	// Notice is what the target says of itself besides.
+	Notice notice.Notice
+}
+
+// isOwn says whether an answer with the given status to the request with the given ID is
+// surely by the target that the request was sent to: another process may have its address
+// by now, or what comes is a late answer to an earlier request.
+func (r Reply) isOwn(status int, id string) bool {
+	switch {
+	case r.WrongTarget:
+		return false
+	case r.ID == "":
+		return r.NotRun
+	case r.ID != id:
+		return false
+	}
+	return r.Signed || status >= http.StatusMultipleChoices
 }
 
 // Dialect spells requests and answers as a platform wants them. It decides
--- a/router/forward.go
+++ b/router/forward.go
@@ -181,6 +181,11 @@
 	if progress >= retry.Sent {
 		x.runs++
 	}
+	var reply Reply
+	if err == nil {
+		reply = x.router.dialect.DecodeReply(resp.StatusCode, resp.Header)
+		x.heed(l, reply, resp.StatusCode)
+	}
 	if err == nil && w.ended() {
 		// The header came as the attempt was ended; its body can't be read.
 		_ = resp.Body.Close()
@@ -191,7 +196,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.attemptCancel = cancel
-	return x.takeReply(ctx, l, resp)
+	return x.takeReply(ctx, l, reply, resp)
 }
 
 // sendFailed says what a send without an answer means.
@@ -271,8 +276,7 @@
 }
 
 // takeReply checks the header of an answer and relays the answer.
-func (x *exchange) takeReply(ctx context.Context, l lease, resp *http.Response) *failure {
-	reply := x.router.dialect.DecodeReply(resp.StatusCode, resp.Header)
+func (x *exchange) takeReply(ctx context.Context, l lease, reply Reply, resp *http.Response) *failure {
 	x.noteFirstByte()
 	if x.done.firstByte == 0 {
 		x.done.firstByte = x.router.now().Sub(x.start)
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -22,6 +22,8 @@
 	unanswered *prometheus.CounterVec
 	// overdue counts attempts that got nothing from their target for too long.
 	overdue *prometheus.CounterVec
+	// notices counts what targets said of themselves that was news.
+	notices *prometheus.CounterVec
 	// connections counts callers' connections that the node ended.
 	connections *prometheus.CounterVec
 	// parts counts the tokens of shared parts that a target had to get.
@@ -45,6 +47,8 @@
 			"Requests whose connection was closed with no byte of an answer, by the cause.", "cause"),
 		overdue: f.Counters("overdue_total",
 			"Times that an attempt which may go elsewhere was overdue, by whether it went and why not.", "outcome"),
+		notices: f.Counters("notices_total",
+			"News that targets told of themselves in answers: that they leave, a rest that they ask for, a Retry-After that can't be read.", "kind"),
 		connections: f.Counters("connections_ended_total",
 			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
 		parts: f.Counters("part_tokens_total",
--- /dev/null
+++ b/router/notices.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"github.com/knapweedgw/knapweedgw/notice"
+	"github.com/knapweedgw/knapweedgw/roster"
+)
+
+// Kinds of notices, as the metric names them.
+const (
+	noticeLeaving    = "leaving"
+	noticeRest       = "rest"
+	noticeUnreadable = "unreadable"
+)
+
+// runOf names a run of a target among the notices.
+func runOf(t *roster.Target) notice.Run {
+	r := notice.Run{Target: t.ID}
+	if !t.Started.IsZero() {
+		r.Incarnation = t.Started.UnixMilli()
+	}
+	return r
+}
+
+// hearNotice takes what the target of a lease said of itself.
+func (p *pool) hearNotice(l lease, n notice.Notice) notice.Change {
+	if n == (notice.Notice{}) {
+		return notice.Change{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run := runOf(l.target)
+	said, change := p.notices.Hear(run, n, p.now(), p.rng)
+	l.member.said = said
+	// The target may have left and come back since it was chosen.
+	if m, ok := p.members[run.Target]; ok && runOf(m.target) == run {
+		m.said = said
+	}
+	return change
+}
+
+// heed takes what an answer says of its target, before anything is decided on the answer.
+func (x *exchange) heed(l lease, reply Reply, status int) {
+	if !reply.isOwn(status, x.call.ID) {
+		return
+	}
+	n := reply.Notice
+	change := x.router.pool.hearNotice(l, n)
+	if change == (notice.Change{}) {
+		return
+	}
+	log := x.router.log.With("target", l.target.ID, "started", l.target.Started, "request", x.call.ID,
+		"status", status, "sent_ms_ago", x.router.now().Sub(x.sentAt).Milliseconds())
+	count := x.router.metrics.notices
+	if change.Leaves {
+		count.WithLabelValues(noticeLeaving).Inc()
+		log.Info("target says that it leaves")
+	}
+	if change.Rests {
+		count.WithLabelValues(noticeRest).Inc()
+		log.Info("target asks for rest", "rest_ms", n.Rest.Milliseconds())
+	}
+	if change.Unreadable {
+		count.WithLabelValues(noticeUnreadable).Inc()
+		log.Warn("Retry-After of a target can't be read", "value", n.Unreadable)
+	}
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -76,6 +77,8 @@
 	reported   int
 	reportedAt time.Time
 	gone       bool
+	// said is what the target said of itself, nil for nothing.
+	said *notice.State
 	// warmUp is this node's share of a cold target, nil of others.
 	warmUp *warmup.Sender
 	// closed are the runs whose connection the target closed since it was last seen to
@@ -107,6 +110,8 @@
 	rng      *rand.Rand
 	parts    *affinity.Table
 	gates    map[string]*overload.Gate // by service
+	// notices are what targets said of themselves, also those that are not known now.
+	notices *notice.Book
 	// uses are to be told to the other nodes, oldest first.
 	uses []toldUse
 }
@@ -125,7 +130,7 @@
 		members: make(map[string]*member), services: make(map[string][]*member),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		parts: affinity.NewTable(affinity.DefaultConfig()),
-		gates: make(map[string]*overload.Gate),
+		gates: make(map[string]*overload.Gate), notices: notice.NewBook(notice.DefaultRuns),
 
 		warmUpOf: func(string) warmup.Limit { return warmup.Limit{} },
 	}
