--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -87,7 +87,44 @@
 	mu   sync.Mutex
 	runs map[string][]*Run
 	// Turned counts requests that were turned away without a run.
-	turned int
+	turned   int
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached an engine which was meant.
+type Arrival struct {
+	Request, Engine string
+	// Born is the start of that engine, in Unix milliseconds.
+	Born int64
+	At   time.Time
+	// Leaving says that the engine says in the answer that it leaves, Rest what rest the
+	// answer asks for.
+	Leaving bool
+	Rest    time.Duration
+}
+
+// Arrivals returns the requests that reached engines, in their order.
+func (j *Journal) Arrivals() []Arrival {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.arrivals)
+}
+
+// ArrivalsAt returns how many requests reached an engine.
+func (j *Journal) ArrivalsAt(engine string) int {
+	n := 0
+	for _, a := range j.Arrivals() {
+		if a.Engine == engine {
+			n++
+		}
+	}
+	return n
+}
+
+func (j *Journal) arrive(a Arrival) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.arrivals = append(j.arrivals, a)
 }
 
 // NewJournal returns an empty journal.
@@ -170,6 +207,8 @@
 	// ColdPerSecond requests in any second, and ends at more; 0 for any number.
 	ColdFor       time.Duration
 	ColdPerSecond int
+	// RestFor is the Retry-After of the faults Refuse and FakeRefuse, none if 0.
+	RestFor time.Duration
 	// OnEnd is called before a request with EndingBody ends the engine; nil for nothing.
 	OnEnd func()
 
@@ -183,6 +222,8 @@
 	born     int64 // Unix milliseconds
 	fault    Fault
 	left     int // requests for which the fault holds, -1 for all
+	// leaving says that this run of the engine says in its answers that it leaves.
+	leaving bool
 	// arrived are the times of the requests that came while the engine was cold.
 	arrived []time.Time
 }
@@ -247,6 +288,19 @@
 	e.fault, e.left = f, n
 }
 
+// SayLeaving makes this run of the engine say in all its answers that it leaves.
+func (e *Engine) SayLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+func (e *Engine) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 func (e *Engine) takeFault() Fault {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -273,6 +327,10 @@
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	leaving := e.isLeaving()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.ID {
 		e.journal.turn()
 		w.Header().Set("Instance-Id", e.ID)
@@ -280,6 +338,12 @@
 		return
 	}
 	fault := e.takeFault().of(len(e.journal.Runs(id)) > 0)
+	arrival := Arrival{Request: id, Engine: e.ID, Born: e.Born(), At: time.Now(), Leaving: leaving}
+	if e.RestFor > 0 && (fault == Refuse || fault == FakeRefuse) {
+		arrival.Rest = e.RestFor
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.RestFor.Seconds(), 'f', -1, 64))
+	}
+	e.journal.arrive(arrival)
 	if fault == Refuse {
 		e.journal.turn()
 		w.Header().Set("Not-Executed", "1")
--- a/lab/standin/lifecycle.go
+++ b/lab/standin/lifecycle.go
@@ -30,6 +30,7 @@
 	e.addr, e.listener, e.server = ln.Addr().String(), ln, server
 	// Two starts within a millisecond are told apart as well.
 	e.born = max(time.Now().UnixMilli(), e.born+1)
+	e.leaving = false
 	e.mu.Unlock()
 	go func() { _ = server.Serve(ln) }() // ends with Close
 }
--- /dev/null
+++ b/lab/standin/notice_test.go
@@ -0,0 +1,132 @@
+package standin_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	. "github.com/knapweedgw/knapweedgw/lab/standin"
+)
+
+// manyRequests are enough for each target of a service to get some, if it gets any.
+const manyRequests = 40
+
+// reach sends requests to the first node until one has reached the engine.
+func reach(s *Site, e *Engine, path string) {
+	before := s.Journal.ArrivalsAt(e.ID)
+	s.Eventually("a request reaches "+e.ID, func() bool {
+		s.Nodes[0].Do(Request{Path: path, Body: "x"})
+		return s.Journal.ArrivalsAt(e.ID) > before
+	})
+}
+
+// getsNothing checks that none of many requests reaches the engine.
+func getsNothing(t *testing.T, s *Site, e *Engine, path string) {
+	t.Helper()
+	before := s.Journal.ArrivalsAt(e.ID)
+	for range manyRequests {
+		s.Nodes[0].Do(Request{Path: path, Body: "x"})
+	}
+	if n := s.Journal.ArrivalsAt(e.ID) - before; n > 0 {
+		t.Errorf("%d of %d requests reached %s", n, manyRequests, e.ID)
+	}
+}
+
+// Guards against: requests went on to a target that had said in its answers that it
+// leaves, while its entry in the store still said that it is ready.
+func TestTargetThatSaysItLeavesGetsNothingNew(t *testing.T) {
+	answers := map[string]struct {
+		path  string
+		fault Fault
+	}{
+		"whole":              {SafePath, None},
+		"a stream's header":  {StreamPath, None},
+		"a broken stream":    {StreamPath, Cut},
+		"a failure":          {UnsafePath, Fail},
+		"a large failure":    {SafePath, FailLarge},
+		"a refusal":          {SafePath, Refuse},
+		"a refusal unsigned": {UnsafePath, FakeRefuse},
+	}
+	for name, tt := range answers {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			s.Store.SetMode(Silent)
+			e := s.Plain[0]
+			if tt.path == StreamPath {
+				e = s.Model[0]
+			}
+			e.SayLeaving()
+			e.SetFault(tt.fault, 1)
+			reach(s, e, tt.path)
+			getsNothing(t, s, e, tt.path)
+		})
+	}
+	t.Run("as a retry", func(t *testing.T) {
+		s := start(t, 1)
+		e := s.Plain[0]
+		e.SayLeaving()
+		reach(s, e, SafePath)
+		s.Plain[1].SetFault(Fail, -1)
+		s.Plain[2].SetFault(Refuse, -1)
+		getsNothing(t, s, e, SafePath)
+	})
+	t.Run("as a stream that goes on", func(t *testing.T) {
+		s := start(t, 1)
+		e := s.Model[0]
+		e.SayLeaving()
+		reach(s, e, StreamPath)
+		s.Model[1].SetFault(Cut, -1)
+		s.Model[2].SetFault(Cut, -1)
+		getsNothing(t, s, e, ResumePath)
+	})
+	t.Run("after its entry has lapsed and come back", func(t *testing.T) {
+		is, s := is.New(t), start(t, 1)
+		e, logs := s.Plain[0], s.Nodes[0].Logs
+		e.SayLeaving()
+		reach(s, e, SafePath)
+		s.Store.Remove("servers/" + e.ID)
+		s.Eventually("it is gone", func() bool { return strings.Contains(logs.String(), `"change":"gone"`) })
+		s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+		s.Eventually("it is back", func() bool { return strings.Count(logs.String(), `"change":"joined"`) > len(s.Engines()) })
+		getsNothing(t, s, e, SafePath)
+		e.Restart()
+		s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+		reach(s, e, SafePath) // a later run
+		is.True(!t.Failed())
+	})
+	t.Run("if all leave", func(t *testing.T) {
+		is, s := is.New(t), start(t, 1)
+		for _, e := range s.Plain {
+			e.SayLeaving()
+		}
+		for _, e := range s.Plain {
+			e.SetFault(Refuse, 1)
+		}
+		s.Eventually("all have said so", func() bool {
+			s.Nodes[0].Do(Request{Path: SafePath})
+			return strings.Count(s.Nodes[0].Logs.String(), "says that it leaves") == len(s.Plain)
+		})
+		arrived := len(s.Journal.Arrivals())
+		a := s.Nodes[0].Do(Request{Path: SafePath})
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(a.Header.Get("Retry-After") != "")
+		is.True(strings.Contains(a.Body, `"ran":"no"`))
+		is.Equal(len(s.Journal.Arrivals()), arrived)
+	})
+}
+
+// A word that may be another process's takes no target away.
+func TestWordsOfOthersTakeNoTargetAway(t *testing.T) {
+	for name, fault := range map[string]Fault{"to another request": WrongID, "unsigned": Unsigned} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			e := s.Plain[0]
+			e.SayLeaving()
+			e.SetFault(fault, -1)
+			reach(s, e, UnsafePath)
+			reach(s, e, UnsafePath)
+		})
+	}
+}
