Send nothing new to a target that says in an answer that it leaves

Callers' requests went to targets that were about to stop, 2.9 s and 4.0 s after the node had passed on their word (DRAIN, 2 s allowed), and would have been cut off with them.

Cause: a node believed of a target what its entry in the store says and what it counted itself; what an answer says of its target was dropped, but for the load. The store was away, so the entry said ready. Class: knowledge that reaches the node by one way only, while a nearer one is ignored.

The word belongs to the run the request was sent to, outlives its entry, a lapse, a list and a copy, and ends with a later run. placement leaves such targets out as those that drain: first choices, retries, resumed streams, the way back to an overdue target, last resorts, the gate's places; no trials. It is asked once more before the first byte, for requests that waited for a connection.

Answers of others (421, another request, unsigned) take nothing away, as before.

--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -21,6 +21,17 @@
 	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
 }
 
+// Guards against: a target that had said in an answer that it leaves served as a last resort.
+func TestTargetsThatSayTheyLeaveAreNoLastResort(t *testing.T) {
+	is := is.New(t)
+	cands := pool(2)
+	cands[0].Leaving = true
+	cands[1].Unreachable, cands[1].Suspended = true, true
+	is.Equal(pick(t, cands, Request{Key: 7}).Target.ID, "engine-1")
+	cands[1].Excluded = true
+	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
+}
+
 // Targets outside the regions get nothing, and nothing is fetched from them.
 func TestTargetsOutsideTheRegions(t *testing.T) {
 	is := is.New(t)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,8 @@
 	Unreachable bool
 	// Excluded targets were tried for this request.
 	Excluded bool
+	// Leaving targets have told this node in an answer that they leave.
+	Leaving bool
 	// Outside targets are in a region to which the request may not go.
 	Outside bool
 	// Cold targets have just started and bear few requests. One gets the request only
@@ -177,7 +179,7 @@
 func bounded(all, eligible []Candidate) []Candidate {
 	out := eligible
 	for _, c := range all {
-		if c.Evacuated && !c.Draining {
+		if c.Evacuated && !c.Draining && !c.Leaving {
 			out = append(out[:len(out):len(out)], c)
 		}
 	}
@@ -218,8 +220,8 @@
 	return choice, true
 }
 
-// filter returns the candidates that may get work. Targets that drain, were tried, or
-// are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
+// filter returns the candidates that may get work. Targets that drain or leave, were tried,
+// or are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
 // would leave none: first suspensions, then targets that can't be reached, then
 // fallback targets. Suspensions are a guess from failures and give way sooner,
 // when they would take most of a service; what can't be reached is no use however
@@ -230,7 +232,7 @@
 	suspended := 0
 	for _, c := range cands {
 		switch {
-		case c.Draining || c.Excluded || c.Evacuated || c.Outside:
+		case c.Draining || c.Leaving || c.Excluded || c.Evacuated || c.Outside:
 		case c.Fallback:
 			fallback = append(fallback, c)
 		default:
--- a/router/forward.go
+++ b/router/forward.go
@@ -46,8 +46,9 @@
 	cause    error
 	// retryAfter is when the caller should come back, 0 to have it worked out.
 	retryAfter time.Duration
-	// stale means that a kept connection turned out to be closed before
-	// anything was sent; the target itself is not to blame.
+	// stale means that nothing was sent and the target itself is not to blame: a kept
+	// connection turned out to be closed, or the target said meanwhile that it wants no
+	// more.
 	stale bool
 	// local means that the node itself lacked what the attempt needed, so that
 	// no other target is of use.
@@ -176,7 +177,7 @@
 		return &failure{progress: retry.NotSent, reason: problem.Internal, cause: err}
 	}
 	w := x.watchReply(l, cancel)
-	resp, progress, err := l.member.client.Do(req, nil)
+	resp, progress, err := l.member.client.Do(req, func() bool { return x.router.pool.maySend(l.target) })
 	w.stop()
 	if progress >= retry.Sent {
 		x.runs++
@@ -203,6 +204,8 @@
 func (x *exchange) sendFailed(ctx context.Context, l lease, p retry.Progress, err error, impatient bool) *failure {
 	f := &failure{progress: p, reason: problem.TargetFailed, cause: err}
 	switch {
+	case errors.Is(err, upstream.ErrGateClosed):
+		f.cause, f.stale = errNoticed, true
 	case impatient:
 		// Counted as twice its wait, or the estimate would know only the
 		// answers that came in time. It is no evidence against the target,
@@ -230,6 +233,9 @@
 	return f
 }
 
+// errNoticed is for a request that was about to be sent as an answer of its target came.
+var errNoticed = errors.New("the target has said meanwhile that it leaves")
+
 var errNoReply = errors.New("no answer within the time of one attempt")
 
 func isTimeout(err error) bool {
--- a/router/lease.go
+++ b/router/lease.go
@@ -97,7 +97,7 @@
 	why := errNoTarget
 	for _, c := range p.candidates(p.services[w.service], w, p.now()) {
 		switch {
-		case c.Draining || c.Excluded:
+		case c.Draining || c.Leaving || c.Excluded:
 		case c.Cold && !c.Outside && !c.Evacuated:
 			return errCold
 		case c.Evacuated && !c.Outside:
--- a/router/notices.go
+++ b/router/notices.go
@@ -38,6 +38,14 @@
 	return change
 }
 
+// maySend says whether a request that was meant for a target may still go there. It is
+// asked when the connection is ready, which may be long after the target was chosen.
+func (p *pool) maySend(t *roster.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.notices.State(runOf(t)).Leaving()
+}
+
 // heed takes what an answer says of its target, before anything is decided on the answer.
 func (x *exchange) heed(l lease, reply Reply, status int) {
 	if !reply.isOwn(status, x.call.ID) {
--- a/router/pool.go
+++ b/router/pool.go
@@ -161,6 +161,7 @@
 		}
 		if !ok {
 			m = newMember(t)
+			m.said = p.notices.State(runOf(t))
 			p.members[t.ID] = m
 		}
 		m.target = t
@@ -244,6 +245,7 @@
 			Suspended:   m.state.Suspended(now) || sums[i].Unreachable >= quorum,
 			Unreachable: m.state.Unreachable(),
 			Excluded:    w.excludes(m.target.ID),
+			Leaving:     m.said.Leaving(),
 			Outside:     !w.regions.Allow(p.regionOf[m.target.FailureDomain]),
 			Kept:        holding.Tokens,
 			Settled:     holding.Settled,
@@ -276,7 +278,7 @@
 			p.log.Warn("target suspended", "target", m.target.ID, "answered", all[i].Answered,
 				"failed", all[i].Failed, "service_answered", service.Answered, "service_failed", service.Failed)
 		}
-		if !m.target.Evacuated && m.state.Trial(now) {
+		if !m.target.Evacuated && !m.said.Leaving() && m.state.Trial(now) {
 			go p.trial(m, m.target.Addr)
 		}
 	}
