Show that a target which asks for rest gets requests all the same

If all rest, requests are sent there in place of being refused. TestTargetIsUsedAgainAfterItsRest holds already.

--- a/lab/standin/notice_test.go
+++ b/lab/standin/notice_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -130,3 +132,83 @@
 		})
 	}
 }
+
+// Guards against: a target that had turned a node away with 503 and asked it for rest got
+// further requests from that node within that time.
+func TestTargetThatAsksForRestGetsNothingMeanwhile(t *testing.T) {
+	const long = time.Minute
+	answers := map[string]struct {
+		path  string
+		fault Fault
+	}{
+		"a refusal":             {SafePath, Refuse},
+		"a refusal unsigned":    {UnsafePath, FakeRefuse},
+		"a refusal of a stream": {StreamPath, Refuse},
+	}
+	for name, tt := range answers {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			e := s.Plain[0]
+			if tt.path == StreamPath {
+				e = s.Model[0]
+			}
+			asksForRest(s, e, tt.path, tt.fault, long)
+			getsNothing(t, s, e, tt.path)
+		})
+	}
+	t.Run("as a retry", func(t *testing.T) {
+		s := start(t, 1)
+		asksForRest(s, s.Plain[0], SafePath, Refuse, long)
+		s.Plain[1].SetFault(Fail, -1)
+		s.Plain[2].SetFault(Refuse, -1)
+		getsNothing(t, s, s.Plain[0], SafePath)
+	})
+	t.Run("as a stream that goes on", func(t *testing.T) {
+		s := start(t, 1)
+		asksForRest(s, s.Model[0], ResumePath, Refuse, long)
+		s.Model[1].SetFault(Cut, -1)
+		s.Model[2].SetFault(Cut, -1)
+		getsNothing(t, s, s.Model[0], ResumePath)
+	})
+	t.Run("while most rest", func(t *testing.T) {
+		s := start(t, 1)
+		asksForRest(s, s.Plain[0], SafePath, Refuse, long)
+		asksForRest(s, s.Plain[1], SafePath, Refuse, long)
+		getsNothing(t, s, s.Plain[0], SafePath)
+		getsNothing(t, s, s.Plain[1], SafePath)
+	})
+	t.Run("if all rest", func(t *testing.T) {
+		is, s := is.New(t), start(t, 1)
+		asksForRest(s, s.Plain[0], SafePath, Refuse, long)
+		asksForRest(s, s.Plain[1], SafePath, Refuse, 2*long)
+		asksForRest(s, s.Plain[2], SafePath, Refuse, 2*long)
+		arrived := len(s.Journal.Arrivals())
+		a := s.Nodes[0].Do(Request{Path: SafePath})
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(a.Body, `"ran":"no"`))
+		after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > long.Seconds()/2) // of the first whose rest ends
+		is.True(after < 1.5*long.Seconds())
+		is.Equal(len(s.Journal.Arrivals()), arrived)
+	})
+}
+
+// asksForRest has an engine turn a request away and ask for rest.
+func asksForRest(s *Site, e *Engine, path string, f Fault, rest time.Duration) {
+	e.RestFor = rest
+	e.SetFault(f, 1)
+	reach(s, e, path)
+}
+
+// Rest ends with its time, and with the run that asked for it.
+func TestTargetIsUsedAgainAfterItsRest(t *testing.T) {
+	s := start(t, 1)
+	e := s.Plain[0]
+	asksForRest(s, e, SafePath, Refuse, 300*time.Millisecond)
+	reach(s, e, SafePath)
+	asksForRest(s, e, SafePath, Refuse, time.Hour)
+	e.Restart()
+	s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+	reach(s, e, SafePath)
+}
