Leave a target alone for the rest that it asks a node for

Cause: the same as of the targets that leave: the node didn't read what the answer said of its target.

Fix: the rest is kept with the run that asked for it; placement leaves such targets out always, the bound's mean counts them on, nothing is fetched from them, no trials. Asked once more before the first byte. Health doesn't judge a target that rests, so that it isn't out for longer than it asked. If all targets rest, requests are refused at once, not run, with the end of the first rest as Retry-After, spread over 0.25 s.

--- a/notice/notice.go
+++ b/notice/notice.go
@@ -64,11 +64,16 @@
 // Leaving says whether the run has said that it leaves.
 func (s *State) Leaving() bool { return s != nil && s.leaving }
 
-// RestsUntil returns when the rest that the run asked for ends; ok is false if it is
-// over at now, or was never asked for.
-func (s *State) RestsUntil(now time.Time) (until time.Time, ok bool) {
-	if s == nil || !now.Before(s.restUntil) {
-		return time.Time{}, false
+// Rests says whether the run has asked for no requests at now.
+func (s *State) Rests(now time.Time) bool { return s != nil && now.Before(s.restUntil) }
+
+// RestFor returns how much longer the run rests, 0 if it doesn't.
+func (s *State) RestFor(now time.Time) time.Duration {
+	if !s.Rests(now) {
+		return 0
 	}
-	return s.restUntil, true
+	return s.restUntil.Sub(now)
 }
+
+// MaySend says whether a request may be sent to the run at now.
+func (s *State) MaySend(now time.Time) bool { return !s.Leaving() && !s.Rests(now) }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -57,10 +57,8 @@
 	is.True(!s.Leaving())
 	is.Equal(s.Hear(Notice{Leaving: true, Rest: 3 * time.Second}, start, random()), Change{Leaves: true, Rests: true})
 	is.Equal(s.Hear(Notice{Leaving: true, Rest: time.Second}, start, random()), Change{})
-	_, rests := s.RestsUntil(start.Add(3*time.Second - 1))
-	is.True(rests)
-	_, rests = s.RestsUntil(start.Add(3*time.Second + maxSpread))
-	is.True(!rests)
+	is.True(s.Rests(start.Add(3*time.Second - 1)))
+	is.True(!s.Rests(start.Add(3*time.Second + maxSpread)))
 	s.Hear(Notice{}, start.Add(time.Hour), random())
 	is.True(s.Leaving())
 }
@@ -70,8 +68,7 @@
 	var s State
 	is.True(s.Hear(Notice{Unreadable: "soon"}, start, random()).Unreadable)
 	is.True(!s.Hear(Notice{Unreadable: "later"}, start, random()).Unreadable)
-	_, rests := s.RestsUntil(start)
-	is.True(!rests)
+	is.True(s.MaySend(start))
 }
 
 // In whatever order notices come, no rest ends before any of them asked, nor much later
@@ -89,12 +86,9 @@
 				end = at
 			}
 		}
-		until, rests := s.RestsUntil(now)
-		if rests != now.Before(until) || rests && (until.Before(end) || until.After(end.Add(maxSpread))) {
-			t.Fatalf("rests %v until %v, asked until %v", rests, until, end)
-		}
-		if !rests && now.Before(end) {
-			t.Fatalf("rest ended at %v, asked until %v", now, end)
+		until := now.Add(s.RestFor(now))
+		if until.Before(end) || s.Rests(now) && until.After(end.Add(maxSpread)) {
+			t.Fatalf("rests until %v, asked until %v", until, end)
 		}
 	})
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -32,6 +32,20 @@
 	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
 }
 
+// Guards against: suspensions are ignored where most of a service is suspended, and a rest
+// that was asked for was with them.
+func TestTargetsThatRestAreNoLastResort(t *testing.T) {
+	is := is.New(t)
+	cands := pool(3)
+	cands[0].Resting, cands[1].Resting = true, true
+	cands[0].Kept, cands[0].Settled = 100, true
+	c := pick(t, cands, Request{Key: 7, Shared: 100})
+	is.Equal(c.Target.ID, "engine-2")
+	is.Equal(c.FetchFrom, nil) // a fetch is work too
+	cands[2].Resting = true
+	is.Equal(len(NewService(cands, DefaultPolicy()).Eligible()), 0) // for the gate's places
+}
+
 // Targets outside the regions get nothing, and nothing is fetched from them.
 func TestTargetsOutsideTheRegions(t *testing.T) {
 	is := is.New(t)
@@ -45,8 +59,8 @@
 	is.True(!ok)
 }
 
-// The bound doesn't grow when a failure domain is evacuated.
-func TestBoundCountsEvacuatedTargets(t *testing.T) {
+// The bound doesn't grow when targets get nothing for a while.
+func TestBoundCountsTargetsThatGetNothing(t *testing.T) {
 	is := is.New(t)
 	cands := pool(4)
 	for i := range cands {
@@ -55,6 +69,8 @@
 	before := pick(t, cands, Request{Key: 7}).Limit
 	cands[0].Evacuated, cands[0].Running = true, 0
 	is.True(pick(t, cands, Request{Key: 7}).Limit < before)
+	cands[0].Evacuated, cands[0].Resting = false, true
+	is.True(pick(t, cands, Request{Key: 7}).Limit < before)
 }
 
 func TestColdTargetGetsNoMoreThanItsShare(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,8 @@
 	Excluded bool
 	// Leaving targets have told this node in an answer that they leave.
 	Leaving bool
+	// Resting targets have asked this node for no requests until a time that has not come.
+	Resting bool
 	// Outside targets are in a region to which the request may not go.
 	Outside bool
 	// Cold targets have just started and bear few requests. One gets the request only
@@ -173,13 +175,13 @@
 	return Service{policy: p, all: cands, eligible: eligible, open: open(eligible), bounded: bounded(cands, eligible)}
 }
 
-// bounded returns the eligible candidates and those in evacuated failure domains. The
-// bound is a multiple of the mean over a service's targets, of which these still are: by
-// the mean of the others it would grow with each domain that is evacuated.
+// bounded returns the eligible candidates, those in evacuated failure domains and those
+// that rest. The bound is a multiple of the mean over a service's targets, of which these
+// still are: by the mean of the others it would grow with each that gets nothing.
 func bounded(all, eligible []Candidate) []Candidate {
 	out := eligible
 	for _, c := range all {
-		if c.Evacuated && !c.Draining && !c.Leaving {
+		if (c.Evacuated || c.Resting) && !c.Draining && !c.Leaving {
 			out = append(out[:len(out):len(out)], c)
 		}
 	}
@@ -220,8 +222,8 @@
 	return choice, true
 }
 
-// filter returns the candidates that may get work. Targets that drain or leave, were tried,
-// or are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
+// filter returns the candidates that may get work. Targets that drain, leave or rest, were
+// tried, or are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
 // would leave none: first suspensions, then targets that can't be reached, then
 // fallback targets. Suspensions are a guess from failures and give way sooner,
 // when they would take most of a service; what can't be reached is no use however
@@ -232,7 +234,7 @@
 	suspended := 0
 	for _, c := range cands {
 		switch {
-		case c.Draining || c.Leaving || c.Excluded || c.Evacuated || c.Outside:
+		case c.Draining || c.Leaving || c.Resting || c.Excluded || c.Evacuated || c.Outside:
 		case c.Fallback:
 			fallback = append(fallback, c)
 		default:
@@ -390,7 +392,7 @@
 func holder(cands []Candidate, chosen Candidate) (from Candidate, ok bool) {
 	most := -1
 	for i, c := range cands {
-		if c.Suspended || c.Outside || !c.Settled || c.Target == chosen.Target {
+		if c.Suspended || c.Resting || c.Outside || !c.Settled || c.Target == chosen.Target {
 			continue
 		}
 		if most < 0 || c.Kept > cands[most].Kept {
--- a/router/forward.go
+++ b/router/forward.go
@@ -234,7 +234,7 @@
 }
 
 // errNoticed is for a request that was about to be sent as an answer of its target came.
-var errNoticed = errors.New("the target has said meanwhile that it leaves")
+var errNoticed = errors.New("the target has said meanwhile that it leaves or wants no requests for a while")
 
 var errNoReply = errors.New("no answer within the time of one attempt")
 
--- a/router/lease.go
+++ b/router/lease.go
@@ -98,6 +98,8 @@
 	for _, c := range p.candidates(p.services[w.service], w, p.now()) {
 		switch {
 		case c.Draining || c.Leaving || c.Excluded:
+		case c.Resting && !c.Outside && !c.Evacuated:
+			return errResting
 		case c.Cold && !c.Outside && !c.Evacuated:
 			return errCold
 		case c.Evacuated && !c.Outside:
--- a/router/notices.go
+++ b/router/notices.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/roster"
 )
@@ -43,7 +45,28 @@
 func (p *pool) maySend(t *roster.Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.notices.State(runOf(t)).Leaving()
+	return p.notices.State(runOf(t)).MaySend(p.now())
+}
+
+// restFor returns how much longer all targets rest that a request would have, until the
+// first of them may be sent to; 0 if none rests.
+func (p *pool) restFor(w want) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var least time.Duration
+	for _, c := range p.candidates(p.services[w.service], w, now) {
+		if c.Draining || c.Leaving || c.Excluded || c.Evacuated || c.Outside {
+			continue
+		}
+		if !c.Resting {
+			return 0
+		}
+		if rest := p.members[c.ID].said.RestFor(now); least == 0 || rest < least {
+			least = rest
+		}
+	}
+	return least
 }
 
 // heed takes what an answer says of its target, before anything is decided on the answer.
--- a/router/notices_test.go
+++ b/router/notices_test.go
@@ -5,9 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/notice"
+	"github.com/knapweedgw/knapweedgw/roster"
 )
 
 var leaves = notice.Notice{Leaving: true}
@@ -101,3 +104,56 @@
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(tt.reply.isOwn(tt.status, "1"), tt.own) })
 	}
 }
+
+var rests = notice.Notice{Rest: 3 * time.Second}
+
+// Guards against: a request that waited for a connection reached a target that had asked
+// for rest meanwhile, and the way back to an overdue target led to one that rests.
+func TestTargetThatRestsIsNotSentTo(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10))
+	l := p.take(t)
+	p.hearNotice(l, rests)
+	is.True(!p.maySend(l.target))
+	_, _, ok := p.acquire(want{service: service, only: "a"})
+	is.True(!ok)
+	p.at = p.at.Add(4 * time.Second)
+	is.True(p.maySend(l.target))
+	p.take(t)
+}
+
+// Guards against: the refusals of a target that rests kept it suspended for longer than it
+// had asked.
+func TestRestIsNoLongerThanAskedFor(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10), run("b", 10))
+	l := p.take(t, "b")
+	for range 20 {
+		p.observe(l.member, health.Refused)
+	}
+	p.hearNotice(l, rests)
+	for end := p.at.Add(4 * time.Second); p.at.Before(end); p.at = p.at.Add(100 * time.Millisecond) {
+		p.believed("a") // health judges
+	}
+	_, _, suspended := p.believed("a")
+	is.True(!suspended)
+	p.take(t, "b")
+}
+
+// A caller that is refused while all targets rest comes back when the first may be sent to.
+func TestRestForIsThatOfTheFirstWhoseRestEnds(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10), run("b", 10))
+	w := want{service: service}
+	p.hearNotice(p.take(t, "b"), rests)
+	is.Equal(p.restFor(w), time.Duration(0)) // b takes requests
+	p.hearNotice(p.take(t, "a"), notice.Notice{Rest: time.Minute})
+	is.True(p.restFor(w) >= 3*time.Second)
+	is.True(p.restFor(w) < 4*time.Second)
+	is.True(errors.Is(p.lack(w), errResting))
+	p.put(leavingRun("a"))
+	is.True(p.restFor(w) >= time.Minute)
+}
+
+func leavingRun(id string) roster.Target {
+	t := run(id, 10)
+	t.Draining = true
+	return t
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -246,6 +246,7 @@
 			Unreachable: m.state.Unreachable(),
 			Excluded:    w.excludes(m.target.ID),
 			Leaving:     m.said.Leaving(),
+			Resting:     m.said.Rests(now),
 			Outside:     !w.regions.Allow(p.regionOf[m.target.FailureDomain]),
 			Kept:        holding.Tokens,
 			Settled:     holding.Settled,
@@ -256,7 +257,8 @@
 }
 
 // judge suspends targets whose failures stand out, and starts the trials that
-// are due. It returns what the other nodes say of each.
+// are due. Targets that rest are left alone: their refusals would keep them suspended for
+// longer than they asked. It returns what the other nodes say of each.
 func (p *pool) judge(members []*member, now time.Time) []heartbeat.Sum {
 	sums := make([]heartbeat.Sum, len(members)+1)
 	hashes := make([]uint64, len(members)+1)
@@ -274,6 +276,9 @@
 	}
 	health.Attribute(all, service)
 	for i, m := range members {
+		if m.said.Rests(now) {
+			continue
+		}
 		if m.state.Judge(p.healthConfig, all[i], service, now) {
 			p.log.Warn("target suspended", "target", m.target.ID, "answered", all[i].Answered,
 				"failed", all[i].Failed, "service_answered", service.Answered, "service_failed", service.Failed)
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,10 +12,15 @@
 	"github.com/knapweedgw/knapweedgw/retry"
 )
 
+// returnSpread is the time over which callers come back that were refused while all targets
+// rested: the first of these would get them all at once.
+const returnSpread = 250 * time.Millisecond
+
 var (
 	errNoTarget    = errors.New("no target of the service is left")
 	errEvacuated   = errors.New("the targets of the service that are left are in evacuated failure domains")
 	errOutside     = errors.New("the targets of the service that are left are in regions where this request may not go")
+	errResting     = errors.New("the targets of the service that are left have asked this node for no requests for a while")
 	errCold        = errors.New("the targets of the service that are left are still warming up and bear no more requests now")
 	errQuarantined = errors.New("targets ended under earlier copies of this request, so it is kept from them")
 	errSuspectBusy = errors.New("a copy of this request is being run, and targets ended under earlier ones")
@@ -89,5 +95,9 @@
 		return f.retryAfter
 	}
 	left, _ := x.remaining()
+	// A caller that comes back is not kept from the targets that were tried.
+	if rest := x.router.pool.restFor(want{service: x.service, regions: x.regions}); rest > 0 {
+		return rest + rand.N(returnSpread)
+	}
 	return x.router.pool.retryAfter(x.service, left)
 }
