Spare targets that ask for rest from the callers' own interface too

The same cause at the other front: a 503's Retry-After was passed to the caller or dropped, and the next request went to the same target. Callers lost by it: with one of two targets at rest, 503 in place of 200 once the retries were used up, and after a plain service's own 503 the next call got another. Nothing looked again before the first byte goes out, so a place granted by an owner that hadn't heard was used after the word came.

Fix: gateway hears each answer, those to resumed streams too, keeps rests in notice.Book by incarnation, excludes resting targets when it asks for a place, wherever the owner is, and asks again before the first byte, for leaving as well. If no other target is left, callers are refused at once with the end of the first rest. A resumed stream waits for the rest of its engine, within the time for which the engine was asked to hold it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -58,9 +59,12 @@
 		if err := guarded.begin(); err != nil {
 			return g.giveUp(ctx, c, err)
 		}
-		grant, err := g.admitter.Acquire(ctx, f.admission)
+		resting, rest := g.resting(f.admission.Pool.Pool)
+		asked := f.admission
+		asked.Exclude = slices.Concat(asked.Exclude, resting)
+		grant, err := g.admitter.Acquire(ctx, asked)
 		if err != nil {
-			return g.giveUp(ctx, c, err)
+			return g.giveUp(ctx, c, afterRest(err, rest))
 		}
 		guarded.sendTo(grant.Target)
 		fail := g.attempt(ctx, c, f, grant)
@@ -180,6 +184,8 @@
 		return admission.Unknown
 	case fail == nil:
 		return admission.Answered
+	case errors.Is(fail.cause, errNoticed):
+		return admission.Unknown
 	case fail.reason == problem.TargetRefused:
 		return admission.Overloaded
 	case errors.Is(fail.cause, upstream.ErrGateClosed) || fail.reason != problem.TargetFailed:
@@ -194,22 +200,29 @@
 	if err != nil {
 		return &attemptError{progress: retry.NotSent, reason: problem.Internal, cause: err}
 	}
-	resp, progress, err := g.clients.forRequest(f.repeatable).Do(req, c.gate(f))
+	resp, progress, err := g.clients.forRequest(f.repeatable).Do(req, g.gate(c, f, t))
+	if errors.Is(err, upstream.ErrGateClosed) && !g.notices.maySend(t, time.Now()) {
+		return &attemptError{progress: progress, reason: problem.TargetRefused, cause: errNoticed}
+	}
 	if err != nil {
 		g.cancelIfGone(ctx, c, f, t, gen, progress)
 		return &attemptError{progress: progress, reason: problem.TargetFailed, cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	g.observe(t, resp.Header)
+	g.hear(c, t, resp)
 	if fail := refusedByTarget(f, t, resp); fail != nil {
 		return fail
 	}
 	return g.relay(ctx, c, f, t, gen, resp)
 }
 
-// gate marks the request as sent, if f's own gate lets it pass.
-func (c *call) gate(f forwardRequest) func() bool {
+// gate marks the request as sent, if its target still wants it and f's own gate lets it
+// pass.
+func (g *Gateway) gate(c *call, f forwardRequest, t targets.Target) func() bool {
 	return func() bool {
+		if !g.notices.maySend(t, time.Now()) {
+			return false
+		}
 		if f.gate != nil && !f.gate() {
 			return false
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	budget   *retry.Budget
 	backoff  retry.Backoff
 	stall    time.Duration
+	notices  *notices
 
 	settings SettingsSource
 	admitter admission.Admitter
@@ -97,6 +98,7 @@
 		budget:  retry.NewBudget(budget, time.Now()),
 		backoff: retry.Backoff{Base: retryBaseBackoff, Max: retryMaxBackoff},
 		stall:   callerStall,
+		notices: newNotices(),
 	}
 }
 
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.hear(c, t, resp)
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
 		return resp, nil
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,9 @@
 	resumedByNode   = "node"
 	resumedByCaller = "caller"
 	resumeFailed    = "failed"
+	// Label values of notices_total.
+	noticeRest       = "rest"
+	noticeUnreadable = "unreadable"
 )
 
 type metrics struct {
@@ -26,6 +29,7 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	resumes  *prometheus.CounterVec
+	notices  *prometheus.CounterVec
 	cancels  prometheus.Counter
 	replays  prometheus.Counter
 	panics   prometheus.Counter
@@ -41,6 +45,8 @@
 			"Attempts repeated on another target, by reason.", "reason"),
 		resumes: f.Counters("stream_resumes_total",
 			"Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.", "by"),
+		notices: f.Counters("notices_total",
+			"News that targets told of themselves in refusals: a rest that they ask for, a Retry-After that can't be read.", "kind"),
 		cancels: f.Counter("streams_canceled_total",
 			"Generations canceled because their caller went away."),
 		replays: f.Counter("replayed_answers_total",
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -133,19 +132,6 @@
 	} `json:"named_metrics"`
 }
 
-// observe passes on what a target says of itself in an answer's header.
-func (g *Gateway) observe(t targets.Target, h http.Header) {
-	if g.leaving != nil && h.Get(HeaderEndpointState) == stateLeaving {
-		g.leaving.ObserveLeaving(t.ID, t.Incarnation)
-	}
-	if g.loads == nil {
-		return
-	}
-	if n, ok := reportedLoad(h.Get(HeaderLoadReport)); ok {
-		g.loads.Observe(t.ID, n, time.Now())
-	}
-}
-
 // reportedLoad reads the JSON form of a load report.
 func reportedLoad(h string) (int, bool) {
 	raw, ok := strings.CutPrefix(h, "JSON ")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -112,6 +113,7 @@
 	end := time.Now().Add(min(s.g.resumeHold(s.c), resumePatience))
 	for number := 1; ctx.Err() == nil; number++ {
 		s.g.pause(ctx, number)
+		pause.Sleep(ctx, min(s.g.notices.restFor(s.target, time.Now()), time.Until(end)))
 		resp, err := s.g.resume(ctx, s.c, s.f, s.target, s.gen, s.last)
 		if err == nil {
 			s.g.metrics.resumes.WithLabelValues(resumedByNode).Inc()
--- a/notice/book.go
+++ b/notice/book.go
@@ -23,10 +23,14 @@
 	most   int
 	states map[Run]*State
 	order  []Run // in the order in which they were first heard
+	// asked are the runs that asked for a rest which may not be over.
+	asked map[Run]*State
 }
 
 // NewBook returns an empty book for the given number of runs.
-func NewBook(most int) *Book { return &Book{most: most, states: make(map[Run]*State)} }
+func NewBook(most int) *Book {
+	return &Book{most: most, states: make(map[Run]*State), asked: make(map[Run]*State)}
+}
 
 // State returns what a run has said, nil for nothing.
 func (b *Book) State(r Run) *State { return b.states[r] }
@@ -40,7 +44,27 @@
 		b.states[r] = s
 		b.order = append(b.order, r)
 	}
-	return s, s.Hear(n, now, rng)
+	change := s.Hear(n, now, rng)
+	if change.Rests {
+		b.asked[r] = s
+	}
+	return s, change
+}
+
+// Resting returns the runs that rest at now, and for how much longer.
+func (b *Book) Resting(now time.Time) map[Run]time.Duration {
+	if len(b.asked) == 0 {
+		return nil
+	}
+	out := make(map[Run]time.Duration, len(b.asked))
+	for r, s := range b.asked {
+		if left := s.RestFor(now); left > 0 {
+			out[r] = left
+		} else {
+			delete(b.asked, r)
+		}
+	}
+	return out
 }
 
 // evict makes room for one run, at the cost of the one heard of first.
@@ -49,5 +73,6 @@
 		return
 	}
 	delete(b.states, b.order[0])
+	delete(b.asked, b.order[0])
 	b.order = b.order[1:]
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -105,4 +105,7 @@
 	is.Equal(len(b.states), 2)
 	is.True(!b.State(old).Leaving()) // forgotten
 	is.True(b.State(other).Leaving())
+	is.True(b.Resting(start)[later] >= time.Second)
+	is.Equal(len(b.Resting(start.Add(time.Minute))), 0)
+	is.Equal(len(b.asked), 0)
 }
