Hold a rest that a run asked for before its start was known

The rest stood under the earlier run; as the entry came the target counted as new and got five requests within its rest. Requests are sent by ID, so that the node can't know that the run which answers is a later one.

Fix: a rest that was heard within the 5 s before a later run becomes known holds for that one too, for 5 s at most; what is longer is asked for again. Leaving isn't handed on: a wrong one would never end, and the later run says it in its next answer. TestRestOfARunThatIsNotKnownYetHolds failed before.

--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -31,6 +31,11 @@
 	Reuse      Kind = "reuse"  // a target's address goes to another service
 	Evacuate   Kind = "evacuate"
 	ColdReturn Kind = "cold_return" // a failure domain's targets end and others start, cold
+	// Leave has a target say in its answers that it leaves, while the store is silent and
+	// its entry says that it is ready.
+	Leave Kind = "leave"
+	// Shed has a target turn requests away and ask for rest.
+	Shed Kind = "shed"
 )
 
 // Profile is which kinds of steps a plan holds.
@@ -50,6 +55,9 @@
 	// Evacuating has failure domains evacuated and come back cold, while nodes end and
 	// start and the store is away.
 	Evacuating Profile = "evacuating"
+	// Announcing has targets that say in their answers that they leave or want rest, while
+	// nodes end and start and the store is away.
+	Announcing Profile = "announcing"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, Retime}
@@ -64,6 +72,8 @@
 
 var evacuating = []Kind{Evacuate, Evacuate, ColdReturn, ColdReturn, Term, Kill, KillAll, Hup, CutStore, StoreBusy, StoreDeaf, Configure}
 
+var announcing = []Kind{Leave, Leave, Shed, Shed, Shed, Term, Kill, KillAll, Freeze, Hup, CutStore, StoreBusy, StoreDeaf, Revive, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -74,6 +84,8 @@
 		return ending
 	case Evacuating:
 		return evacuating
+	case Announcing:
+		return announcing
 	default:
 		return mixed
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -39,6 +39,7 @@
 	lost    *lostRule
 	ends    *endsRule
 	domains *domainsRule
+	notices *noticesRule
 	// configuring orders the versions of the configuration.
 	configuring sync.Mutex
 	version     int
@@ -89,6 +90,7 @@
 	r.checkCalm()
 	r.checker.settle()
 	r.checkDomains()
+	r.checkNotices()
 	if ended, most := r.ends.count(); ended > most {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, most)
 	}
@@ -103,6 +105,7 @@
 	}
 	r.ends = &endsRule{journal: r.journal, store: func(from, to time.Time) bool { return r.lost.core.touches(from, to) }}
 	r.domains = &domainsRule{evacuated: make(map[string]*timeline)}
+	r.notices = &noticesRule{nodes: make(map[string]*process)}
 	r.lost = &lostRule{journal: r.journal, targets: r.harmOf}
 	r.checker = newChecker(r.journal, o.Seed, r.lost)
 	r.configure(func() {})
@@ -131,7 +134,10 @@
 	}
 	return &caller{
 		nodes: r.nodes, rng: rand.New(rand.NewPCG(r.Seed, i)), habit: habit(i % known),
-		note: r.checker.note,
+		note: func(x *exchange) {
+			r.checker.note(x)
+			r.notices.note(x)
+		},
 	}
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -51,6 +51,12 @@
 	"failure domains are evacuated and come back cold": {
 		Seed: 1, Profile: Evacuating, Nodes: 4, Callers: 40, Length: evacuateLength,
 	},
+	"targets say that they leave or want rest": {
+		Seed: 1, Profile: Announcing, Nodes: 4, Callers: 24, Length: mixLength,
+	},
+	"a target started again and asked for rest before its node knew of the start": {
+		Seed: 529, Profile: Announcing, Nodes: 4, Callers: 24, Length: seedLength,
+	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -109,6 +109,10 @@
 		r.evacuate(s)
 	case ColdReturn:
 		r.coldReturn(s)
+	case Leave:
+		r.leave(s)
+	case Shed:
+		r.shed(s)
 	case Configure:
 		r.configure(func() { r.later = s.Which%2 == 0 })
 	case Retime:
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -207,8 +207,6 @@
 	// ColdPerSecond requests in any second, and ends at more; 0 for any number.
 	ColdFor       time.Duration
 	ColdPerSecond int
-	// RestFor is the Retry-After of the faults Refuse and FakeRefuse, none if 0.
-	RestFor time.Duration
 	// OnEnd is called before a request with EndingBody ends the engine; nil for nothing.
 	OnEnd func()
 
@@ -224,6 +222,8 @@
 	left     int // requests for which the fault holds, -1 for all
 	// leaving says that this run of the engine says in its answers that it leaves.
 	leaving bool
+	// rest is the Retry-After of the faults Refuse and FakeRefuse, none if 0.
+	rest time.Duration
 	// arrived are the times of the requests that came while the engine was cold.
 	arrived []time.Time
 }
@@ -295,6 +295,19 @@
 	e.leaving = true
 }
 
+// AskForRest makes the faults Refuse and FakeRefuse ask for a rest, none if 0.
+func (e *Engine) AskForRest(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rest = d
+}
+
+func (e *Engine) restAsked() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rest
+}
+
 func (e *Engine) isLeaving() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -339,9 +352,9 @@
 	}
 	fault := e.takeFault().of(len(e.journal.Runs(id)) > 0)
 	arrival := Arrival{Request: id, Engine: e.ID, Born: e.Born(), At: time.Now(), Leaving: leaving}
-	if e.RestFor > 0 && (fault == Refuse || fault == FakeRefuse) {
-		arrival.Rest = e.RestFor
-		w.Header().Set("Retry-After", strconv.FormatFloat(e.RestFor.Seconds(), 'f', -1, 64))
+	if rest := e.restAsked(); rest > 0 && (fault == Refuse || fault == FakeRefuse) {
+		arrival.Rest = rest
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
 	}
 	e.journal.arrive(arrival)
 	if fault == Refuse {
--- a/lab/standin/notice_test.go
+++ b/lab/standin/notice_test.go
@@ -196,7 +196,7 @@
 
 // asksForRest has an engine turn a request away and ask for rest.
 func asksForRest(s *Site, e *Engine, path string, f Fault, rest time.Duration) {
-	e.RestFor = rest
+	e.AskForRest(rest)
 	e.SetFault(f, 1)
 	reach(s, e, path)
 }
--- a/notice/book.go
+++ b/notice/book.go
@@ -37,13 +37,7 @@
 
 // Hear takes a notice of a run.
 func (b *Book) Hear(r Run, n Notice, now time.Time, rng *rand.Rand) (*State, Change) {
-	s, ok := b.states[r]
-	if !ok {
-		b.evict()
-		s = &State{}
-		b.states[r] = s
-		b.order = append(b.order, r)
-	}
+	s := b.enter(r)
 	change := s.Hear(n, now, rng)
 	if change.Rests {
 		b.asked[r] = s
@@ -51,6 +45,27 @@
 	return s, change
 }
 
+// Succeed is told of a later run under the ID of an earlier one. It returns what the later
+// one has said, nil for nothing.
+func (b *Book) Succeed(earlier, later Run, now time.Time) *State {
+	if past := b.states[earlier]; past.Rests(now) && b.states[later] == nil {
+		b.enter(later).succeed(past, now)
+	}
+	return b.states[later]
+}
+
+// enter returns the state of a run, a new one if there is none.
+func (b *Book) enter(r Run) *State {
+	if s, ok := b.states[r]; ok {
+		return s
+	}
+	b.evict()
+	s := &State{}
+	b.states[r] = s
+	b.order = append(b.order, r)
+	return s
+}
+
 // Resting returns the runs that rest at now, and for how much longer.
 func (b *Book) Resting(now time.Time) map[Run]time.Duration {
 	if len(b.asked) == 0 {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -30,9 +30,26 @@
 type State struct {
 	leaving    bool
 	restUntil  time.Time
+	restHeard  time.Time // when that rest was asked for
 	unreadable bool
 }
 
+// startNews is how long a node may send to a run before it knows of its start: some
+// heartbeats of a target, and the time in which it comes back after an outage of the store.
+const startNews = 5 * time.Second
+
+// succeed takes a rest that may have been asked for by a later run under the same ID, of
+// whose start the node didn't know. A longer one is asked for again.
+func (s *State) succeed(earlier *State, now time.Time) {
+	if now.Sub(earlier.restHeard) >= startNews {
+		return
+	}
+	s.restUntil, s.restHeard = earlier.restUntil, earlier.restHeard
+	if most := now.Add(startNews); s.restUntil.After(most) {
+		s.restUntil = most
+	}
+}
+
 // Change is what a notice adds to what was known.
 type Change struct {
 	// Leaves: the target was not known to leave. Rests: its rest ends later than known.
@@ -48,7 +65,7 @@
 		s.leaving, c.Leaves = true, true
 	}
 	if until := now.Add(n.Rest + spread(n.Rest, rng)); n.Rest > 0 && until.After(s.restUntil) {
-		s.restUntil, c.Rests = until, true
+		s.restUntil, s.restHeard, c.Rests = until, now, true
 	}
 	if n.Unreadable != "" && !s.unreadable {
 		s.unreadable, c.Unreadable = true, true
--- a/router/notices_test.go
+++ b/router/notices_test.go
@@ -157,3 +157,29 @@
 	t.Draining = true
 	return t
 }
+
+// Guards against: a target started again under its ID and asked for rest before the node
+// knew of that start; as soon as it did, the rest was forgotten.
+func TestRestOfARunThatIsNotKnownYetHolds(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10))
+	p.hearNotice(p.take(t), rests)
+	p.at = p.at.Add(500 * time.Millisecond)
+	p.put(run("a", 11))
+	w := want{service: service}
+	_, _, ok := p.acquire(w)
+	is.True(!ok)
+	is.True(!p.maySend(p.members["a"].target))
+	p.at = p.at.Add(3 * time.Second)
+	_, _, ok = p.acquire(w)
+	is.True(ok)
+}
+
+// A rest that was asked for long before a start is the earlier run's.
+func TestRestOfAnEarlierRunEndsWithIt(t *testing.T) {
+	is, p := is.New(t), newTestPool(run("a", 10))
+	p.hearNotice(p.take(t), notice.Notice{Rest: time.Hour})
+	p.at = p.at.Add(time.Minute)
+	p.put(run("a", 11))
+	_, _, ok := p.acquire(want{service: service})
+	is.True(ok)
+}
