Hand a rest on where a later run takes an earlier one's place

No change of behaviour but for the gateway's list of resting runs, which takes what was handed on too.

--- a/notice/book.go
+++ b/notice/book.go
@@ -6,7 +6,7 @@
 )
 
 // Run names one run of a target. What a run has said is nothing to a later one under the
-// same ID.
+// same ID, but for what Succeed hands on.
 type Run struct {
 	Target string
 	// Incarnation tells the runs of a target apart, 0 if nothing does.
@@ -45,13 +45,15 @@
 	return s, change
 }
 
-// Succeed is told of a later run under the ID of an earlier one. It returns what the later
-// one has said, nil for nothing.
-func (b *Book) Succeed(earlier, later Run, now time.Time) *State {
-	if past := b.states[earlier]; past.Rests(now) && b.states[later] == nil {
-		b.enter(later).succeed(past, now)
+// Succeed is told of a later run under the ID of an earlier one as that becomes known.
+func (b *Book) Succeed(earlier, later Run, now time.Time) {
+	past := b.states[earlier]
+	if !past.Rests(now) || b.states[later] != nil {
+		return
 	}
-	return b.states[later]
+	s := b.enter(later)
+	s.succeed(past, now)
+	b.asked[later] = s
 }
 
 // enter returns the state of a run, a new one if there is none.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -223,8 +223,8 @@
 }
 
 // filter returns the candidates that may get work. Targets that drain, leave or rest, were
-// tried, or are in an evacuated failure domain or a region not allowed never do. Each other step gives way if it
-// would leave none: first suspensions, then targets that can't be reached, then
+// tried, or are in an evacuated failure domain or a region not allowed never do. Each other
+// step gives way if it would leave none: first suspensions, then targets that can't be reached, then
 // fallback targets. Suspensions are a guess from failures and give way sooner,
 // when they would take most of a service; what can't be reached is no use however
 // many targets that are.
--- a/router/notices.go
+++ b/router/notices.go
@@ -48,8 +48,8 @@
 	return p.notices.State(runOf(t)).MaySend(p.now())
 }
 
-// restFor returns how much longer all targets rest that a request would have, until the
-// first of them may be sent to; 0 if none rests.
+// restFor returns how long it is until the first target may be sent to of those that a
+// request could go to, 0 if one of them doesn't rest or there is none.
 func (p *pool) restFor(w want) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/pool.go
+++ b/router/pool.go
@@ -152,12 +152,10 @@
 	for t := range s.All() {
 		present[t.ID] = true
 		m, ok := p.members[t.ID]
-		if ok && runOf(m.target) != runOf(t) {
-			p.notices.Succeed(runOf(m.target), runOf(t), p.now())
-		}
 		if ok && !m.target.Started.Equal(t.Started) {
 			// What this node knows of the earlier run, its connections included,
 			// is of no use for the new one.
+			p.notices.Succeed(runOf(m.target), runOf(t), p.now())
 			p.blame(m)
 			m.leave()
 			ok = false
