End a silent store of the stand-ins once its callers have gone

TestSilentStoreEndsAfterAWrite failed before (20 s) and passes. Reads were not concerned, and the tests with a silent store before had no write in that time.

--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -181,6 +182,8 @@
 	case Limited:
 		w.WriteHeader(http.StatusTooManyRequests)
 	case Silent:
+		// The server sees that a caller has gone only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case Reset:
 		panic(http.ErrAbortHandler)
