Let an idle connection go of the request last sent on it

Cause: the connection kept that question, a closure over the request, until the next request or its end.

The gate is dropped once it has allowed the first byte; nothing asks it after that.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -183,6 +183,7 @@
 	if !c.wrote && c.gate != nil && !c.gate() {
 		return ErrGateClosed
 	}
-	c.wrote = true
+	// The gate is done with; it would keep the request alive while the connection idles.
+	c.wrote, c.gate = true, nil
 	return nil
 }
