Give the stand-ins' nodes ports that no outgoing connection takes

Cause: FreeAddr let the system choose, which is a port of the range for outgoing connections, and gave it back until its node listens. A node's replica dials the store first, from the node's own IP, and the system may give that connection the same port. Shown by an experiment: a listener on the local port of such a connection gets this error while it is open and after its close; 2 of 20,000 dials got the port that a listener had just given back. Ruled out: the test's own checks, which were not reached, and load (nothing ran beside it).

Nodes on the platform get their ports from it, outside of that range, so the product is not concerned.

--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -215,46 +215,9 @@
 	return out
 }
 
-// portTries is how many ports freePort tries; each is free on most addresses.
-const portTries = 20
-
-// freePort returns a port that is free on the addresses of n nodes.
-func freePort(t Owner, n int) int {
-	for range portTries {
-		_, port, _ := net.SplitHostPort(FreeAddr(t, nodeIP(0))) // an address of net's own
-		if p, err := strconv.Atoi(port); err == nil && freeOn(p, n) {
-			return p
-		}
-	}
-	t.Fatalf("no port is free on %d addresses", n)
-	return 0
-}
-
-// freeOn says whether a port is free on the addresses of n nodes.
-func freeOn(port, n int) bool {
-	for i := range n {
-		ln, err := net.Listen("tcp", net.JoinHostPort(nodeIP(i), strconv.Itoa(port)))
-		if err != nil {
-			return false
-		}
-		_ = ln.Close()
-	}
-	return true
-}
-
 // nodeIP is the IP of a node of a site.
 func nodeIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+2) }
 
-// FreeAddr returns a free ip:port of an IP.
-func FreeAddr(t Owner, ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
-
 // StopAll stops all nodes at once, without grace.
 func (s *Site) StopAll() {
 	ctx, cancel := context.WithCancel(context.Background())
