Say once what both fronts do with targets' notices

Read as a newcomer: the log lines, the counter's labels and the error of a request that is not sent stood in router and in gateway; they are notice.Report and notice.ErrUnwanted now, and the gateway logs and counts leaving as well. Which candidates are barred stood in placement's filter and in restFor: Candidate.Barred. Book kept a second table of the runs that had asked for rest, for one caller; it keeps the end of the last rest, and the gateway goes through its pool while any run rests. In the stand-ins' tests the two ways by which a request comes to a target after another stood twice; they are a table.

No decision changes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/pause"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
@@ -184,7 +185,7 @@
 		return admission.Unknown
 	case fail == nil:
 		return admission.Answered
-	case errors.Is(fail.cause, errNoticed):
+	case errors.Is(fail.cause, notice.ErrUnwanted):
 		return admission.Unknown
 	case fail.reason == problem.TargetRefused:
 		return admission.Overloaded
@@ -202,7 +203,7 @@
 	}
 	resp, progress, err := g.clients.forRequest(f.repeatable).Do(req, g.gate(c, f, t))
 	if errors.Is(err, upstream.ErrGateClosed) && !g.notices.maySend(t, time.Now()) {
-		return &attemptError{progress: progress, reason: problem.TargetRefused, cause: errNoticed}
+		return &attemptError{progress: progress, reason: problem.TargetRefused, cause: notice.ErrUnwanted}
 	}
 	if err != nil {
 		g.cancelIfGone(ctx, c, f, t, gen, progress)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -19,9 +20,6 @@
 	resumedByNode   = "node"
 	resumedByCaller = "caller"
 	resumeFailed    = "failed"
-	// Label values of notices_total.
-	noticeRest       = "rest"
-	noticeUnreadable = "unreadable"
 )
 
 type metrics struct {
@@ -46,7 +44,7 @@
 		resumes: f.Counters("stream_resumes_total",
 			"Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.", "by"),
 		notices: f.Counters("notices_total",
-			"News that targets told of themselves in refusals: a rest that they ask for, a Retry-After that can't be read.", "kind"),
+			notice.Help, notice.Label),
 		cancels: f.Counter("streams_canceled_total",
 			"Generations canceled because their caller went away."),
 		replays: f.Counter("replayed_answers_total",
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -13,9 +13,6 @@
 	"github.com/knapweedgw/knapweedgw/targets"
 )
 
-// errNoticed is for a request that was about to be sent as an answer of its target came.
-var errNoticed = errors.New("the target has said meanwhile that it leaves or wants no requests for a while")
-
 // notices are what targets said of themselves to this node.
 type notices struct {
 	mu   sync.Mutex
@@ -54,11 +51,31 @@
 	return n.book.State(runOf(t)).RestFor(now)
 }
 
-// resting returns the runs that rest and for how much longer.
-func (n *notices) resting(now time.Time) map[notice.Run]time.Duration {
+// resting returns those of a pool that rest. If no other is left, rest is how much longer
+// the first of them does.
+func (n *notices) resting(pool []targets.Target, now time.Time) (ids []string, rest time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.book.Resting(now)
+	if !n.book.Resting(now) {
+		return nil, 0
+	}
+	others := false
+	for _, t := range pool {
+		left := n.book.State(runOf(t)).RestFor(now)
+		switch {
+		case left > 0:
+			ids = append(ids, t.ID)
+			if rest == 0 || left < rest {
+				rest = left
+			}
+		case !t.Leaving:
+			others = true
+		}
+	}
+	if others {
+		rest = 0
+	}
+	return ids, rest
 }
 
 // hear takes what an answer says of its target, before anything is decided on the answer.
@@ -69,14 +86,8 @@
 	if n.Leaving && g.leaving != nil {
 		g.leaving.ObserveLeaving(t.ID, t.Incarnation)
 	}
-	change := g.notices.hear(t, n, now)
-	if change.Rests {
-		g.metrics.notices.WithLabelValues(noticeRest).Inc()
-		c.log().Info("target asks for rest", "target", t.ID, "rest_ms", n.Rest.Milliseconds())
-	}
-	if change.Unreadable {
-		g.metrics.notices.WithLabelValues(noticeUnreadable).Inc()
-		c.log().Warn("Retry-After of a target can't be read", "target", t.ID, "value", n.Unreadable)
+	if change := g.notices.hear(t, n, now); change != (notice.Change{}) {
+		notice.Report(c.log().With("target", t.ID, "incarnation", t.Incarnation, "status", resp.StatusCode), g.metrics.notices, n, change)
 	}
 	if g.loads == nil {
 		return
@@ -86,30 +97,12 @@
 	}
 }
 
-// resting returns the targets of a pool that rest. If no other is left, rest is how much
-// longer the first of them does.
+// resting returns the targets of a pool that rest, as notices.resting does.
 func (g *Gateway) resting(pool string) (ids []string, rest time.Duration) {
-	runs := g.notices.resting(time.Now())
-	if len(runs) == 0 || g.targets == nil {
+	if g.targets == nil {
 		return nil, 0
 	}
-	others := false
-	for _, t := range g.targets.Snapshot().Pool(pool) {
-		left, rests := runs[runOf(t)]
-		switch {
-		case rests:
-			ids = append(ids, t.ID)
-			if rest == 0 || left < rest {
-				rest = left
-			}
-		case !t.Leaving:
-			others = true
-		}
-	}
-	if others {
-		rest = 0
-	}
-	return ids, rest
+	return g.notices.resting(g.targets.Snapshot().Pool(pool), time.Now())
 }
 
 // afterRest has a caller that found no target come back when the first rest ends.
--- a/lab/standin/notice_test.go
+++ b/lab/standin/notice_test.go
@@ -36,6 +36,36 @@
 	}
 }
 
+// engines returns those that run a path.
+func engines(s *Site, path string) []*Engine {
+	if path == StreamPath || path == ResumePath {
+		return s.Model
+	}
+	return s.Plain
+}
+
+// detour is how a request comes to the first engine after another one.
+type detour struct {
+	path string
+	// others are the faults of the other two.
+	others [2]Fault
+}
+
+var detours = map[string]detour{
+	"as a retry":               {SafePath, [2]Fault{Fail, Refuse}},
+	"as a stream that goes on": {ResumePath, [2]Fault{Cut, Cut}},
+}
+
+// getsNothing checks that no request comes to the first engine so.
+func (d detour) getsNothing(t *testing.T, s *Site) {
+	t.Helper()
+	all := engines(s, d.path)
+	for i, fault := range d.others {
+		all[i+1].SetFault(fault, -1)
+	}
+	getsNothing(t, s, all[0], d.path)
+}
+
 // Guards against: requests went on to a target that had said in its answers that it
 // leaves, while its entry in the store still said that it is ready.
 func TestTargetThatSaysItLeavesGetsNothingNew(t *testing.T) {
@@ -55,34 +85,21 @@
 		t.Run(name, func(t *testing.T) {
 			s := start(t, 1)
 			s.Store.SetMode(Silent)
-			e := s.Plain[0]
-			if tt.path == StreamPath {
-				e = s.Model[0]
-			}
+			e := engines(s, tt.path)[0]
 			e.SayLeaving()
 			e.SetFault(tt.fault, 1)
 			reach(s, e, tt.path)
 			getsNothing(t, s, e, tt.path)
 		})
 	}
-	t.Run("as a retry", func(t *testing.T) {
-		s := start(t, 1)
-		e := s.Plain[0]
-		e.SayLeaving()
-		reach(s, e, SafePath)
-		s.Plain[1].SetFault(Fail, -1)
-		s.Plain[2].SetFault(Refuse, -1)
-		getsNothing(t, s, e, SafePath)
-	})
-	t.Run("as a stream that goes on", func(t *testing.T) {
-		s := start(t, 1)
-		e := s.Model[0]
-		e.SayLeaving()
-		reach(s, e, StreamPath)
-		s.Model[1].SetFault(Cut, -1)
-		s.Model[2].SetFault(Cut, -1)
-		getsNothing(t, s, e, ResumePath)
-	})
+	for name, d := range detours {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			engines(s, d.path)[0].SayLeaving()
+			reach(s, engines(s, d.path)[0], d.path)
+			d.getsNothing(t, s)
+		})
+	}
 	t.Run("after its entry has lapsed and come back", func(t *testing.T) {
 		is, s := is.New(t), start(t, 1)
 		e, logs := s.Plain[0], s.Nodes[0].Logs
@@ -148,28 +165,18 @@
 	for name, tt := range answers {
 		t.Run(name, func(t *testing.T) {
 			s := start(t, 1)
-			e := s.Plain[0]
-			if tt.path == StreamPath {
-				e = s.Model[0]
-			}
+			e := engines(s, tt.path)[0]
 			asksForRest(s, e, tt.path, tt.fault, long)
 			getsNothing(t, s, e, tt.path)
 		})
 	}
-	t.Run("as a retry", func(t *testing.T) {
-		s := start(t, 1)
-		asksForRest(s, s.Plain[0], SafePath, Refuse, long)
-		s.Plain[1].SetFault(Fail, -1)
-		s.Plain[2].SetFault(Refuse, -1)
-		getsNothing(t, s, s.Plain[0], SafePath)
-	})
-	t.Run("as a stream that goes on", func(t *testing.T) {
-		s := start(t, 1)
-		asksForRest(s, s.Model[0], ResumePath, Refuse, long)
-		s.Model[1].SetFault(Cut, -1)
-		s.Model[2].SetFault(Cut, -1)
-		getsNothing(t, s, s.Model[0], ResumePath)
-	})
+	for name, d := range detours {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			asksForRest(s, engines(s, d.path)[0], d.path, Refuse, long)
+			d.getsNothing(t, s)
+		})
+	}
 	t.Run("while most rest", func(t *testing.T) {
 		s := start(t, 1)
 		asksForRest(s, s.Plain[0], SafePath, Refuse, long)
--- a/notice/book.go
+++ b/notice/book.go
@@ -23,13 +23,13 @@
 	most   int
 	states map[Run]*State
 	order  []Run // in the order in which they were first heard
-	// asked are the runs that asked for a rest which may not be over.
-	asked map[Run]*State
+	// restsUntil is the end of the last rest that any run has asked for.
+	restsUntil time.Time
 }
 
 // NewBook returns an empty book for the given number of runs.
 func NewBook(most int) *Book {
-	return &Book{most: most, states: make(map[Run]*State), asked: make(map[Run]*State)}
+	return &Book{most: most, states: make(map[Run]*State)}
 }
 
 // State returns what a run has said, nil for nothing.
@@ -39,8 +39,8 @@
 func (b *Book) Hear(r Run, n Notice, now time.Time, rng *rand.Rand) (*State, Change) {
 	s := b.enter(r)
 	change := s.Hear(n, now, rng)
-	if change.Rests {
-		b.asked[r] = s
+	if s.restUntil.After(b.restsUntil) {
+		b.restsUntil = s.restUntil
 	}
 	return s, change
 }
@@ -51,9 +51,7 @@
 	if !past.Rests(now) || b.states[later] != nil {
 		return
 	}
-	s := b.enter(later)
-	s.succeed(past, now)
-	b.asked[later] = s
+	b.enter(later).succeed(past, now)
 }
 
 // enter returns the state of a run, a new one if there is none.
@@ -68,21 +66,8 @@
 	return s
 }
 
-// Resting returns the runs that rest at now, and for how much longer.
-func (b *Book) Resting(now time.Time) map[Run]time.Duration {
-	if len(b.asked) == 0 {
-		return nil
-	}
-	out := make(map[Run]time.Duration, len(b.asked))
-	for r, s := range b.asked {
-		if left := s.RestFor(now); left > 0 {
-			out[r] = left
-		} else {
-			delete(b.asked, r)
-		}
-	}
-	return out
-}
+// Resting says whether any run rests at now.
+func (b *Book) Resting(now time.Time) bool { return now.Before(b.restsUntil) }
 
 // evict makes room for one run, at the cost of the one heard of first.
 func (b *Book) evict() {
@@ -90,6 +75,5 @@
 		return
 	}
 	delete(b.states, b.order[0])
-	delete(b.asked, b.order[0])
 	b.order = b.order[1:]
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -105,7 +105,7 @@
 	is.Equal(len(b.states), 2)
 	is.True(!b.State(old).Leaving()) // forgotten
 	is.True(b.State(other).Leaving())
-	is.True(b.Resting(start)[later] >= time.Second)
-	is.Equal(len(b.Resting(start.Add(time.Minute))), 0)
-	is.Equal(len(b.asked), 0)
+	is.True(b.State(later).RestFor(start) >= time.Second)
+	is.True(b.Resting(start))
+	is.True(!b.Resting(start.Add(time.Minute)))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -46,6 +46,12 @@
 	Settled bool
 }
 
+// Barred says whether the target may not get the request at all, however few others are
+// left.
+func (c Candidate) Barred() bool {
+	return c.Draining || c.Leaving || c.Excluded || c.Evacuated || c.Outside
+}
+
 // Request is what placement needs of a request.
 type Request struct {
 	// Key is the hash of the prompt's last shared part, 0 for none.
@@ -224,17 +230,17 @@
 
 // filter returns the candidates that may get work. Targets that drain, leave or rest, were
 // tried, or are in an evacuated failure domain or a region not allowed never do. Each other
-// step gives way if it would leave none: first suspensions, then targets that can't be reached, then
-// fallback targets. Suspensions are a guess from failures and give way sooner,
-// when they would take most of a service; what can't be reached is no use however
-// many targets that are.
+// step gives way if it would leave none: first suspensions, then targets that can't be
+// reached, then fallback targets. Suspensions are a guess from failures and give way sooner,
+// when they would take most of a service; what can't be reached is no use however many
+// targets that are.
 func filter(cands []Candidate, p Policy) []Candidate {
 	serving := make([]Candidate, 0, len(cands))
 	var fallback []Candidate
 	suspended := 0
 	for _, c := range cands {
 		switch {
-		case c.Draining || c.Leaving || c.Resting || c.Excluded || c.Evacuated || c.Outside:
+		case c.Barred() || c.Resting:
 		case c.Fallback:
 			fallback = append(fallback, c)
 		default:
--- a/router/forward.go
+++ b/router/forward.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/health"
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
@@ -205,7 +206,7 @@
 	f := &failure{progress: p, reason: problem.TargetFailed, cause: err}
 	switch {
 	case errors.Is(err, upstream.ErrGateClosed):
-		f.cause, f.stale = errNoticed, true
+		f.cause, f.stale = notice.ErrUnwanted, true
 	case impatient:
 		// Counted as twice its wait, or the estimate would know only the
 		// answers that came in time. It is no evidence against the target,
@@ -233,9 +234,6 @@
 	return f
 }
 
-// errNoticed is for a request that was about to be sent as an answer of its target came.
-var errNoticed = errors.New("the target has said meanwhile that it leaves or wants no requests for a while")
-
 var errNoReply = errors.New("no answer within the time of one attempt")
 
 func isTimeout(err error) bool {
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
@@ -48,7 +49,7 @@
 		overdue: f.Counters("overdue_total",
 			"Times that an attempt which may go elsewhere was overdue, by whether it went and why not.", "outcome"),
 		notices: f.Counters("notices_total",
-			"News that targets told of themselves in answers: that they leave, a rest that they ask for, a Retry-After that can't be read.", "kind"),
+			notice.Help, notice.Label),
 		connections: f.Counters("connections_ended_total",
 			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
 		parts: f.Counters("part_tokens_total",
--- a/router/notices.go
+++ b/router/notices.go
@@ -7,13 +7,6 @@
 	"github.com/knapweedgw/knapweedgw/roster"
 )
 
-// Kinds of notices, as the metric names them.
-const (
-	noticeLeaving    = "leaving"
-	noticeRest       = "rest"
-	noticeUnreadable = "unreadable"
-)
-
 // runOf names a run of a target among the notices.
 func runOf(t *roster.Target) notice.Run {
 	r := notice.Run{Target: t.ID}
@@ -56,7 +49,7 @@
 	now := p.now()
 	var least time.Duration
 	for _, c := range p.candidates(p.services[w.service], w, now) {
-		if c.Draining || c.Leaving || c.Excluded || c.Evacuated || c.Outside {
+		if c.Barred() {
 			continue
 		}
 		if !c.Resting {
@@ -74,24 +67,11 @@
 	if !reply.isOwn(status, x.call.ID) {
 		return
 	}
-	n := reply.Notice
-	change := x.router.pool.hearNotice(l, n)
+	change := x.router.pool.hearNotice(l, reply.Notice)
 	if change == (notice.Change{}) {
 		return
 	}
 	log := x.router.log.With("target", l.target.ID, "started", l.target.Started, "request", x.call.ID,
 		"status", status, "sent_ms_ago", x.router.now().Sub(x.sentAt).Milliseconds())
-	count := x.router.metrics.notices
-	if change.Leaves {
-		count.WithLabelValues(noticeLeaving).Inc()
-		log.Info("target says that it leaves")
-	}
-	if change.Rests {
-		count.WithLabelValues(noticeRest).Inc()
-		log.Info("target asks for rest", "rest_ms", n.Rest.Milliseconds())
-	}
-	if change.Unreadable {
-		count.WithLabelValues(noticeUnreadable).Inc()
-		log.Warn("Retry-After of a target can't be read", "value", n.Unreadable)
-	}
+	notice.Report(log, x.router.metrics.notices, reply.Notice, change)
 }
