--- a/admission/cell/types.go
+++ b/admission/cell/types.go
@@ -9,6 +9,14 @@
 	Leaving  bool
 	// Incarnation increases with each start of the target's process.
 	Incarnation int64
+	// Outside is the number of requests in progress that no holder has reported, for example
+	// those of nodes that don't ask for places.
+	Outside int
+	// ColdUntil is the end of the target's warm-up, during which it gets at most ColdPerSecond
+	// grants in any second; the zero value means that it is warm. Only a cell with a queue
+	// applies the limit.
+	ColdUntil     time.Time
+	ColdPerSecond float64
 }
 
 // Config holds the pool's settings. The zero value of an optional field means its default.
@@ -28,8 +36,24 @@
 	// MaxPause is the longest time between two calls of Tick after which the cell still relies
 	// on its counts. Optional.
 	MaxPause time.Duration
+	// Queue makes requests wait in the cell for a place, and makes MaxInFlight × capacity the only
+	// limit on a target; see QueueConfig. Nil means that a request is granted or refused at once.
+	Queue *QueueConfig
 }
 
+// QueueConfig configures the queue of a cell with few places.
+type QueueConfig struct {
+	// MinShare is the fraction of its fair share of the grants below which an urgency or a
+	// workspace is served before others.
+	MinShare float64
+	// MaxWaiting is the maximum number of waiting requests. Beyond it, the last one in the order
+	// is refused.
+	MaxWaiting int
+}
+
+// DefaultQueueConfig returns the configuration for a service with few places.
+func DefaultQueueConfig() QueueConfig { return QueueConfig{MinShare: 0.5, MaxWaiting: 1024} }
+
 // Defaults of the optional settings.
 const (
 	DefaultNewFactor = 1.0
@@ -66,6 +90,14 @@
 	// last cell, usually the one with the least load, then uses its own mean where that is higher,
 	// and refuses only at MaxInFlight.
 	Last bool
+	// StartWithin is the time within which the request must start to be answered within its
+	// target latency, and Remaining the time until the caller's deadline; 0 means no limit. Only a
+	// cell with a queue uses them and the following fields.
+	StartWithin, Remaining time.Duration
+	// Returned is set if the caller retries after a refusal.
+	Returned bool
+	// Domain is the failure domain of the holder's node, which is preferred between equal targets.
+	Domain string
 }
 
 // Outcome is the kind of a Decision.
@@ -78,8 +110,19 @@
 	Full
 	// Refused means that the request must be refused without asking other cells.
 	Refused
+	// Waiting means that the request is in the queue; Settle returns its decision later.
+	Waiting
 )
 
+// Settled is the decision on a request that was waiting.
+type Settled struct {
+	Holder   Holder
+	Request  string
+	Decision Decision
+	// Waited is the time that the request spent in the queue.
+	Waited time.Duration
+}
+
 // Reason is why a Decision is not Granted.
 type Reason int
 
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -44,6 +44,9 @@
 	NotOwner
 	// Stale means that the asking node had canceled this ask before it arrived.
 	Stale
+	// Waiting means that the request is in the owner's queue; the node repeats the ask with the
+	// same sequence number, which keeps its position.
+	Waiting
 )
 
 // Acquire asks a cell's owner for a place.
@@ -62,6 +65,17 @@
 	// LeavingNodes are the nodes that, as far as the sender has learned, hand their cells over
 	// to other owners.
 	LeavingNodes []From `json:"z,omitempty"`
+	// StartWithinMS and RemainingMS are milliseconds; see cell.AcquireRequest.
+	StartWithinMS int64  `json:"sw,omitempty"`
+	RemainingMS   int64  `json:"rm,omitempty"`
+	Returned      bool   `json:"rt,omitempty"`
+	Domain        string `json:"d,omitempty"`
+	// Ended lists places of the sender that have ended since its last message.
+	Ended []EndedPlaces `json:"e,omitempty"`
+	// Rivals are other nodes that claim to own the cell, and Suspects those that the sender can't
+	// reach.
+	Rivals   []From   `json:"rv,omitempty"`
+	Suspects []string `json:"su,omitempty"`
 }
 
 // Reply is the answer to an Acquire.
@@ -77,6 +91,15 @@
 	// Least is 1 + the index of the pool's other cell with the least load, or 0 if none is
 	// known. It is set with Full.
 	Least int `json:"m,omitempty"`
+	// WaitedMS is the time that a request waited in the owner's queue, in milliseconds.
+	WaitedMS int64 `json:"wt,omitempty"`
+}
+
+// Settled is the reply to an ask that was waiting.
+type Settled struct {
+	Holder cell.Holder
+	Seq    uint64
+	Reply  Reply
 }
 
 // EndedPlaces lists ended places of one cell.
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -347,6 +347,46 @@
 	return e.machine.view.WatcherRank(storeUnreachable, e.leaving, e.now())
 }
 
+// Self returns this node's address and the number of its run.
+func (e *Exchange) Self() (node string, incarnation int64) { return e.self, e.machine.incarnation }
+
+// Owners returns up to limit live nodes that aren't leaving, this one included, in the rendezvous
+// order of key.
+func (e *Exchange) Owners(key uint64, limit int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.Owners(key, limit, e.leaving, e.now())
+}
+
+// LiveAddresses returns the addresses of the other live nodes.
+func (e *Exchange) LiveAddresses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.LiveAddresses(e.now(), e.machine.view.size())
+}
+
+// IsLive reports whether another node is live.
+func (e *Exchange) IsLive(node string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.isLive(node, e.now())
+}
+
+// HeardAt returns when the last message of a node arrived, zero for never.
+func (e *Exchange) HeardAt(node string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.heardAt(node)
+}
+
+// FleetSize returns the number of nodes, this one included, that are live or were within the last
+// minute. Unlike KnownNodes it is small at the start of a node.
+func (e *Exchange) FleetSize() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.size()
+}
+
 // Drain implements kernel.Drainer. From then on this node ranks last as a watcher, so that
 // other nodes take over its duties.
 func (e *Exchange) Drain(context.Context) error {
--- /dev/null
+++ b/heartbeat/owners.go
@@ -0,0 +1,45 @@
+package heartbeat
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/routing"
+)
+
+// Owners returns up to limit live nodes in the rendezvous order of key. Nodes that are leaving are
+// left out, this one if leaving is set. Nodes that can't reach the store may own: owners need no
+// store, and an outage of the store would otherwise move all owners twice.
+func (v *View) Owners(key uint64, limit int, leaving bool, now time.Time) []string {
+	type ranked struct {
+		node string
+		rank uint64
+	}
+	var all []ranked
+	if !leaving {
+		all = append(all, ranked{v.self, routing.Rank(key, v.key)})
+	}
+	v.live(now, func(node string, p *peer) {
+		if !p.report.Leaving {
+			all = append(all, ranked{node, routing.Rank(key, p.key)})
+		}
+	})
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.node, b.node))
+	})
+	out := make([]string, 0, min(limit, len(all)))
+	for _, n := range all[:min(limit, len(all))] {
+		out = append(out, n.node)
+	}
+	return out
+}
+
+// heardAt returns when the last message of a node arrived, zero for never.
+func (v *View) heardAt(node string) time.Time {
+	p, ok := v.peers[node]
+	if !ok {
+		return time.Time{}
+	}
+	return p.heard
+}
