Ask the owner of a small service for places in the router

The router decided from counts at every service. For services with few places (dispatch.CalledFor) an attempt now asks package dispatch for a place, sends to the granted target only, and releases the place when the target's answer was read or the attempt failed. Without an owner it decides by counts as before and records the place.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -114,6 +114,15 @@
 	workspaces   map[string]*Workspace // by key
 	keysRequired bool                  // requests need a key
 	limits       Limits
+	traffic      map[string]Traffic // by service
+}
+
+// Traffic summarizes the routes to a service.
+type Traffic struct {
+	// PromptRouting means that one of the routes has PromptRouting set.
+	PromptRouting bool
+	// TargetLatency is the shortest one of the routes, 0 if none is configured.
+	TargetLatency time.Duration
 }
 
 // ErrInvalid is the error of a configuration that can't be used. The previous one stays in
@@ -129,6 +138,7 @@
 		workspaces:   make(map[string]*Workspace),
 		keysRequired: len(c.Workspaces) > 0,
 		limits:       c.Limits,
+		traffic:      make(map[string]Traffic),
 	}
 	for i := range c.Services {
 		out.services[c.Services[i].Name] = &c.Services[i]
@@ -154,9 +164,21 @@
 		return errors.Wrapf(ErrInvalid, "route %q: no service", r.Name)
 	}
 	c.routes[routeKey(r.Host, r.Prefix)] = r
+	for _, b := range r.Backends {
+		c.traffic[b.Service] = c.traffic[b.Service].with(r)
+	}
 	return nil
 }
 
+// with returns t with another route to the service.
+func (t Traffic) with(r *Route) Traffic {
+	t.PromptRouting = t.PromptRouting || r.PromptRouting
+	if r.TargetLatency > 0 && (t.TargetLatency == 0 || r.TargetLatency < t.TargetLatency) {
+		t.TargetLatency = r.TargetLatency
+	}
+	return t
+}
+
 func routeKey(host, prefix string) string { return strings.ToLower(host) + prefix }
 
 // Version returns the operators' version number of this configuration; versions only increase.
@@ -192,6 +214,9 @@
 	return s, ok
 }
 
+// Traffic returns the summary of the routes to a service.
+func (c *Catalog) Traffic(service string) Traffic { return c.traffic[service] }
+
 // Workspace returns the workspace that has a key.
 func (c *Catalog) Workspace(key string) (*Workspace, bool) {
 	w, ok := c.workspaces[key]
--- a/node/router.go
+++ b/node/router.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/peer"
@@ -61,9 +62,16 @@
 }
 
 func provideRouter(
-	cfg *config.RouterNode, p Platform, rep *replica.Replica, x *heartbeat.Exchange, l *log.Logger, reg prometheus.Registerer,
+	cfg *config.RouterNode, p Platform, rep *replica.Replica, x *heartbeat.Exchange, places *dispatch.Service,
+	l *log.Logger, reg prometheus.Registerer,
 ) *router.Router {
-	return router.New(cfg, p.Dialect, rep, x, l, reg)
+	return router.New(cfg, p.Dialect, rep, x, places, l, reg)
+}
+
+func provideDispatch(
+	cfg *config.RouterNode, x *heartbeat.Exchange, hub *peer.Hub, l *log.Logger, reg prometheus.Registerer,
+) *dispatch.Service {
+	return dispatch.New(cfg.FailureDomain, x, hub, l, reg)
 }
 
 func provideMetricsServer(cfg *config.RouterNode, reg *prometheus.Registry, l *log.Logger) *telemetry.Server {
@@ -74,7 +82,7 @@
 // last, so that it starts to listen after all other services and stops before them.
 func provideRouterKernel(
 	tel telemetry.Service, srv *telemetry.Server, hub *peer.Hub, x *heartbeat.Exchange,
-	rep *replica.Replica, r *router.Router,
+	rep *replica.Replica, places *dispatch.Service, r *router.Router,
 ) (*kernel.Kernel, error) {
-	return kernel.New(tel, srv, hub, x, rep, r)
+	return kernel.New(tel, srv, hub, x, rep, places, r)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -46,6 +46,7 @@
 	provideRouterHub,
 	provideExchange,
 	provideReplica,
+	provideDispatch,
 	provideRouter,
 	provideRouterKernel,
 )
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -216,6 +216,11 @@
 	}
 }
 
+// MeanDuration returns how long requests that found a free slot take on average, 0 if unknown.
+func (g *Gate) MeanDuration() time.Duration {
+	return time.Duration(g.serviceTime.mean * float64(time.Second))
+}
+
 // counters returns the counters of the request's class and workspace, rolled forward to now.
 func (g *Gate) counters(r Request, now time.Time) (*class, *usage) {
 	kind, ok := g.classes[r.Class]
--- a/router/assignment.go
+++ b/router/assignment.go
@@ -8,6 +8,7 @@
 
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/catalog"
+	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/roster"
@@ -22,6 +23,8 @@
 	since   time.Time
 	// queued says that the request probably waits for a slot.
 	queued bool
+	// place is the place that a dispatch owner counts for the request, nil for none.
+	place *dispatch.Place
 }
 
 // criteria are a request's requirements on its target.
@@ -78,6 +81,13 @@
 	if !ok {
 		return assignment{}, d, false
 	}
+	a = p.assign(crit, c, now)
+	a.queued = d.Queued()
+	return a, d, true
+}
+
+// assign counts a request at the chosen target. The caller must hold p.mu.
+func (p *pool) assign(crit criteria, c placement.Choice, now time.Time) assignment {
 	m := p.members[c.Target.ID]
 	m.running++
 	m.markReportable()
@@ -85,7 +95,7 @@
 		m.warmUp.RecordSent(now)
 	}
 	p.recordSentParts(crit.parts, c.Target, now)
-	return assignment{member: m, choice: c, target: c.Target, service: crit.service, since: now, queued: d.Queued()}, d, true
+	return assignment{member: m, choice: c, target: c.Target, service: crit.service, since: now}
 }
 
 // hasOther reports whether another, reachable target may get the request.
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/catalog"
+	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -68,6 +69,10 @@
 	// retryReserved means that the next attempt was already charged to the retry budget.
 	retryReserved atomic.Bool
 
+	// place is what the attempt in progress occupies by the count of a dispatch owner, nil for
+	// nothing.
+	place *dispatch.Place
+
 	tried []string
 	// overdue is the ID of a tried target that was abandoned only because it took too long.
 	overdue string
@@ -102,6 +107,10 @@
 	// caller's connection, delivered the number of bytes written.
 	firstEvent time.Duration
 	delivered  int
+	// owner is the node that granted or refused a place, waited the time in its queue, and
+	// fallback why no owner decided.
+	owner, fallback string
+	waited          time.Duration
 }
 
 // serve handles one request of a caller.
@@ -326,6 +335,12 @@
 	if x.summary.fetchFrom != "" {
 		fields = append(fields, "fetch_from", x.summary.fetchFrom)
 	}
+	if x.summary.owner != "" {
+		fields = append(fields, "owner", x.summary.owner, "waited_ms", x.summary.waited.Milliseconds())
+	}
+	if x.summary.fallback != "" {
+		fields = append(fields, "owner_fallback", x.summary.fallback)
+	}
 	return fields
 }
 
--- a/router/forward.go
+++ b/router/forward.go
@@ -73,12 +73,12 @@
 		if fail := x.beginAttempt(); fail != nil {
 			return x.giveUp(ctx, fail)
 		}
-		a, admission, ok := x.acquire()
-		if !ok {
+		a, fail := x.acquire(ctx)
+		if fail != nil {
 			x.endAttempt(false)
-			return x.giveUp(ctx, x.noTargetFailure(admission))
+			return x.giveUp(ctx, fail)
 		}
-		fail := x.attempt(ctx, a)
+		fail = x.attempt(ctx, a)
 		x.endAttempt(x.completed)
 		if fail == nil {
 			return nil
@@ -98,10 +98,24 @@
 	}
 }
 
-// acquire picks the target of the next attempt. If the other targets refuse or none is left,
-// the request goes back to a target that it abandoned as overdue, since that one had accepted
-// it.
-func (x *exchange) acquire() (a assignment, d overload.Decision, ok bool) {
+// acquire picks the target of the next attempt.
+func (x *exchange) acquire(ctx context.Context) (assignment, *failure) {
+	if x.router.pool.dispatched(x.service) {
+		if a, fail, decided := x.acquirePlace(ctx); decided {
+			return a, fail
+		}
+	}
+	a, admission, ok := x.acquireByCounts()
+	if !ok {
+		return a, x.noTargetFailure(admission)
+	}
+	return a, nil
+}
+
+// acquireByCounts picks a target by the nodes' counts. If the other targets refuse or none is
+// left, the request goes back to a target that it abandoned as overdue, since that one had
+// accepted it.
+func (x *exchange) acquireByCounts() (a assignment, d overload.Decision, ok bool) {
 	crit := x.criteria()
 	if x.overdue == "" || x.tries < maxTries-1 {
 		if a, d, ok = x.router.pool.acquire(crit); ok || x.overdue == "" {
@@ -161,7 +175,11 @@
 
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, a assignment) (fail *failure) {
-	defer func() { x.router.pool.release(a, fail == nil) }()
+	x.place = a.place
+	defer func() {
+		x.releasePlace(fail)
+		x.router.pool.release(a, fail == nil)
+	}()
 	ctx, cancelDelivery := x.deliveryContext(ctx)
 	defer cancelDelivery()
 	x.tries++
--- a/router/members.go
+++ b/router/members.go
@@ -33,6 +33,8 @@
 	ring []*member
 	// reportable are the members that this node may have something to report about.
 	reportable map[*member]struct{}
+	// places is the number of slots that the service usually has.
+	places placeCount
 }
 
 func newServiceMembers() *serviceMembers {
--- a/router/pool.go
+++ b/router/pool.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/knapweedgw/knapweedgw/affinity"
+	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
@@ -64,6 +65,9 @@
 	Interval() time.Duration
 	// CountAge is the maximum age of the other nodes' counts.
 	CountAge() time.Duration
+	// FleetSize is the number of nodes, this one included, that are live or were in the last
+	// minute.
+	FleetSize() int
 }
 
 // member is one run of a target, from one start to the next, with this node's connections to it
@@ -110,8 +114,9 @@
 	self uint64
 	// regionOf maps each failure domain to its region.
 	regionOf map[string]string
-	// warmUpOf returns the limits for cold targets of a service.
-	warmUpOf func(service string) warmup.Limit
+	// warmUpOf returns the limits for cold targets of a service, trafficOf its routes.
+	warmUpOf  func(service string) warmup.Limit
+	trafficOf func(service string) catalog.Traffic
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -148,7 +153,8 @@
 		parts: affinity.NewTable(affinity.DefaultConfig()),
 		gates: make(map[string]*overload.Gate), notices: notice.NewBook(notice.DefaultRuns),
 
-		warmUpOf: func(string) warmup.Limit { return warmup.Limit{} },
+		warmUpOf:  func(string) warmup.Limit { return warmup.Limit{} },
+		trafficOf: func(string) catalog.Traffic { return catalog.Traffic{} },
 	}
 }
 
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -36,6 +36,7 @@
 func (*fakeFleet) KnownNodes() int         { return 2 }
 func (*fakeFleet) Interval() time.Duration { return 200 * time.Millisecond }
 func (*fakeFleet) CountAge() time.Duration { return 200 * time.Millisecond }
+func (*fakeFleet) FleetSize() int          { return 2 }
 
 // report receives a report from another node.
 func (f *fakeFleet) report(p *pool, t heartbeat.TargetReport, uses ...affinity.Use) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -55,6 +55,8 @@
 // count.
 func (x *exchange) markCompleted(resp *http.Response) {
 	x.completed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	// The target is free, although the caller may read the answer slowly.
+	x.releasePlace(nil)
 }
 
 // deliver writes an answer that was completely read.
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -76,9 +77,11 @@
 	// noteDue has capacity 1 and contains a value while a note is to be written soon.
 	noteDue chan struct{}
 
-	windowsMu sync.Mutex
-	windows   map[string]*retry.Window
-	replies   *replyTimes
+	windowsMu  sync.Mutex
+	windows    map[string]*retry.Window
+	replies    *replyTimes
+	deadlines  *longestDeadlines
+	dispatcher Dispatcher
 
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
@@ -93,7 +96,8 @@
 
 // New returns a router that will listen on the addresses of cfg.
 func New(
-	cfg *config.RouterNode, d Dialect, b *replica.Replica, x *heartbeat.Exchange, l *log.Logger, reg prometheus.Registerer,
+	cfg *config.RouterNode, d Dialect, b *replica.Replica, x *heartbeat.Exchange, places *dispatch.Service,
+	l *log.Logger, reg prometheus.Registerer,
 ) *Router {
 	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Monotonic, l, reg)
 	r := &Router{
@@ -101,11 +105,12 @@
 		guard: guard, noteDue: make(chan struct{}, 1),
 		pool:    newPool(x, guard, cfg.FailureDomain, l),
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
-		replies: newReplyTimes(),
+		replies: newReplyTimes(), deadlines: newLongestDeadlines(), dispatcher: places,
 	}
 	r.pool.regionOf = cfg.Regions
 	r.pool.self = routing.Hash(cfg.PeerListen)
-	r.pool.warmUpOf = r.warmUpOf
+	r.pool.warmUpOf, r.pool.trafficOf = r.warmUpOf, r.trafficOf
+	places.SetDirectory(r.pool)
 	r.conns = newConnTracker(connLimit(cfg.MaxFileDescriptors), r.metrics)
 	b.OnTargets(r.pool.update)
 	b.OnNote(r.readNote)
@@ -192,6 +197,15 @@
 	return s.WarmUp
 }
 
+// trafficOf returns the summary of the routes to a service.
+func (r *Router) trafficOf(service string) catalog.Traffic {
+	c := r.replica.Catalog()
+	if c == nil {
+		return catalog.Traffic{}
+	}
+	return c.Traffic(service)
+}
+
 // window returns the retry budget window of a service.
 func (r *Router) window(service string) *retry.Window {
 	r.windowsMu.Lock()
