Let requests wait in a queue of an admission cell

A service with few places is granted by one owner, which knows all places. With Config.Queue a cell limits each target to its exact places, keeps requests that find none in the order of docs/design/two-customers.md, and refuses those that can't start in time. holds.Owner answers them with Waiting and Settle. Without Config.Queue the decisions are as before.

cell.Target gets Domain, which the preference for the request's failure domain needs.

--- a/admission/cell/cell.go
+++ b/admission/cell/cell.go
@@ -33,6 +33,11 @@
 	health    map[string]*health
 	suspended int
 	trials    uint64
+	// queue is nil unless Config.Queue is set. settled has the decisions of a queue that was removed.
+	queue   *queue
+	settled []Settled
+	// failures numbers the failed requests of a cell with a queue, where requests have no chats.
+	failures uint64
 }
 
 // slot is a target and the number of requests in flight on it. A target that is gone keeps
@@ -46,12 +51,18 @@
 	usable   bool // listed and not suspended
 	// incarnation identifies the run of the target's process.
 	incarnation int64
+	// The following fields are used by a cell with a queue only; see Target.
+	outside       int
+	domain        string
+	coldUntil     time.Time
+	coldPerSecond float64
+	nextGrant     time.Time // earliest next grant while the target is cold
 }
 
 // New returns a cell without targets.
 func New(cfg Config) *Cell {
 	cfg = withDefaults(cfg)
-	return &Cell{
+	c := &Cell{
 		cfg:         cfg,
 		index:       make(map[string]int),
 		places:      make(map[Holder]map[string]Place),
@@ -59,6 +70,8 @@
 		lastTargets: NewLastTargets(cfg.MaxChats),
 		health:      make(map[string]*health),
 	}
+	c.configureQueue(cfg.Queue)
+	return c
 }
 
 // Configure changes the pool's settings.
@@ -68,6 +81,7 @@
 		c.lastTargets.resize(cfg.MaxChats)
 	}
 	c.cfg = cfg
+	c.configureQueue(cfg.Queue)
 }
 
 func withDefaults(cfg Config) Config {
@@ -95,13 +109,17 @@
 	for _, t := range targets {
 		c.addSlot(slot{
 			id: t.ID, capacity: max(t.Capacity, 1), listed: !t.Leaving, usable: !t.Leaving, incarnation: t.Incarnation,
+			outside: max(t.Outside, 0), domain: t.Domain, coldUntil: t.ColdUntil, coldPerSecond: t.ColdPerSecond,
 		})
 	}
 	for _, s := range old {
+		i, ok := c.index[s.id]
+		if ok {
+			c.slots[i].nextGrant = s.nextGrant
+		}
 		if s.count == 0 {
 			continue
 		}
-		i, ok := c.index[s.id]
 		if !ok {
 			i = c.addSlot(slot{id: s.id, capacity: s.capacity})
 		}
@@ -115,6 +133,9 @@
 		}
 	}
 	c.restoreHealth()
+	if c.queue != nil {
+		c.queue.recheck = true
+	}
 }
 
 func (c *Cell) addSlot(s slot) int {
@@ -144,6 +165,9 @@
 	if h, ok := c.places[a.Holder][a.Request]; ok && !slices.Contains(a.Exclude, h.Target) {
 		return Decision{Outcome: Granted, Target: h.Target}
 	}
+	if c.queue != nil {
+		return c.acquireQueued(now, a)
+	}
 	if v := c.admit(now, a); v.Outcome != Granted {
 		return v
 	}
@@ -162,8 +186,13 @@
 	if !s.usable {
 		place.trial = c.beginTrial(s.id)
 	}
+	if c.queue != nil {
+		place.grantedAt = now
+	}
 	c.add(a.Holder, place)
-	c.lastTargets.Put(now, a.Chat, s.id)
+	if c.queue == nil {
+		c.lastTargets.Put(now, a.Chat, s.id)
+	}
 	return Decision{Outcome: Granted, Target: s.id}
 }
 
@@ -208,6 +237,7 @@
 		c.remove(place)
 	}
 	delete(c.places, h)
+	c.cancelHolder(h)
 	c.recovery.stopWaiting(h)
 }
 
--- a/admission/cell/health.go
+++ b/admission/cell/health.go
@@ -106,6 +106,9 @@
 // and the target's incarnation is still the same.
 func (c *Cell) Report(now time.Time, h Holder, request string, r Result) (Suspension, bool) {
 	place, ok := c.places[h][request]
+	if ok && c.queue != nil && !place.grantedAt.IsZero() {
+		c.queue.hold.observe(now.Sub(place.grantedAt))
+	}
 	if !ok || r == Unknown {
 		return Suspension{}, false
 	}
@@ -130,7 +133,12 @@
 		t = &health{incarnation: s.incarnation}
 		c.health[s.id] = t
 	}
-	enough := t.fail(place.Chat)
+	chat := place.Chat
+	if c.queue != nil { // a request without a chat is a caller of its own
+		c.failures++
+		chat = c.failures
+	}
+	enough := t.fail(chat)
 	if t.suspended && t.trial != 0 && t.trial == place.trial {
 		return Suspension{s.id, t.suspend(now, s.key)}, true
 	}
@@ -182,6 +190,9 @@
 	c.own.Capacity += sign * s.capacity
 	c.own.InFlight += sign * s.count
 	c.suspended -= sign * s.capacity
+	if c.queue != nil {
+		c.queue.recheck = true
+	}
 }
 
 // restoreHealth applies the known failures and suspensions to a new list of targets, in
--- a/admission/cell/queue.go
+++ b/admission/cell/queue.go
@@ -1,18 +1,350 @@
 package cell
 
-import "time"
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/knapweedgw/knapweedgw/returns"
+)
+
+// noLimit is the latest start of a request without any limit. It only has to be longer than any
+// caller waits.
+const noLimit = time.Hour
+
+// queue has the requests that wait for a place of a cell, and the statistics that decide their
+// order.
+type queue struct {
+	cfg QueueConfig
+	// waiting is sorted by compareWaiters: the order within one class.
+	waiting  []*waiter
+	byID     map[requestKey]*waiter
+	arrivals uint64
+	ranked   []*waiter // buffer of Cell.rank
+	settled  []Settled
+	// settledAt is the time of the last settlement.
+	settledAt time.Time
+	// recheck is set if a request may have moved back in the order, or if places are gone.
+	recheck bool
+	share   float64
+	flows   flows
+	hold    meanHold
+	returns *returns.Schedule
+}
+
+type requestKey struct {
+	holder  Holder
+	request string
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	AcquireRequest
+	arrival   uint64 // number of the arrival
+	arrivedAt time.Time
+	latest    time.Time // latest start
+	workspace *workspaceFlow
+	class     class
+	done      bool // decided or canceled, to be removed
+}
+
+func newQueue() *queue {
+	return &queue{
+		byID: make(map[requestKey]*waiter), share: 1, flows: newFlows(),
+		// A fixed seed keeps simulations reproducible. Return times need to be spread among the
+		// callers of one cell only.
+		returns: returns.New(returns.DefaultConfig(), rand.New(rand.NewPCG(1, 1))),
+	}
+}
+
+// configureQueue adds, changes or removes the queue. Requests that wait in a queue that is removed
+// get the outcome Full.
+func (c *Cell) configureQueue(cfg *QueueConfig) {
+	switch {
+	case cfg == nil && c.queue != nil:
+		c.refuseAll(c.queue.settledAt, ReasonSaturated)
+		c.settled = append(c.settled, c.queue.settled...)
+		c.queue = nil
+	case cfg != nil && c.queue == nil:
+		c.queue = newQueue()
+		fallthrough
+	case cfg != nil:
+		c.queue.cfg = *cfg
+		c.queue.cfg.MaxWaiting = orDefault(cfg.MaxWaiting, DefaultQueueConfig().MaxWaiting)
+	}
+}
+
+// compareWaiters sorts callers that retry after a refusal before others, then by the latest start.
+func compareWaiters(a, b *waiter) int {
+	if a.Returned != b.Returned {
+		if a.Returned {
+			return -1
+		}
+		return 1
+	}
+	if d := a.latest.Compare(b.latest); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.arrival, b.arrival)
+}
+
+// acquireQueued decides a request in a cell with a queue: it gets a free place, waits for one, or is
+// refused if it can't start in time.
+func (c *Cell) acquireQueued(now time.Time, a AcquireRequest) Decision {
+	q := c.queue
+	if _, waits := q.byID[requestKey{a.Holder, a.Request}]; waits {
+		return Decision{Outcome: Waiting}
+	}
+	// The place is on an excluded target, or the caller would have got it again.
+	c.Release(a.Holder, a.Request)
+	c.settle(now) // earlier requests come first
+	if c.recovery.recovering() {
+		return Decision{Outcome: Full, Reason: ReasonRecovering, RetryAfter: retryAfter(now, a)}
+	}
+	c.shares.setWeight(a.Workspace, a.Weight)
+	ws := q.flows.arrive(now, &a)
+	if i := c.freeTarget(now, &a); i >= 0 {
+		return c.grantQueued(now, a, i, ws)
+	}
+	w := c.insert(now, a, ws)
+	c.refuseLate(now)
+	if !w.done {
+		return Decision{Outcome: Waiting}
+	}
+	i := slices.IndexFunc(q.settled, func(s Settled) bool { return s.Request == a.Request && s.Holder == a.Holder })
+	d := q.settled[i].Decision
+	q.settled = slices.Delete(q.settled, i, i+1)
+	return d
+}
+
+func (c *Cell) grantQueued(now time.Time, a AcquireRequest, i int, ws *workspaceFlow) Decision {
+	s := &c.slots[i]
+	if s.isCold(now) {
+		s.nextGrant = now.Add(s.coldInterval(c.queue.share))
+	}
+	c.queue.flows.grant(a.Urgency, ws)
+	return c.grant(now, a, s)
+}
+
+func (c *Cell) insert(now time.Time, a AcquireRequest, ws *workspaceFlow) *waiter {
+	q := c.queue
+	q.arrivals++
+	w := &waiter{
+		AcquireRequest: a, arrival: q.arrivals, arrivedAt: now, workspace: ws,
+		latest: now.Add(latestStart(&a, q.hold.mean())),
+	}
+	ws.waiting++
+	i, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiters)
+	q.waiting = slices.Insert(q.waiting, i, w)
+	q.byID[requestKey{a.Holder, a.Request}] = w
+	q.recheck = true
+	return w
+}
+
+// latestStart returns the time within which a request must start. A first attempt must be answered
+// within its target latency; one that retries is late already, and must be answered within the
+// caller's deadline.
+func latestStart(a *AcquireRequest, hold time.Duration) time.Duration {
+	latest := noLimit
+	if a.StartWithin != 0 && !a.Returned {
+		latest = a.StartWithin
+	}
+	if a.Remaining != 0 {
+		latest = min(latest, a.Remaining-hold)
+	}
+	return latest
+}
 
 // Settle returns the decisions on waiting requests since the last call, in the order in which they
 // were made. Call it after each other method that may free a place, and at NextDeadline.
-func (c *Cell) Settle(now time.Time) []Settled { return nil }
+func (c *Cell) Settle(now time.Time) []Settled {
+	out := c.settled
+	c.settled = nil
+	if c.queue == nil {
+		return out
+	}
+	c.settle(now)
+	out = append(out, c.queue.settled...)
+	c.queue.settled = c.queue.settled[:0]
+	// A place may have been released or dropped after its grant.
+	return slices.DeleteFunc(out, func(s Settled) bool {
+		_, held := c.places[s.Holder][s.Request]
+		return s.Decision.Outcome == Granted && !held
+	})
+}
 
-// NextDeadline returns the next time at which a waiting request must be refused; ok is false if
-// none waits.
-func (c *Cell) NextDeadline() (at time.Time, ok bool) { return time.Time{}, false }
+// settle grants the free places to waiting requests in their order, then refuses those that can't
+// start in time.
+func (c *Cell) settle(now time.Time) {
+	q := c.queue
+	q.flows.advance(now)
+	q.settledAt = now
+	c.checkPause(now)
+	if len(q.waiting) == 0 {
+		return
+	}
+	if c.recovery.recovering() {
+		c.refuseAll(now, ReasonRecovering)
+		return
+	}
+	for len(q.waiting) > 0 && c.grantNext(now) {
+	}
+	if len(q.waiting) > 0 && (q.recheck || !now.Before(q.earliest())) {
+		c.refuseLate(now)
+	}
+}
+
+// grantNext grants a place to the first request in the order that may use a free one. It reports
+// whether there was one.
+func (c *Cell) grantNext(now time.Time) bool {
+	q := c.queue
+	free := c.freeTarget(now, &AcquireRequest{})
+	if free < 0 {
+		return false
+	}
+	for _, w := range c.rank(now) {
+		i := c.freeTarget(now, &w.AcquireRequest)
+		if i < 0 {
+			continue
+		}
+		d := c.grantQueued(now, w.AcquireRequest, i, w.workspace)
+		c.decide(now, w, d)
+		q.removeDone()
+		return true
+	}
+	return false
+}
+
+// refuseLate refuses the waiting requests that can't start in time, given their positions, and the
+// last ones in the order beyond the maximum length.
+func (c *Cell) refuseLate(now time.Time) {
+	q := c.queue
+	q.recheck = false
+	e := c.newEstimate(now)
+	position := 0
+	for _, w := range c.rank(now) {
+		if !c.hasUsable(w.Exclude) {
+			c.decide(now, w, Decision{Outcome: Full, Reason: ReasonNoTarget, RetryAfter: retryAfter(now, w.AcquireRequest)})
+			continue
+		}
+		start := e.startIn(position, w.Exclude)
+		if position >= q.cfg.MaxWaiting || !now.Add(start).Before(w.latest) {
+			c.decide(now, w, c.refusal(now, w, &e))
+			continue
+		}
+		position++
+	}
+	q.removeDone()
+}
+
+func (c *Cell) refusal(now time.Time, w *waiter, e *estimate) Decision {
+	d := Decision{Outcome: Refused, Reason: ReasonSaturated}
+	if w.workspace.over {
+		d.Reason = ReasonWorkspaceLimit
+	}
+	spare := 0.0
+	if c.queue.hold.seconds > 0 {
+		spare = max(e.perSecond-c.queue.flows.demandUpTo(now, w.Urgency), 0)
+	}
+	remaining := w.Remaining
+	if remaining > 0 {
+		remaining = max(remaining-now.Sub(w.arrivedAt), 1)
+	}
+	d.RetryAfter = c.queue.returns.Next(now, w.Urgency, spare, remaining)
+	return d
+}
+
+// refuseAll tells all waiting requests to decide by other means.
+func (c *Cell) refuseAll(now time.Time, r Reason) {
+	for _, w := range c.queue.waiting {
+		c.decide(now, w, Decision{Outcome: Full, Reason: r, RetryAfter: retryAfter(now, w.AcquireRequest)})
+	}
+	c.queue.removeDone()
+}
+
+func (c *Cell) decide(now time.Time, w *waiter, d Decision) {
+	c.queue.finish(w)
+	c.queue.settled = append(c.queue.settled, Settled{
+		Holder: w.Holder, Request: w.Request, Decision: d, Waited: now.Sub(w.arrivedAt),
+	})
+}
+
+// finish marks a request to be removed by removeDone.
+func (q *queue) finish(w *waiter) {
+	w.done = true
+	w.workspace.waiting--
+	delete(q.byID, requestKey{w.Holder, w.Request})
+}
+
+func (q *queue) removeDone() {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool { return w.done })
+}
 
 // Cancel removes a waiting request whose node has given it up.
-func (c *Cell) Cancel(h Holder, request string) {}
+func (c *Cell) Cancel(h Holder, request string) {
+	if c.queue == nil {
+		return
+	}
+	if w, ok := c.queue.byID[requestKey{h, request}]; ok {
+		c.queue.finish(w)
+		c.queue.removeDone()
+	}
+}
+
+func (c *Cell) cancelHolder(h Holder) {
+	if c.queue == nil {
+		return
+	}
+	for _, w := range c.queue.waiting {
+		if w.Holder == h {
+			c.queue.finish(w)
+		}
+	}
+	c.queue.removeDone()
+}
+
+// NextDeadline returns the next time at which Settle must be called even if no place is freed before:
+// a waiting request must be refused, or a target may be granted again that has just started or was
+// suspended. ok is false if no request waits.
+func (c *Cell) NextDeadline() (at time.Time, ok bool) {
+	q := c.queue
+	if q == nil || len(q.waiting) == 0 {
+		return time.Time{}, false
+	}
+	at = q.earliest()
+	for i := range c.slots {
+		if t := c.nextGrantAt(i); t.After(q.settledAt) && t.Before(at) {
+			at = t
+		}
+	}
+	return at, true
+}
+
+// earliest returns the first of the latest starts of the waiting requests.
+func (q *queue) earliest() time.Time {
+	at := q.waiting[0].latest
+	first := sort.Search(len(q.waiting), func(i int) bool { return !q.waiting[i].Returned })
+	if first < len(q.waiting) && q.waiting[first].latest.Before(at) {
+		at = q.waiting[first].latest
+	}
+	return at
+}
 
 // SetShare sets the fraction of each target's places that the cell grants. It is less than 1 while
 // another node also acts as the owner.
-func (c *Cell) SetShare(fraction float64) {}
+func (c *Cell) SetShare(fraction float64) {
+	if c.queue == nil || c.queue.share == fraction {
+		return
+	}
+	c.queue.share, c.queue.recheck = fraction, true
+}
+
+// QueueLength returns the number of waiting requests.
+func (c *Cell) QueueLength() int {
+	if c.queue == nil {
+		return 0
+	}
+	return len(c.queue.waiting)
+}
--- a/admission/cell/types.go
+++ b/admission/cell/types.go
@@ -17,6 +17,8 @@
 	// applies the limit.
 	ColdUntil     time.Time
 	ColdPerSecond float64
+	// Domain is the target's failure domain; see AcquireRequest.Domain.
+	Domain string
 }
 
 // Config holds the pool's settings. The zero value of an optional field means its default.
@@ -161,7 +163,7 @@
 	Outcome    Outcome
 	Target     string
 	Reason     Reason
-	RetryAfter time.Duration // set unless Granted
+	RetryAfter time.Duration // set unless Granted or Waiting
 }
 
 // Place is one place as its holder reports it.
@@ -177,6 +179,7 @@
 // grantRecord is what a cell stores about a place that it granted itself.
 type grantRecord struct {
 	granted     bool
-	trial       uint64 // number of the trial request to a suspended target, or 0
-	incarnation int64  // of the target when the place was granted
+	trial       uint64    // number of the trial request to a suspended target, or 0
+	incarnation int64     // of the target when the place was granted
+	grantedAt   time.Time // only in a cell with a queue
 }
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -13,6 +13,10 @@
 type Owner struct {
 	cell    *cell.Cell
 	holders map[cell.Holder]*holder
+	// queued is set if the cell has a queue. settled has the replies that Settle will return.
+	queued      bool
+	settled     []Settled
+	suspensions []cell.Suspension
 }
 
 // holder is the record of one run of a node that holds places.
@@ -30,6 +34,10 @@
 	// their places again.
 	ended map[uint64]struct{}
 	holds map[uint64]cell.Place
+	// waiting are the asks in the cell's queue. refused has the replies to those that were refused
+	// after they had waited, since the ask may be repeated before the reply arrives.
+	waiting map[uint64]Place
+	refused map[uint64]Reply
 }
 
 // TargetLoad is the number of requests in flight on a target.
@@ -40,11 +48,14 @@
 
 // NewOwner returns a record without places.
 func NewOwner(cfg cell.Config) *Owner {
-	return &Owner{cell: cell.New(cfg), holders: make(map[cell.Holder]*holder)}
+	return &Owner{cell: cell.New(cfg), holders: make(map[cell.Holder]*holder), queued: cfg.Queue != nil}
 }
 
 // Configure changes the pool's settings.
-func (o *Owner) Configure(cfg cell.Config) { o.cell.Configure(cfg) }
+func (o *Owner) Configure(cfg cell.Config) {
+	o.cell.Configure(cfg)
+	o.queued = cfg.Queue != nil
+}
 
 // SetTargets replaces the cell's targets.
 func (o *Owner) SetTargets(targets []cell.Target) { o.cell.SetTargets(targets) }
@@ -95,21 +106,40 @@
 // takeover by itself.
 func (o *Owner) Tick(now time.Time) { o.cell.Tick(now) }
 
-// Acquire decides an ask.
+// Acquire decides an ask, after it has ended the places of this cell that the message lists. An ask
+// that must wait gets the code Waiting, and its reply is returned by Settle later; until then its
+// repetitions get Waiting, too.
 func (o *Owner) Acquire(now time.Time, m Acquire) Reply {
 	h := o.holderFor(now, m.Holder())
-	if h == nil || h.isStale(m.Seq) {
+	if h == nil {
+		return Reply{Code: Stale}
+	}
+	o.releaseEnded(now, m)
+	if h.isStale(m.Seq) {
 		return Reply{Code: Stale}
 	}
+	if r, ok := h.refused[m.Seq]; ok {
+		return r
+	}
 	h.maxSeq = max(h.maxSeq, m.Seq)
 	v := o.cell.Acquire(now, cell.AcquireRequest{
 		Holder: m.Holder(), Request: requestID(m.Seq), Chat: m.Chat,
 		Workspace: m.Workspace, Weight: m.Weight, Urgency: m.Urgency,
 		Exclude: m.Exclude, Returning: m.Returning, Last: m.Last,
+		StartWithin: milliseconds(m.StartWithinMS), Remaining: milliseconds(m.RemainingMS),
+		Returned: m.Returned, Domain: m.Domain,
 	})
-	if v.Outcome == cell.Granted {
-		h.holds[m.Seq] = holdOf(Place{Seq: m.Seq, Target: v.Target, Workspace: m.Workspace, Chat: m.Chat})
+	place := Place{Seq: m.Seq, Target: v.Target, Workspace: m.Workspace, Chat: m.Chat}
+	switch {
+	case v.Outcome == cell.Granted:
+		h.holds[m.Seq] = holdOf(place)
+	case o.queued: // the cell has released a place on an excluded target
+		delete(h.holds, m.Seq)
+	}
+	if v.Outcome == cell.Waiting {
+		h.waiting[m.Seq] = place
 	}
+	o.collectSettled(now)
 	return replyOf(v)
 }
 
@@ -145,7 +175,7 @@
 // SuspendedTargets returns the number of suspended targets.
 func (o *Owner) SuspendedTargets() int { return o.cell.SuspendedTargets() }
 
-// Release ends places. A place that isn't recorded is marked as ended.
+// Release ends places and cancels waiting asks. A place that isn't recorded is marked as ended.
 func (o *Owner) Release(now time.Time, from cell.Holder, seqs Seqs) {
 	h := o.holderFor(now, from)
 	if h == nil {
@@ -155,6 +185,7 @@
 		if _, ok := h.holds[q]; ok {
 			o.drop(from, h, q)
 		}
+		o.cancel(from, h, q)
 		h.ended[q] = struct{}{}
 	}
 }
@@ -172,6 +203,7 @@
 	}
 	h.resyncSeq, h.pending = m.At, setOf(m.Pending)
 	o.dropUnlisted(m.Holder(), h, listed)
+	o.cancelUnlisted(m.Holder(), h)
 	h.pruneEnded(listed)
 	o.addDetails(m.Holder(), h, m.Details)
 	return ResyncReply{Missing: h.missing(m.Held)}
@@ -231,6 +263,8 @@
 	h.pending = nil
 	h.ended = make(map[uint64]struct{})
 	h.holds = make(map[uint64]cell.Place)
+	h.waiting = make(map[uint64]Place)
+	h.refused = make(map[uint64]Reply)
 }
 
 func (o *Owner) drop(id cell.Holder, h *holder, q uint64) {
@@ -254,6 +288,7 @@
 		_, known := h.holds[d.Seq]
 		_, ended := h.ended[d.Seq]
 		if !known && !ended {
+			o.cancel(id, h, d.Seq)
 			h.holds[d.Seq] = holdOf(d)
 			added = true
 		}
@@ -312,7 +347,9 @@
 	return set
 }
 
-func requestID(q uint64) string { return strconv.FormatUint(q, 36) }
+const requestBase = 36
+
+func requestID(q uint64) string { return strconv.FormatUint(q, requestBase) }
 
 func holdOf(d Place) cell.Place {
 	return cell.Place{Request: requestID(d.Seq), Target: d.Target, Workspace: d.Workspace, Chat: d.Chat}
@@ -325,6 +362,8 @@
 		r.Target = v.Target
 	case cell.Full:
 		r.Code = Full
+	case cell.Waiting:
+		r.Code = Waiting
 	default:
 		r.Code = Refused
 	}
