Move the coding of messages and the queue of ended places to admission/wire

Cause: package dispatch exchanges the same messages of admission/holds over the same hub, and would need copies of the JSON handlers with counted bytes and of the queue that collects ended places.

Change: package admission/wire has both; package admission uses it. Messages, metrics and timing of admission are as before.

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -188,7 +188,7 @@
 		s.releaseOwned(s.self.Holder(), e)
 		return
 	}
-	s.releases.add(node, k, seq, r)
+	s.releases.Add(node, k, seq, r)
 }
 
 func workspaceName(r Request) string { return r.Workspace.Team + "/" + r.Workspace.Name }
--- a/admission/metrics.go
+++ b/admission/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/admission/wire"
 	"github.com/knapweedgw/knapweedgw/telemetry"
 )
 
@@ -49,7 +50,7 @@
 	// suspensions counts the suspensions of targets in owned cells.
 	suspensions prometheus.Counter
 	roundTrip   prometheus.Histogram
-	bytes       *prometheus.CounterVec
+	bytes       wire.Bytes
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -66,7 +67,7 @@
 			"Pauses of targets of owned cells that failed several requests in a row."),
 		roundTrip: f.Histogram("owner_round_trip_seconds", "Time until another node that owns a cell answered.",
 			prometheus.ExponentialBuckets(0.0001, 1.6, 18)),
-		bytes: f.CounterVec("bytes_total", "Parameters and results exchanged with other nodes, by method.", "direction", "method"),
+		bytes: wire.Bytes{CounterVec: f.CounterVec("bytes_total", "Parameters and results exchanged with other nodes, by method.", "direction", "method")},
 	}
 }
 
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/admission/wire"
 	"github.com/knapweedgw/knapweedgw/peer"
 )
 
@@ -34,31 +34,12 @@
 // handler returns a peer.Handler that decodes a call for f, encodes its result and counts
 // the bytes.
 func handler[M, R any](s *Service, method string, f func(M) R) peer.Handler {
-	in, out := s.metrics.bytes.WithLabelValues("in", method), s.metrics.bytes.WithLabelValues("out", method)
-	return func(_ context.Context, params json.RawMessage) (any, error) {
-		in.Add(float64(len(params)))
-		var m M
-		if err := json.Unmarshal(params, &m); err != nil {
-			return nil, errors.Wrapf(err, "admission: %s", method)
-		}
-		raw, err := json.Marshal(f(m))
-		out.Add(float64(len(raw)))
-		return json.RawMessage(raw), err
-	}
+	return wire.Handler(s.metrics.bytes, method, func(_ context.Context, m M) (R, error) { return f(m), nil })
 }
 
 // notice returns a peer.Handler that decodes a notification for f and counts its bytes.
 func notice[M any](s *Service, method string, f func(M)) peer.Handler {
-	in := s.metrics.bytes.WithLabelValues("in", method)
-	return func(_ context.Context, params json.RawMessage) (any, error) {
-		in.Add(float64(len(params)))
-		var m M
-		if err := json.Unmarshal(params, &m); err != nil {
-			return nil, errors.Wrapf(err, "admission: %s", method)
-		}
-		f(m)
-		return nil, nil
-	}
+	return wire.Notice(s.metrics.bytes, method, func(m M) error { f(m); return nil })
 }
 
 func (s *Service) serveAcquire(m holds.Acquire) holds.Reply {
--- a/admission/service.go
+++ b/admission/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
+	"github.com/knapweedgw/knapweedgw/admission/wire"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/pause"
@@ -75,7 +75,7 @@
 
 	local    *LocalEstimator
 	table    *holds.Table
-	releases *releases
+	releases *wire.Ended
 	owned    *ownedCells
 	totals   *totals
 	draining atomic.Bool
@@ -99,7 +99,7 @@
 	s := &Service{
 		cfg: cfg, self: holds.From{Node: cfg.Node, Incarnation: cfg.Incarnation},
 		log: l, metrics: newMetrics(reg), now: time.Now, spawn: func(f func()) { go f() },
-		releases: newReleases(), owned: newOwned(), totals: newTotals(),
+		releases: wire.NewEnded(), owned: newOwned(), totals: newTotals(),
 		links: make(map[string]*link), leaving: make(map[string]leavingNode),
 		recent: cell.NewLastTargets(recentChats),
 	}
@@ -277,30 +277,11 @@
 
 // call calls a method on another node and counts the bytes sent and received.
 func (s *Service) call(ctx context.Context, n membership.Node, method string, params, result any) error {
-	raw, err := s.encode(method, params)
-	if err != nil {
-		return err
-	}
-	var answer json.RawMessage
-	if err := s.hub.Call(ctx, n.PeerAddr, method, raw, &answer); err != nil {
-		return err
-	}
-	s.metrics.bytes.WithLabelValues("in", method).Add(float64(len(answer)))
-	return json.Unmarshal(answer, result)
+	return wire.Call(ctx, s.hub, s.metrics.bytes, n.PeerAddr, method, params, result)
 }
 
 func (s *Service) notify(ctx context.Context, n membership.Node, method string, params any) error {
-	raw, err := s.encode(method, params)
-	if err != nil {
-		return err
-	}
-	return s.hub.Notify(ctx, n.PeerAddr, method, raw)
-}
-
-func (s *Service) encode(method string, params any) (json.RawMessage, error) {
-	raw, err := json.Marshal(params)
-	s.metrics.bytes.WithLabelValues("out", method).Add(float64(len(raw)))
-	return raw, err
+	return wire.Notify(ctx, s.hub, s.metrics.bytes, n.PeerAddr, method, params)
 }
 
 func holderOf(n membership.Node) cell.Holder {
--- a/admission/sync.go
+++ b/admission/sync.go
@@ -66,7 +66,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.releases.wake:
+		case <-s.releases.Wake():
 		}
 		select {
 		case <-ctx.Done():
@@ -81,7 +81,7 @@
 // count.
 func (s *Service) flush(ctx context.Context) {
 	p := s.plan()
-	for node, cells := range s.releases.take() {
+	for node, cells := range s.releases.Take() {
 		n, ok := p.inputs.view.Node(node)
 		if !ok {
 			continue
