--- a/admission/wire/ended.go
+++ b/admission/wire/ended.go
@@ -27,6 +27,25 @@
 func (r *Ended) Add(node string, k holds.CellKey, seq uint64, result cell.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.of(node, k).Add(seq, result)
+	r.signal()
+}
+
+// Requeue queues places again whose message may not have arrived.
+func (r *Ended) Requeue(node string, ended []holds.EndedPlaces) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, old := range ended {
+		e := r.of(node, old.CellKey)
+		e.Seqs = append(e.Seqs, old.Seqs...)
+		e.Failed = append(e.Failed, old.Failed...)
+		e.Unknown = append(e.Unknown, old.Unknown...)
+		e.Overloaded = append(e.Overloaded, old.Overloaded...)
+		r.signal()
+	}
+}
+
+func (r *Ended) of(node string, k holds.CellKey) *holds.EndedPlaces {
 	if r.queue[node] == nil {
 		r.queue[node] = make(map[holds.CellKey]*holds.EndedPlaces)
 	}
@@ -35,7 +54,10 @@
 		e = &holds.EndedPlaces{CellKey: k}
 		r.queue[node][k] = e
 	}
-	e.Add(seq, result)
+	return e
+}
+
+func (r *Ended) signal() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
