Assemble the dispatch service in a router node

The stubs of holds.Owner are replaced by the queue's methods, and wire provides the service to the router.

--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -369,13 +369,3 @@
 	}
 	return r
 }
-
-// Settle returns the replies to asks that were waiting.
-func (o *Owner) Settle(now time.Time) []Settled { return nil }
-
-// NextDeadline returns the next time at which Settle refuses a waiting ask; ok is false if none
-// waits.
-func (o *Owner) NextDeadline() (at time.Time, ok bool) { return o.cell.NextDeadline() }
-
-// SetShare sets the fraction of each target's places that the cell grants.
-func (o *Owner) SetShare(fraction float64) { o.cell.SetShare(fraction) }
--- a/node/router.go
+++ b/node/router.go
@@ -71,7 +71,7 @@
 func provideDispatch(
 	cfg *config.RouterNode, x *heartbeat.Exchange, hub *peer.Hub, l *log.Logger, reg prometheus.Registerer,
 ) *dispatch.Service {
-	return dispatch.New(cfg.FailureDomain, x, hub, l, reg)
+	return dispatch.New(dispatch.Config{Domain: cfg.FailureDomain}, x, hub, l, reg)
 }
 
 func provideMetricsServer(cfg *config.RouterNode, reg *prometheus.Registry, l *log.Logger) *telemetry.Server {
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -33,8 +33,9 @@
 	hub := provideRouterHub(cfg, logger, registerer)
 	exchange := provideExchange(cfg, p, logger, registerer)
 	replica := provideReplica(p, exchange, hub, logger, registerer)
-	router := provideRouter(cfg, p, replica, exchange, logger, registerer)
-	kernelKernel, err := provideRouterKernel(service, server, hub, exchange, replica, router)
+	dispatchService := provideDispatch(cfg, exchange, hub, logger, registerer)
+	router := provideRouter(cfg, p, replica, exchange, dispatchService, logger, registerer)
+	kernelKernel, err := provideRouterKernel(service, server, hub, exchange, replica, dispatchService, router)
 	if err != nil {
 		return nil, err
 	}
@@ -90,6 +91,7 @@
 	provideRouterHub,
 	provideExchange,
 	provideReplica,
+	provideDispatch,
 	provideRouter,
 	provideRouterKernel,
 )
