--- a/admission/cell/exact.go
+++ b/admission/cell/exact.go
@@ -96,11 +96,13 @@
 	c         *Cell
 	now       time.Time
 	perSecond float64 // places that are freed in a second
+	interval  float64 // between two of them, in seconds
 }
 
 func (c *Cell) newEstimate(now time.Time) estimate {
 	e := estimate{c: c, now: now}
 	e.perSecond = e.rate(nil)
+	e.interval = 1 / e.perSecond
 	return e
 }
 
@@ -124,11 +126,10 @@
 
 // startIn returns the expected delay until a request at the given position starts.
 func (e *estimate) startIn(position int, exclude []string) time.Duration {
-	own := e.perSecond
+	seconds := float64(position+1) * e.interval
 	if len(exclude) > 0 {
-		own = e.rate(exclude)
+		seconds = float64(position)*e.interval + 1/e.rate(exclude)
 	}
-	seconds := float64(position)/e.perSecond + 1/own
 	return time.Duration(min(seconds, noLimit.Seconds()) * float64(time.Second))
 }
 
--- a/admission/cell/flow.go
+++ b/admission/cell/flow.go
@@ -32,7 +32,8 @@
 // flow counts first attempts and grants.
 type flow struct {
 	demand, grants window
-	under          bool // got less than the guaranteed part of its fair share
+	// deficit is how many grants are missing to the guaranteed part of the fair share.
+	deficit float64
 }
 
 func (f *flow) drop(step int64) {
@@ -40,12 +41,27 @@
 	f.grants.drop(step)
 }
 
+// urgencyFlow is the flow of one urgency.
+type urgencyFlow struct {
+	flow
+	returned     window  // grants of returned callers
+	returnedRoom float64 // how many more of them come before newer ones
+}
+
+// takeReturned reports whether one more returned caller comes before newer ones.
+func (f *urgencyFlow) takeReturned() bool {
+	f.returnedRoom--
+	return f.returnedRoom >= 0
+}
+
 // workspaceFlow is the flow of one workspace.
 type workspaceFlow struct {
 	flow
 	name    string
+	weight  float64
 	waiting int
-	over    bool // holds more places than its fair share
+	held    int     // places, while requests wait
+	room    float64 // places to its fair share of them; negative if it holds more
 }
 
 // flows counts the first attempts and grants of the last second, in all and by urgency and workspace.
@@ -55,7 +71,7 @@
 	flow
 	step       int64
 	started    time.Time
-	urgencies  [urgencies]flow
+	urgencies  [urgencies]urgencyFlow
 	byName     map[string]*workspaceFlow
 	workspaces []*workspaceFlow // those with requests or grants in the last second, or that wait
 }
@@ -75,6 +91,7 @@
 		f.drop(s)
 		for i := range f.urgencies {
 			f.urgencies[i].drop(s)
+			f.urgencies[i].returned.drop(s)
 		}
 		for _, w := range f.workspaces {
 			w.drop(s)
@@ -99,6 +116,7 @@
 		f.byName[a.Workspace] = w
 		f.workspaces = append(f.workspaces, w)
 	}
+	w.weight = orDefault(a.Weight, 1)
 	if !a.Returned {
 		f.demand.add(f.step)
 		w.demand.add(f.step)
@@ -108,10 +126,14 @@
 }
 
 // grant counts a grant.
-func (f *flows) grant(urgency int, w *workspaceFlow) {
+func (f *flows) grant(a *AcquireRequest, w *workspaceFlow) {
 	f.grants.add(f.step)
 	w.grants.add(f.step)
-	f.urgencies[clampUrgency(urgency)].grants.add(f.step)
+	u := &f.urgencies[clampUrgency(a.Urgency)]
+	u.grants.add(f.step)
+	if a.Returned {
+		u.returned.add(f.step)
+	}
 }
 
 // demandUpTo returns the first attempts a second of an urgency and the more urgent ones.
--- a/admission/cell/order.go
+++ b/admission/cell/order.go
@@ -9,34 +9,67 @@
 	urgencies = maxUrgency + 1
 	// lateClass is that of requests whose latest start has passed. They get a place only if no
 	// other request can use it.
-	lateClass = class(4 * urgencies)
+	lateClass = class(8 * urgencies)
 	classes   = int(lateClass) + 1
 )
 
-// classOf returns the class by the guarantee, the urgency and the share of the workspace.
-func (q *queue) classOf(now time.Time, w *waiter) class {
-	if !now.Before(w.latest) {
+// classOf returns the class by the guarantee, the urgency and the share of the workspace. It must be
+// called in the order of the waiting requests: only as many of them come first or hold a place within
+// the workspace's share as the guarantee and the share have left, so that positions further behind
+// are predicted, too.
+func (q *queue) classOf(now int64, w *waiter) class {
+	if now >= w.latestNanos {
 		return lateClass
 	}
-	u := clampUrgency(w.Urgency)
-	out := class(2 * u)
-	if w.workspace.over {
+	u, ws := &q.flows.urgencies[w.urgency], w.workspace
+	out := w.urgency
+	if u.deficit <= 0 && ws.deficit <= 0 {
+		out += urgencies
+	} else {
+		u.deficit--
+		ws.deficit--
+	}
+	out *= 2
+	w.over = ws.room < 0
+	ws.room--
+	if w.over {
 		out++
 	}
-	if !w.workspace.under && !q.flows.urgencies[u].under {
-		out += 2 * urgencies
+	out *= 2
+	if w.behind {
+		out++
 	}
 	return out
 }
 
+// classify sets the classes of the waiting requests. Within a class they are served in the order of
+// queue.waiting.
+func (c *Cell) classify(now time.Time) {
+	q := c.queue
+	c.updateStandings()
+	at, behind := now.UnixNano(), 0
+	for _, w := range q.waiting {
+		if w.behind = w.Returned && !q.flows.urgencies[w.urgency].takeReturned(); w.behind {
+			behind++
+			continue
+		}
+		w.class = q.classOf(at, w)
+	}
+	for i := 0; behind > 0; i++ {
+		if w := q.waiting[i]; w.behind {
+			w.class = q.classOf(at, w)
+			behind--
+		}
+	}
+}
+
 // rank returns the waiting requests in the order in which they get places. The result is valid until
 // the next call.
 func (c *Cell) rank(now time.Time) []*waiter {
 	q := c.queue
-	c.updateStandings(now)
+	c.classify(now)
 	var next [classes + 1]int // index of the next request of each class
 	for _, w := range q.waiting {
-		w.class = q.classOf(now, w)
 		next[w.class+1]++
 	}
 	for i := range classes {
@@ -50,36 +83,33 @@
 	return q.ranked
 }
 
-// updateStandings computes which urgencies and waiting workspaces got less than the guaranteed
-// fraction of their fair share of the grants, and which workspaces hold more than their fair share
-// of the places.
-func (c *Cell) updateStandings(now time.Time) {
+// updateStandings computes what urgencies and waiting workspaces lack of the guaranteed fraction of
+// their fair share of the grants, and how many more places workspaces may hold.
+func (c *Cell) updateStandings() {
 	f := &c.queue.flows
-	demand, grants := float64(f.demand.sum), float64(f.grants.sum)
+	demand, grants := float64(max(f.demand.sum, 1)), float64(f.grants.sum)
 	guaranteed := c.queue.cfg.MinShare * grants
 	for i := range f.urgencies {
 		u := &f.urgencies[i]
-		u.under = demand > 0 && float64(u.grants.sum) < guaranteed*float64(u.demand.sum)/demand
+		u.deficit = guaranteed*float64(u.demand.sum)/demand - float64(u.grants.sum)
+		u.returnedRoom = c.queue.cfg.ReturnedShare*float64(u.grants.sum+1) - float64(u.returned.sum)
 	}
 	weights, active := c.shares.weights, 0.0
 	for _, w := range f.workspaces {
-		if _, holds := c.shares.active[w.name]; !holds && w.waiting > 0 {
-			weights += c.shares.weightOf(w.name)
+		active += w.weight
+		if w.waiting > 0 {
+			held, holds := c.shares.active[w.name]
+			w.held = held.inFlight
+			if !holds {
+				weights += w.weight
+			}
 		}
-		active += c.shares.weightOf(w.name)
 	}
 	places := float64(c.grantable())
 	for _, w := range f.workspaces {
-		if w.waiting == 0 {
-			continue
-		}
-		weight := c.shares.weightOf(w.name)
-		w.over = float64(c.shares.active[w.name].inFlight) > places*weight/weights
-		fair := weight / active
-		if demand > 0 {
-			fair = min(fair, float64(w.demand.sum)/demand)
-		}
-		w.under = float64(w.grants.sum) < guaranteed*fair
+		w.room = places*w.weight/weights - float64(w.held)
+		fair := min(w.weight/active, float64(w.demand.sum)/demand)
+		w.deficit = guaranteed*fair - float64(w.grants.sum)
 	}
 }
 
--- a/admission/cell/queue.go
+++ b/admission/cell/queue.go
@@ -46,8 +46,13 @@
 	arrivedAt time.Time
 	latest    time.Time // latest start
 	workspace *workspaceFlow
-	class     class
-	done      bool // decided or canceled, to be removed
+	// The following fields are for Cell.rank. latestNanos is latest in Unix nanoseconds.
+	latestNanos int64
+	urgency     class
+	class       class
+	behind      bool // returned, but comes after newer ones
+	over        bool // the workspace holds more than its fair share of the places
+	done        bool // decided or canceled, to be removed
 }
 
 func newQueue() *queue {
@@ -124,7 +129,7 @@
 	if s.isCold(now) {
 		s.nextGrant = now.Add(s.coldInterval(c.queue.share))
 	}
-	c.queue.flows.grant(a.Urgency, ws)
+	c.queue.flows.grant(&a, ws)
 	return c.grant(now, a, s)
 }
 
@@ -133,8 +138,9 @@
 	q.arrivals++
 	w := &waiter{
 		AcquireRequest: a, arrival: q.arrivals, arrivedAt: now, workspace: ws,
-		latest: now.Add(latestStart(&a, q.hold.mean())),
+		latest: now.Add(latestStart(&a, q.hold.mean())), urgency: class(clampUrgency(a.Urgency)),
 	}
+	w.latestNanos = w.latest.UnixNano()
 	ws.waiting++
 	i, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiters)
 	q.waiting = slices.Insert(q.waiting, i, w)
@@ -199,22 +205,26 @@
 // grantNext grants a place to the first request in the order that may use a free one. It reports
 // whether there was one.
 func (c *Cell) grantNext(now time.Time) bool {
-	q := c.queue
-	free := c.freeTarget(now, &AcquireRequest{})
-	if free < 0 {
+	if c.freeTarget(now, &AcquireRequest{}) < 0 {
 		return false
 	}
-	for _, w := range c.rank(now) {
-		i := c.freeTarget(now, &w.AcquireRequest)
-		if i < 0 {
+	c.classify(now)
+	var first *waiter
+	target := -1
+	for _, w := range c.queue.waiting {
+		if first != nil && w.class >= first.class {
 			continue
 		}
-		d := c.grantQueued(now, w.AcquireRequest, i, w.workspace)
-		c.decide(now, w, d)
-		q.removeDone()
-		return true
+		if i := c.freeTarget(now, &w.AcquireRequest); i >= 0 {
+			first, target = w, i
+		}
 	}
-	return false
+	if first == nil {
+		return false
+	}
+	c.decide(now, first, c.grantQueued(now, first.AcquireRequest, target, first.workspace))
+	c.queue.removeDone()
+	return true
 }
 
 // refuseLate refuses the waiting requests that can't start in time, given their positions, and the
@@ -223,14 +233,13 @@
 	q := c.queue
 	q.recheck = false
 	e := c.newEstimate(now)
-	position := 0
+	at, usable, position := now.UnixNano(), c.hasUsable(nil), 0
 	for _, w := range c.rank(now) {
-		if !c.hasUsable(w.Exclude) {
+		if !usable || len(w.Exclude) > 0 && !c.hasUsable(w.Exclude) {
 			c.decide(now, w, Decision{Outcome: Full, Reason: ReasonNoTarget, RetryAfter: retryAfter(now, w.AcquireRequest)})
 			continue
 		}
-		start := e.startIn(position, w.Exclude)
-		if position >= q.cfg.MaxWaiting || !now.Add(start).Before(w.latest) {
+		if position >= q.cfg.MaxWaiting || at+int64(e.startIn(position, w.Exclude)) >= w.latestNanos {
 			c.decide(now, w, c.refusal(now, w, &e))
 			continue
 		}
@@ -241,7 +250,7 @@
 
 func (c *Cell) refusal(now time.Time, w *waiter, e *estimate) Decision {
 	d := Decision{Outcome: Refused, Reason: ReasonSaturated}
-	if w.workspace.over {
+	if w.over {
 		d.Reason = ReasonWorkspaceLimit
 	}
 	spare := 0.0
--- a/admission/cell/shares.go
+++ b/admission/cell/shares.go
@@ -49,9 +49,6 @@
 	s.active[workspace] = w
 }
 
-// weightOf returns the last known weight of a workspace.
-func (s *shares) weightOf(workspace string) float64 { return orDefault(s.knownWeights[workspace], 1) }
-
 // exceedsShare reports whether one more request takes a workspace beyond its weighted share
 // of a capacity that is divided among the active workspaces. A cell gets only a part of each
 // workspace's requests, so the share has a margin: one request and the standard deviation of
--- a/admission/cell/types.go
+++ b/admission/cell/types.go
@@ -48,13 +48,18 @@
 	// MinShare is the fraction of its fair share of the grants below which an urgency or a
 	// workspace is served before others.
 	MinShare float64
+	// ReturnedShare is the fraction of an urgency's grants up to which callers that retry after a
+	// refusal come before newer ones; 1 means always.
+	ReturnedShare float64
 	// MaxWaiting is the maximum number of waiting requests. Beyond it, the last one in the order
 	// is refused.
 	MaxWaiting int
 }
 
 // DefaultQueueConfig returns the configuration for a service with few places.
-func DefaultQueueConfig() QueueConfig { return QueueConfig{MinShare: 0.5, MaxWaiting: 1024} }
+func DefaultQueueConfig() QueueConfig {
+	return QueueConfig{MinShare: 0.5, ReturnedShare: 1, MaxWaiting: 1024}
+}
 
 // Defaults of the optional settings.
 const (
--- a/admission/holds/messages.go
+++ b/admission/holds/messages.go
@@ -65,7 +65,8 @@
 	// LeavingNodes are the nodes that, as far as the sender has learned, hand their cells over
 	// to other owners.
 	LeavingNodes []From `json:"z,omitempty"`
-	// StartWithinMS and RemainingMS are milliseconds; see cell.AcquireRequest.
+	// StartWithinMS and RemainingMS are milliseconds from the sending of this message, also when
+	// it repeats an ask; see cell.AcquireRequest. A negative time has passed.
 	StartWithinMS int64  `json:"sw,omitempty"`
 	RemainingMS   int64  `json:"rm,omitempty"`
 	Returned      bool   `json:"rt,omitempty"`
--- a/admission/holds/owner.go
+++ b/admission/holds/owner.go
@@ -32,12 +32,9 @@
 	pending   map[uint64]struct{}
 	// ended are the asks whose release has arrived. A late ask or an older resync must not add
 	// their places again.
-	ended map[uint64]struct{}
-	holds map[uint64]cell.Place
-	// waiting are the asks in the cell's queue. refused has the replies to those that were refused
-	// after they had waited, since the ask may be repeated before the reply arrives.
-	waiting map[uint64]Place
-	refused map[uint64]Reply
+	ended   map[uint64]struct{}
+	holds   map[uint64]cell.Place
+	waiting map[uint64]Place // asks in the cell's queue
 }
 
 // TargetLoad is the number of requests in flight on a target.
@@ -108,7 +105,8 @@
 
 // Acquire decides an ask, after it has ended the places of this cell that the message lists. An ask
 // that must wait gets the code Waiting, and its reply is returned by Settle later; until then its
-// repetitions get Waiting, too.
+// repetitions get Waiting, too. A repetition after a refusal is decided anew, since a place may be
+// free by then.
 func (o *Owner) Acquire(now time.Time, m Acquire) Reply {
 	h := o.holderFor(now, m.Holder())
 	if h == nil {
@@ -118,9 +116,6 @@
 	if h.isStale(m.Seq) {
 		return Reply{Code: Stale}
 	}
-	if r, ok := h.refused[m.Seq]; ok {
-		return r
-	}
 	h.maxSeq = max(h.maxSeq, m.Seq)
 	v := o.cell.Acquire(now, cell.AcquireRequest{
 		Holder: m.Holder(), Request: requestID(m.Seq), Chat: m.Chat,
@@ -264,7 +259,6 @@
 	h.ended = make(map[uint64]struct{})
 	h.holds = make(map[uint64]cell.Place)
 	h.waiting = make(map[uint64]Place)
-	h.refused = make(map[uint64]Reply)
 }
 
 func (o *Owner) drop(id cell.Holder, h *holder, q uint64) {
--- a/admission/holds/owner_test.go
+++ b/admission/holds/owner_test.go
@@ -121,3 +121,48 @@
 	is.Equal(table.Release(key, q), moved)
 	is.Equal(table.Len(), 0)
 }
+
+// A node that gives up, dies or restarts while its ask waits must not get the place: nobody would
+// release it until the next resync.
+func TestWaitingAskIsCanceled(t *testing.T) {
+	x := cell.Holder{Node: "x", Incarnation: 1}
+	tests := []struct {
+		name string
+		then func(o *holds.Owner)
+		want int // replies after a place is free
+	}{
+		{"waits", func(*holds.Owner) {}, 1},
+		{"repeated", func(o *holds.Owner) { o.Acquire(start, acquire("x", 1, 1)) }, 1},
+		{"pending in a resync", func(o *holds.Owner) {
+			o.Resync(start, holds.Resync{From: holds.From(x), CellKey: key, At: 9, Pending: holds.Seqs{1}})
+		}, 1},
+		{"released", func(o *holds.Owner) { o.Release(start, x, holds.Seqs{1}) }, 0},
+		{"not in a resync", func(o *holds.Owner) { o.Resync(start, resyncOf("x")) }, 0},
+		{"dead", func(o *holds.Owner) { o.Expire(start, func(h cell.Holder) bool { return h == x }) }, 0},
+		{"silent", func(o *holds.Owner) {
+			o.Resync(start.Add(2), resyncOf("y"))
+			o.Expire(start.Add(1), func(cell.Holder) bool { return false })
+		}, 0},
+		{"restarted", func(o *holds.Owner) {
+			o.Resync(start, holds.Resync{From: holds.From{Node: "x", Incarnation: 2}, CellKey: key, At: 1})
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			o := holds.NewOwner(cell.Config{MaxInFlight: 1, Queue: &cell.QueueConfig{}})
+			o.SetTargets([]cell.Target{{ID: "a", Capacity: 1}})
+			is.Equal(o.Acquire(start, acquire("y", 1, 1)).Code, holds.Granted)
+			is.Equal(o.Acquire(start, acquire("x", 1, 1)).Code, holds.Waiting)
+			tt.then(o)
+			// The place of "y" ends with the ask of another node, which is asked last.
+			m := acquire("y", 1, 99)
+			m.Ended = []holds.EndedPlaces{{CellKey: key, Seqs: holds.Seqs{1}}}
+			code := o.Acquire(start, m).Code
+			settled := o.Settle(start)
+			is.Equal(len(settled), tt.want)
+			is.Equal(code == holds.Granted, tt.want == 0)
+			is.Equal(o.Places(), 1)
+		})
+	}
+}
--- a/admission/holds/settle.go
+++ b/admission/holds/settle.go
@@ -57,20 +57,17 @@
 		if d.Decision.Outcome == cell.Granted {
 			place.Target = d.Decision.Target
 			h.holds[q] = holdOf(place)
-		} else {
-			h.refused[q] = reply
 		}
 		o.settled = append(o.settled, Settled{Holder: d.Holder, Seq: q, Reply: reply})
 	}
 }
 
-// cancel removes an ask that waits or was refused after it had waited.
+// cancel removes an ask that waits.
 func (o *Owner) cancel(id cell.Holder, h *holder, q uint64) {
 	if _, waits := h.waiting[q]; waits {
 		o.cell.Cancel(id, requestID(q))
 		delete(h.waiting, q)
 	}
-	delete(h.refused, q)
 }
 
 // cancelUnlisted removes the asks that the newest resync should have listed as pending.
@@ -80,11 +77,6 @@
 			o.cancel(id, h, q)
 		}
 	}
-	for q := range h.refused {
-		if _, isPending := h.pending[q]; q <= h.resyncSeq && !isPending {
-			delete(h.refused, q)
-		}
-	}
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
