--- a/overload/overload.go
+++ b/overload/overload.go
@@ -13,6 +13,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/returns"
 )
 
 // Request holds the properties of a request on which the decision depends.
@@ -27,6 +29,10 @@
 	TargetLatency time.Duration
 	// Remaining is the time until the caller's deadline, 0 for no deadline.
 	Remaining time.Duration
+	// PromptTokens is the number of prompt tokens that the target has to read, 0 if unknown.
+	PromptTokens int
+	// Returned reports whether the caller was refused before.
+	Returned bool
 	// Started reports whether a target has already started on the request and it continues at
 	// another one. Such a request is never rejected, since the work done so far would be lost.
 	Started bool
@@ -38,6 +44,8 @@
 	// Running is the number of requests in progress there, Own the number of those that this
 	// node sent. Slots is the number of requests that the targets process at a time.
 	Running, Own, Slots int
+	// Targets is the number of those targets, 0 if unknown.
+	Targets int
 	// Nodes is the number of live nodes, and Age the average age of the counts of the other
 	// nodes.
 	Nodes int
@@ -56,6 +64,9 @@
 	// Surging means that the workspace sends much more than its usual share while the service
 	// is short of capacity.
 	Surging
+	// LongPrompt means that the targets have so many prompt tokens to read that this prompt would
+	// make urgent requests late.
+	LongPrompt
 )
 
 // Decision is the outcome for one request, with the inputs that led to it.
@@ -75,6 +86,15 @@
 	// QueuePerSlot is the number of requests like this one that may wait at a target, relative to
 	// its slots.
 	QueuePerSlot float64
+	// Share is the fraction of the requests like this one that is admitted. Demand is the number
+	// of slots that the requests of all nodes would occupy, and Capacity the number that can be
+	// given out now to ranks up to this one.
+	Share, Demand, Capacity float64
+	// PrefillLoad is the fraction of the time that the targets read prompts, and PrefillLimit the
+	// one from which long prompts are rejected, 0 if not evaluated.
+	PrefillLoad, PrefillLimit float64
+	// Returned reports whether the caller is taken for one that was refused before.
+	Returned bool
 }
 
 // Queued reports whether a request, if admitted, has to wait for a slot.
@@ -121,6 +141,20 @@
 	// directions, as a fraction.
 	MinRetryAfter                 time.Duration
 	MaxRetryFraction, RetrySpread float64
+
+	// Shares selects admission by shares of the capacity in place of limits by rank. The fields
+	// below apply to it only.
+	Shares bool
+	// Headroom is the fraction of the slots that ranks with more urgent ones leave free.
+	Headroom float64
+	// MinShare is the fraction of its part of the capacity that a rank always gets.
+	MinShare float64
+	// TokensPerSecond is the number of prompt tokens that a target reads in a second.
+	TokensPerSecond float64
+	// LongPart is the fraction of the shortest target latency from which reading a prompt makes
+	// it a long one, and LatePart the fraction of urgent requests that may be late behind others'
+	// prompts.
+	LongPart, LatePart float64
 }
 
 // DefaultConfig leaves two thirds of the target latency for processing and for errors of the
@@ -143,6 +177,14 @@
 	}
 }
 
+// SharesConfig returns the limits for admission by shares.
+func SharesConfig() Config {
+	c := DefaultConfig()
+	c.Shares, c.Headroom, c.MinShare = true, 0.08, 0.5
+	c.TokensPerSecond, c.LongPart, c.LatePart = 157_000, 0.1, 0.05
+	return c
+}
+
 // Gate decides on the requests for one service.
 type Gate struct {
 	cfg        Config
@@ -164,14 +206,20 @@
 	// shortageStart is the time of the first rejection of the current shortage, lastRejection
 	// that of the last one.
 	shortageStart, lastRejection time.Time
+	// shares is nil for limits by rank.
+	shares *shares
 }
 
 // NewGate returns a gate without any observations.
 func NewGate(cfg Config, rng *rand.Rand) *Gate {
-	return &Gate{
+	g := &Gate{
 		cfg: cfg, rng: rng,
 		classes: make(map[string]*class), workspaces: make(map[string]*usage),
 	}
+	if cfg.Shares {
+		g.shares = &shares{schedule: returns.New(returns.DefaultConfig(), rng)}
+	}
+	return g
 }
 
 // Admit decides whether a request may be sent to a target now.
@@ -184,29 +232,51 @@
 	if l.Slots > 0 {
 		d.Utilization = d.Estimate / (float64(l.Slots) * (1 + d.QueuePerSlot))
 	}
-	surging := g.isSurging(workspace)
 	d.Late = kind.isLate(r, g.cfg.LateFraction)
+	if g.shares != nil && g.occupancy.samples > 0 {
+		d.Reason = g.admitByShares(r, l, kind, workspace, now, &d)
+		g.count(d.Admitted(), kind, workspace, now)
+		return d
+	}
+	surging := g.isSurging(workspace)
 	d.Limit = g.limit(r, d.Late, surging, &kind.tally, &workspace.tally)
 	admitted := d.Utilization < d.Limit
 	if surging {
 		admitted = g.rng.Float64()*g.ramp(l, d) < d.Limit-d.Utilization
 	}
-	for _, t := range []*tally{&g.all, &kind.tally, &workspace.tally} {
-		t.count(admitted)
-	}
+	g.count(admitted, kind, workspace, now)
 	if admitted {
-		g.startRate.add(now)
 		return d
 	}
 	d.Reason = OverCapacity
 	if surging {
 		d.Reason = Surging
 	}
-	g.recordRejection(now)
 	d.RetryAfter = g.RetryAfter(r.Remaining, now)
 	return d
 }
 
+// count records a decision.
+func (g *Gate) count(admitted bool, kind *class, workspace *usage, now time.Time) {
+	g.all.count(admitted)
+	kind.count(admitted)
+	workspace.count(admitted)
+	if admitted {
+		g.startRate.add(now)
+		return
+	}
+	g.recordRejection(now)
+}
+
+// RecordEndOf is RecordEnd for a request of a known class. Admission by shares weighs the classes
+// by their durations.
+func (g *Gate) RecordEndOf(class string, held time.Duration, queued bool) {
+	g.RecordEnd(held, queued)
+	if kind, ok := g.classes[class]; ok {
+		kind.hold.observe(held.Seconds())
+	}
+}
+
 // RecordEnd records that a request was answered after it was in progress for held. queued
 // reports whether it had to wait for a slot.
 func (g *Gate) RecordEnd(held time.Duration, queued bool) {
--- a/overload/tally.go
+++ b/overload/tally.go
@@ -76,6 +76,8 @@
 type class struct {
 	tally
 	maxRemaining time.Duration
+	// hold is the mean time that a request of the class is in progress.
+	hold average
 }
 
 // isLate reports whether the caller has waited for more than the given fraction of the target
@@ -93,6 +95,9 @@
 	tally
 	usualShare float64
 	samples    int
+	// recent is the decaying number of requests as of recentAt, for admission by shares.
+	recent   float64
+	recentAt time.Time
 }
 
 // roll updates the tally; all must be up to date already. Each new bucket moves the usual share
