Continue old counts along their trend

The counts of the other nodes are continued along their trend, for their age or half of the mean duration by work.

--- a/overload/shares.go
+++ b/overload/shares.go
@@ -20,6 +20,9 @@
 	// workspaceDecay is the time constant of a workspace's share of the requests. A node gets
 	// less than a request a second of a usual workspace, so it is longer than that of the demand.
 	workspaceDecay = 4 * time.Second
+	// trendDecay is the time constant of the trend of the counts: long enough for several reports
+	// of a node, which come every 200 ms.
+	trendDecay = 300 * time.Millisecond
 	// partDecay is the time constant of the node's part of the fleet's requests, and partSamples the
 	// number of requests in progress at which the measured and an equal part have equal weight.
 	partDecay   = 10 * time.Second
@@ -71,10 +74,10 @@
 
 // shares is the state of a gate that gives out capacity by rank and workspace.
 type shares struct {
-	// work is the sum of the slot seconds that were demanded by offered requests, squares the sum
-	// of their squares, and admitted the slot seconds that were admitted.
-	work                       sums
-	offered, squares, admitted float64
+	// work is the sum of the slot seconds that were demanded by offered requests, and squares the
+	// sum of their squares.
+	work             sums
+	offered, squares float64
 	// tokens and tokenSquares are those of the prompts that are admitted by the shares of the slots,
 	// long and short ones; long are the tokens of the long ones by group.
 	tokens, tokenSquares float64
@@ -84,6 +87,11 @@
 	// part of all, as of partAt.
 	own, equal float64
 	partAt     time.Time
+	// meanOthers is the mean number of requests in progress of the other nodes over trendDecay, as
+	// of trendAt, since the slots were trendSlots.
+	meanOthers float64
+	trendAt    time.Time
+	trendSlots int
 	schedule   *returns.Schedule
 }
 
@@ -97,7 +105,6 @@
 	left := math.Exp(-since.Seconds() / demandDecay.Seconds())
 	s.work.scale(left)
 	s.long.scale(left)
-	s.admitted *= left
 	s.offered *= left
 	s.squares *= left
 	s.tokens *= left
@@ -132,7 +139,7 @@
 	s.work[at] += hold
 	s.squares += hold * hold
 	s.offered++
-	d.Estimate = g.estimateOccupied(l, share)
+	d.Estimate = g.estimateOccupied(l, now)
 
 	own := max(s.work.before(groups), 1e-9)
 	d.Demand = s.fleetDemand(own, share, d.Estimate)
@@ -158,7 +165,6 @@
 		reason = LongPrompt
 	}
 	if reason == None {
-		s.admitted += hold
 		return None
 	}
 	perSecond := 0.0 // the targets have no room for long prompts
@@ -211,21 +217,21 @@
 	return g.occupancy.mean
 }
 
-// estimateOccupied estimates how many requests all nodes run now. Those that the other nodes had
-// in progress have ended at the rate of the mean duration by work, since the requests that take
-// long are the ones found in progress; to the extent that this node has admitted enough, the
-// other nodes are assumed to have admitted as much as their part.
-func (g *Gate) estimateOccupied(l Load, share float64) float64 {
-	s := g.shares
-	others := float64(l.Running - l.Own)
-	demand := s.work.before(groups)
-	if demand <= 0 || s.squares <= 0 {
-		return float64(l.Running)
+// estimateOccupied estimates how many requests all nodes run now. The counts of the other nodes are
+// continued along their trend for their age, but at most for half of the mean duration by work: the
+// requests found in progress are those that take long, and if they end sooner than the counts are
+// old, the trend is noise. The trend starts anew when the slots change, since the counts then jump.
+func (g *Gate) estimateOccupied(l Load, now time.Time) float64 {
+	s, others := g.shares, float64(l.Running-l.Own)
+	since := now.Sub(s.trendAt)
+	if l.Slots != s.trendSlots || since > window {
+		s.trendSlots, s.meanOthers = l.Slots, others
 	}
-	remaining := math.Exp(-l.Age.Seconds() * demand / s.squares)
-	weight := s.offered / (s.offered + g.cfg.RateSamples)
-	steady := weight*s.admitted/demandDecay.Seconds()*(1/share-1) + (1-weight)*others
-	return float64(l.Own) + others*remaining + steady*(1-remaining)
+	s.trendAt = now
+	s.meanOthers += (1 - math.Exp(-since.Seconds()/trendDecay.Seconds())) * (others - s.meanOthers)
+	perSecond := (others - s.meanOthers) / trendDecay.Seconds()
+	ahead := min(l.Age.Seconds(), s.squares/max(s.work.before(groups), 1e-9)/2)
+	return float64(l.Own) + max(others+perSecond*ahead, 0)
 }
 
 // capacity returns the demand in slots that can be admitted now, so that the number in progress
