--- a/admission/cell/queue_test.go
+++ b/admission/cell/queue_test.go
@@ -89,6 +89,53 @@
 	is.Equal(s.ask("no time", AcquireRequest{Remaining: 120 * ms, Returned: true}), Refused) // it works for 100 ms
 }
 
+// An urgency below its guaranteed share comes first with as many requests as it lacks. If all that wait
+// counted as ahead, urgent requests were refused while they could have been served.
+func TestGuaranteeMovesOnlyTheMissingRequestsAhead(t *testing.T) {
+	is := is.New(t)
+	s := newQueueScript(Target{ID: "a", Capacity: 1})
+	s.queue.cfg.MinShare = 0.5
+	s.fill(is, 1)
+	for i := range 3 {
+		is.Equal(s.ask(fmt.Sprint("low-", i), AcquireRequest{Workspace: "fill", Urgency: 2, StartWithin: time.Second}), Waiting)
+	}
+	is.Equal(s.ask("high", AcquireRequest{Workspace: "fill", StartWithin: 250 * ms}), Waiting) // behind one of them
+	is.Equal(s.release("fill-1", Answered), map[string]Outcome{"low-0": Granted})
+	is.Equal(s.release("low-0", Answered), map[string]Outcome{"high": Granted})
+}
+
+// A wrong hold time makes the cell refuse requests that could start in time, or accept some that
+// can't.
+func TestHoldTimeIsLearnt(t *testing.T) {
+	is := is.New(t)
+	s := newQueueScript(Target{ID: "a", Capacity: 1})
+	s.queue.hold = meanHold{}
+	s.fill(is, 1)
+	is.Equal(s.ask("unknown yet", AcquireRequest{StartWithin: 1}), Waiting)
+	s.now = s.now.Add(80 * ms)
+	is.Equal(s.release("fill-1", Unknown), map[string]Outcome{"unknown yet": Granted})
+	is.Equal(s.ask("too late", AcquireRequest{StartWithin: 80 * ms}), Refused)
+	is.Equal(s.ask("in time", AcquireRequest{StartWithin: 81 * ms}), Waiting)
+}
+
+// A target that is chosen regardless of its load works on more requests at a time while others idle;
+// one in another failure domain costs latency and traffic.
+func TestFreeTargetIsTheLeastLoadedPerSlotThenTheNearest(t *testing.T) {
+	is := is.New(t)
+	s := newQueueScript(Target{ID: "a", Capacity: 2, Domain: "x"}, Target{ID: "b", Capacity: 4, Domain: "y"}, Target{ID: "c", Capacity: 4, Domain: "y", Outside: 3})
+	var got []string
+	for i := range 5 {
+		got = append(got, s.Acquire(s.now, AcquireRequest{Request: fmt.Sprint(i), Domain: "x"}).Target)
+	}
+	is.Equal(got, []string{"a", "b", "b", "a", "b"})
+	chosen := make(map[string]int)
+	for i := range 100 {
+		s := newQueueScript(Target{ID: "a", Capacity: 1}, Target{ID: "b", Capacity: 1})
+		chosen[s.Acquire(s.now, AcquireRequest{Request: fmt.Sprint(i)}).Target]++
+	}
+	is.True(min(chosen["a"], chosen["b"]) > 30)
+}
+
 // Requests that wait must neither be forgotten nor be granted a target that is gone when the list of
 // targets or their state changes.
 func TestTargetsChangeWhileRequestsWait(t *testing.T) {
@@ -175,9 +222,10 @@
 		var grants []int // milliseconds
 		for i := range 4000 {
 			if i%2000 == 0 { // a new owner
-				s = newQueueScript(Target{ID: "a", Capacity: 6, ColdUntil: epoch.Add(time.Minute), ColdPerSecond: limit})
+				s = newQueueScript()
 				s.SetShare(share)
 			}
+			s.SetTargets([]Target{{ID: "a", Capacity: 6, ColdUntil: epoch.Add(time.Minute), ColdPerSecond: limit}})
 			s.now = epoch.Add(time.Duration(i) * ms)
 			id := fmt.Sprint(i)
 			if s.ask(id, AcquireRequest{StartWithin: ms}) == Granted {
--- a/admission/holds/owner_test.go
+++ b/admission/holds/owner_test.go
@@ -150,10 +150,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			o := holds.NewOwner(cell.Config{MaxInFlight: 1, Queue: &cell.QueueConfig{}})
-			o.SetTargets([]cell.Target{{ID: "a", Capacity: 1}})
-			is.Equal(o.Acquire(start, acquire("y", 1, 1)).Code, holds.Granted)
-			is.Equal(o.Acquire(start, acquire("x", 1, 1)).Code, holds.Waiting)
+			o := newQueuedOwner(is)
 			tt.then(o)
 			// The place of "y" ends with the ask of another node, which is asked last.
 			m := acquire("y", 1, 99)
@@ -166,3 +163,35 @@
 		})
 	}
 }
+
+// newQueuedOwner returns an owner of one place, which "y" holds and "x" waits for.
+func newQueuedOwner(is *is.I) *holds.Owner {
+	o := holds.NewOwner(cell.Config{MaxInFlight: 1, Queue: &cell.QueueConfig{}})
+	o.SetTargets([]cell.Target{{ID: "a", Capacity: 1}})
+	is.Equal(o.Acquire(start, acquire("y", 1, 1)).Code, holds.Granted)
+	is.Equal(o.Acquire(start, acquire("x", 1, 1)).Code, holds.Waiting)
+	return o
+}
+
+// A node that got the place from an earlier owner, and reports it while a copy of its ask waits, must
+// not be counted twice.
+func TestReportedPlaceEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	o := newQueuedOwner(is)
+	o.Resync(start, holds.Resync{From: holds.From{Node: "x", Incarnation: 1}, CellKey: key, At: 9, Pending: holds.Seqs{1}, Details: []holds.Place{{Seq: 1, Target: "a"}}})
+	is.Equal(o.QueueLength(), 0)
+	is.Equal(o.Places(), 2)
+	is.Equal(o.Totals().InFlight, 2)
+}
+
+// A node that asks again without its granted target, which is gone, must not keep the place there.
+func TestAskWithoutTheGrantedTargetEndsThePlace(t *testing.T) {
+	is := is.New(t)
+	o := newQueuedOwner(is)
+	m := acquire("y", 1, 1)
+	m.Exclude = []string{"a"}
+	is.Equal(o.Acquire(start, m).Reason, cell.ReasonNoTarget)
+	is.Equal(len(o.Settle(start)), 1) // the ask of "x" is granted
+	is.Equal(o.Places(), 1)
+	is.Equal(o.Totals().InFlight, 1)
+}
