Test the dispatch of places under faults, fuzz its messages, decode asks faster

Change: tests on virtual time with an in-memory network; fuzz targets for every message and answer; a decoder of asks that gives up for encoding/json where it doesn't know the form, compared with it by a fuzz target. An owner in whose view at most half of the nodes of the last minute are live grants half of the places, since no message tells of an owner behind a partition. Messages in the name of the receiving node are refused: fuzzing found that they left a place until the node's own resync, and no other node may send them. Nodes look for cells that they have come to own every 100 ms instead of 25, since that sorts all nodes.

--- a/admission/wire/wire.go
+++ b/admission/wire/wire.go
@@ -27,11 +27,21 @@
 
 // Handler returns a peer.Handler that decodes a call for f and encodes its result.
 func Handler[M, R any](b Bytes, method string, f func(context.Context, M) (R, error)) peer.Handler {
+	return HandlerWith(b, method, decode[M], f)
+}
+
+func decode[M any](raw []byte) (m M, err error) {
+	err = json.Unmarshal(raw, &m)
+	return m, err
+}
+
+// HandlerWith is a Handler with its own decoder of messages.
+func HandlerWith[M, R any](b Bytes, method string, decode func([]byte) (M, error), f func(context.Context, M) (R, error)) peer.Handler {
 	in, out := b.of("in", method), b.of("out", method)
 	return func(ctx context.Context, params json.RawMessage) (any, error) {
 		in.Add(float64(len(params)))
-		var m M
-		if err := json.Unmarshal(params, &m); err != nil {
+		m, err := decode(params)
+		if err != nil {
 			return nil, errors.Wrap(err, method)
 		}
 		r, err := f(ctx, m)
@@ -49,8 +59,8 @@
 	in := b.of("in", method)
 	return func(_ context.Context, params json.RawMessage) (any, error) {
 		in.Add(float64(len(params)))
-		var m M
-		if err := json.Unmarshal(params, &m); err != nil {
+		m, err := decode[M](params)
+		if err != nil {
 			return nil, errors.Wrap(err, method)
 		}
 		return nil, f(m)
--- /dev/null
+++ b/dispatch/decisions_test.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns the time that many milliseconds after start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestSuspicion: a node that is suspected too early loses its cells for one stall, too late or for
+// too short a time costs each request an eighth of its target latency.
+func TestSuspicion(t *testing.T) {
+	tests := []struct {
+		name     string
+		failures []int // times of unanswered calls
+		answer   int   // time of an answer, 0 for none
+		heard    int   // time of the last heartbeat
+		ask      int
+		want     string
+	}{
+		{"one failure", []int{0}, 0, 0, 1, "a"},
+		{"two failures of one stall", []int{0, 19}, 0, 0, 20, "a"},
+		{"two failures", []int{0, 20}, 0, 0, 21, "b"},
+		{"an answer in between", []int{0, 20}, 10, 0, 21, "a"},
+		{"a heartbeat too soon", []int{0, 20}, 0, 219, 230, "b"},
+		{"a heartbeat", []int{0, 20}, 0, 220, 230, "a"},
+		{"no heartbeat", []int{0, 20}, 0, 0, 2019, "b"},
+		{"after the longest time", []int{0, 20}, 0, 0, 2020, "a"},
+		{"fails again after a suspicion", []int{0, 20, 300}, 0, 290, 310, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newNodeStates()
+			for _, ms := range tt.failures {
+				if tt.answer != 0 && ms > tt.answer {
+					p.recordAnswer("a")
+				}
+				p.recordUnanswered("a", at(ms))
+			}
+			heard := func(string) time.Time { return at(tt.heard) }
+			owner, passed := p.choose([]string{"a", "b"}, at(tt.ask), heard, 30*time.Millisecond)
+			is.Equal(owner, tt.want)
+			is.Equal(len(passed) == 1, owner == "b")
+			if owner == "a" && len(tt.failures) == 2 && tt.failures[1] == 20 && tt.answer == 0 {
+				owner, _ = p.choose([]string{"a", "b"}, at(tt.ask), heard, 30*time.Millisecond)
+				is.Equal(owner, "b") // one request at a time tries whether it answers again
+			}
+		})
+	}
+}
+
+// TestExcludedNodes: a node that leaves or runs a previous release must be left out for as long as
+// that lasts, not longer, and what others say of leaving nodes must not be passed on for ever.
+func TestExcludedNodes(t *testing.T) {
+	is := is.New(t)
+	p := newNodeStates()
+	p.recordIncapable("a", at(0))
+	p.recordLeaving("b", at(0), true)
+	p.recordLeaving("c", at(0), false)
+	order := []string{"a", "b", "c", "d"}
+	never := func(string) time.Time { return time.Time{} }
+	owner, passed := p.choose(order, at(1), never, 0)
+	is.Equal(owner, "d")
+	is.Equal(passed, []string{"a"}) // the others are named as leaving, if they said so
+	is.Equal(p.leaving(at(1)), []holds.From{{Node: "b"}})
+	owner, _ = p.choose(order, at(2000), never, 0)
+	is.Equal(owner, "b")
+	owner, _ = p.choose(order, at(5000), never, 0)
+	is.Equal(owner, "a")
+	p.expire(at(6000))
+	is.Equal(len(p.nodes), 0)
+}
+
+// TestStanding: a node that owns a cell out of turn is a second owner, one that refuses in turn
+// leaves the cell without any.
+func TestStanding(t *testing.T) {
+	tests := []struct {
+		name     string
+		order    []string
+		suspects []string
+		want     standing
+		owner    string
+	}{
+		{"first", []string{"me", "a"}, nil, standingOwner, "me"},
+		{"first of those that can own", []string{"old", "me"}, nil, standingOwner, "me"},
+		{"all before are suspected", []string{"a", "old", "b", "me"}, []string{"a", "b"}, standingSuccessor, "me"},
+		{"one before isn't suspected", []string{"a", "b", "me"}, []string{"a"}, standingOther, "b"},
+		{"leaving", []string{"a"}, nil, standingOther, "a"},
+		{"alone and leaving", nil, nil, standingOther, ""},
+		{"not in the order, all suspected", []string{"a"}, []string{"a"}, standingOther, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			named := make(map[string]bool)
+			for _, n := range tt.suspects {
+				named[n] = true
+			}
+			st, _, owner := standingOf(tt.order, "me", func(n string) bool { return n == "old" }, named)
+			is.Equal(st, tt.want)
+			is.Equal(owner, tt.owner)
+		})
+	}
+}
+
+// TestSuccession: a successor must not take over while a node before it answers, and must give the
+// cell back.
+func TestSuccession(t *testing.T) {
+	is := is.New(t)
+	s := &succession{}
+	is.True(s.ask(at(0), time.Millisecond))
+	is.True(!s.owns(at(0)))
+	is.True(!s.ask(at(1), time.Millisecond)) // a check is in progress
+	s.checked(at(10), "a")
+	is.True(!s.owns(at(11)))
+	is.True(!s.ask(at(509), time.Millisecond))
+	is.True(s.ask(at(510), time.Millisecond))
+	s.checked(at(520), "")
+	is.True(s.owns(at(1509)))
+	is.True(!s.owns(at(1510))) // nobody has asked for a second
+	is.True(s.checkDue(at(1520)))
+	s.checked(at(1530), "a")
+	s.ask(at(1531), time.Millisecond)
+	is.True(!s.owns(at(1531)))
+}
+
+// TestTakeoverWaitsForHalf: an owner that grants before half of the nodes have reported their places
+// grants them again; one that waits for nodes that are gone grants nothing.
+func TestTakeoverWaitsForHalf(t *testing.T) {
+	is := is.New(t)
+	tk := newTakeover(at(0), []string{"a", "b", "c", "d"})
+	is.Equal(len(tk.due(at(0))), 4)
+	is.Equal(len(tk.due(at(1))), 0)
+	answer := func(node string) holds.Resync { return holds.Resync{From: holds.From{Node: node, Incarnation: 7}} }
+	is.Equal(len(tk.receive(answer("a"))), 0) // kept
+	ok, _, _ := tk.begin(at(1))
+	is.True(!ok)
+	tk.add("e", at(2))
+	tk.receive(answer("b"))
+	ok, _, _ = tk.begin(at(2)) // 2 of 5
+	is.True(!ok)
+	tk.receive(answer("c"))
+	ok, holders, kept := tk.begin(at(3))
+	is.True(ok)
+	is.Equal(len(holders), 5)
+	is.Equal(len(kept), 3)
+	is.Equal(len(tk.receive(answer("d"))), 1)
+	is.True(!tk.ended(at(199)))
+	is.Equal(tk.due(at(70)), []string{"e"})
+	is.True(tk.ended(at(200)))
+
+	silent := newTakeover(at(0), []string{"a", "b", "c"})
+	ok, _, _ = silent.begin(at(999))
+	is.True(!ok)
+	ok, _, _ = silent.begin(at(1000))
+	is.True(ok)
+}
+
+// TestClaims: an owner that forgets a rival too soon grants its places, one that remembers it for
+// longer grants only half of its own.
+func TestClaims(t *testing.T) {
+	is := is.New(t)
+	c := newClaims()
+	c.add(testKey, holds.From{Node: "a", Incarnation: 2}, at(0))
+	c.add(testKey, holds.From{Node: "a", Incarnation: 1}, at(900)) // a late message of an earlier run
+	c.add(testKey, holds.From{Node: "b", Incarnation: 1}, at(500))
+	is.Equal(len(c.others(testKey, "b", at(999))), 1)
+	is.Equal(len(c.others(testKey, "me", at(999))), 2)
+	is.Equal(len(c.others(testKey, "me", at(1000))), 1)
+	c.withdraw("b")
+	is.Equal(len(c.others(testKey, "me", at(1000))), 0)
+	c.expire(at(1000))
+	is.Equal(len(c.cells), 0)
+}
+
+// TestOutsideIsTheMinimumOfASecond: counts of heartbeats are older than the known places, so a
+// greater excess than the least of a second takes places away that are free.
+func TestOutsideIsTheMinimumOfASecond(t *testing.T) {
+	is := is.New(t)
+	o := make(outsideCounts)
+	counted := func(ms int) int { return 5 + ms/100%2 }
+	for ms := 0; ms < 1000; ms += 25 {
+		o.observe("a", at(ms), counted(ms), 2)
+		is.Equal(o.at("a", at(ms)), 0) // not yet observed for a second
+	}
+	o.observe("a", at(1000), 6, 2)
+	is.Equal(o.at("a", at(1000)), 3)
+	o.observe("a", at(1020), 4, 2)
+	is.Equal(o.at("a", at(1020)), 2)
+	o.observe("a", at(1030), 2, 7)
+	is.Equal(o.at("a", at(1030)), 0)
+	is.Equal(o.at("a", at(1200)), 0) // a gap: the process was paused
+	o.keep(func(string) bool { return false })
+	is.Equal(len(o), 0)
+}
+
+// TestNumberOfCells: a number of cells that changes with each cooldown of a target would move all
+// places, and nodes with different numbers don't share their counts.
+func TestNumberOfCells(t *testing.T) {
+	is := is.New(t)
+	c := &cellCount{}
+	for _, step := range []struct{ places, ms, want int }{
+		{0, 0, 1}, {48, 0, 1}, {49, 0, 2}, {48, 10, 2}, {49, 9000, 2}, {48, 9100, 2}, {48, 19099, 2}, {48, 19100, 1}, {1 << 40, 19200, maxCells},
+	} {
+		is.Equal(c.update(step.places, at(step.ms)), step.want)
+	}
+}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -58,7 +58,7 @@
 		p = n.RecordUngranted(testService, "w", targets[rand.IntN(len(targets))].ID)
 	}
 	if p != nil {
-		l.fleet.run(p, work)
+		l.fleet.run(p, a.Outcome == Granted, work)
 	}
 }
 
@@ -88,6 +88,7 @@
 	}
 	for name, inject := range faults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newTestFleet(t, 7, 6)
@@ -126,6 +127,57 @@
 	}
 }
 
+// TestTwoOwnersGrantLessThanTwice: nodes with different views have two owners, each of which grants
+// the same places. They must learn of each other, or assume it where no message can pass.
+func TestTwoOwnersGrantLessThanTwice(t *testing.T) {
+	const nodes, targets = 9, 6
+	splits := map[string]func(f *testFleet, order []*testNode){
+		"first and second can't reach each other": func(f *testFleet, o []*testNode) { f.cutPair(o[0], o[1]) },
+		"second and half of the others can't reach the first": func(f *testFleet, o []*testNode) {
+			for _, n := range o[1:6] {
+				f.cutPair(o[0], n)
+			}
+		},
+		"first sends nothing to half": func(f *testFleet, o []*testNode) {
+			for _, n := range o[1:6] {
+				f.setCut(o[0], n)
+			}
+		},
+		"partition": func(f *testFleet, o []*testNode) {
+			for i, a := range o {
+				for _, b := range o[i+1:] {
+					if (a == o[0] || i%2 == 0) != (slices.Index(o, b)%2 == 0) {
+						f.cutPair(a, b)
+					}
+				}
+			}
+		},
+		"first is paused for a second": func(_ *testFleet, o []*testNode) {
+			o[0].pause()
+			time.AfterFunc(time.Second, o[0].resume)
+		},
+	}
+	for name, split := range splits {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, nodes, targets)
+				l := &load{fleet: f}
+				go l.run(750, 4*time.Second, 60*time.Millisecond, nil)
+				time.Sleep(time.Second)
+				is.Equal(f.most(), targets*6) // exact before the fault
+				split(f, f.order())
+				time.Sleep(3500 * time.Millisecond)
+				l.done.Wait()
+				factor := float64(f.most()) / (targets * 6)
+				t.Logf("at most %d places granted at a time of %d, factor %.2f", f.most(), targets*6, factor)
+				is.True(factor < 2)
+			})
+		})
+	}
+}
+
 // TestSuccessorKnowsThePlacesOfADeadOwner: a node that takes over without the places that the dead
 // owner granted would grant them a second time.
 func TestSuccessorKnowsThePlacesOfADeadOwner(t *testing.T) {
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -33,13 +33,13 @@
 
 // testFleet is several services connected in memory, on the virtual time of a synctest bubble.
 type testFleet struct {
-	mu      sync.Mutex
-	nodes   []*testNode
-	cut     map[[2]string]bool // {from, to}: messages are lost
-	mangle  func(from, to, method string) (copies int, late time.Duration)
-	running map[string]int // requests at each target
-	worst   map[string]int
-	calls   int
+	mu          sync.Mutex
+	nodes       []*testNode
+	cut         map[[2]string]bool // {from, to}: messages are lost
+	mangle      func(from, to, method string) (copies int, late time.Duration)
+	granted     map[string]int // requests in progress on granted places, by target
+	mostGranted int            // of all targets together
+	calls       int
 }
 
 // testNode is one node; it implements Fleet, Network and Directory.
@@ -59,7 +59,7 @@
 }
 
 func newTestFleet(t *testing.T, nodes, targets int) *testFleet {
-	f := &testFleet{cut: make(map[[2]string]bool), running: make(map[string]int), worst: make(map[string]int)}
+	f := &testFleet{cut: make(map[[2]string]bool), granted: make(map[string]int)}
 	for i := range nodes {
 		f.nodes = append(f.nodes, &testNode{fleet: f, name: fmt.Sprintf("node-%03d", i), targets: testTargets(targets, 6)})
 	}
@@ -115,15 +115,15 @@
 func (n *testNode) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.awaitRunning()
+		own := make(map[string]int)
+		for i := range 8 {
+			id := fmt.Sprintf("target-%d", i)
+			own[id] = n.Service.ownPlaces.at(testService, id)
+		}
 		n.fleet.mu.Lock()
 		for _, to := range n.fleet.nodes {
 			if to != n && to.heard != nil && !n.dead && !n.fleet.cut[[2]string{n.name, to.name}] {
-				to.heard[n.name] = time.Now()
-				own := make(map[string]int)
-				for _, t := range to.targets {
-					own[t.ID] = n.Service.ownPlaces.at(testService, t.ID)
-				}
-				to.counts[n.name] = own
+				to.heard[n.name], to.counts[n.name] = time.Now(), own
 			}
 		}
 		n.fleet.mu.Unlock()
@@ -180,9 +180,11 @@
 		all = append(all, n.name)
 	}
 	n.fleet.mu.Unlock()
-	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Compare(routing.Rank(key, routing.Hash(b)), routing.Rank(key, routing.Hash(a)))
-	})
+	rank := make(map[string]uint64, len(all))
+	for _, name := range all {
+		rank[name] = routing.Rank(key, routing.Hash(name))
+	}
+	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(rank[b], rank[a]) })
 	return all[:min(limit, len(all))]
 }
 
@@ -195,7 +197,6 @@
 			out = append(out, name)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -207,7 +208,17 @@
 	return n.heard[node]
 }
 
-func (n *testNode) FleetSize() int { return len(n.fleet.nodes) }
+func (n *testNode) FleetSize() int {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	size := 1
+	for _, at := range n.heard {
+		if time.Since(at) < time.Minute {
+			size++
+		}
+	}
+	return size
+}
 
 func (n *testNode) Targets(service string) ([]cell.Target, bool) {
 	n.fleet.mu.Lock()
@@ -233,7 +244,7 @@
 func (n *testNode) LimitConcurrency(string, int)         {}
 
 func (f *testFleet) at(name string) *testNode {
-	i := slices.IndexFunc(f.nodes, func(n *testNode) bool { return n.name == name })
+	i, _ := slices.BinarySearchFunc(f.nodes, name, func(n *testNode, name string) int { return cmp.Compare(n.name, name) })
 	return f.nodes[i]
 }
 
@@ -246,6 +257,15 @@
 	}
 }
 
+// setCut loses the messages from one node to another, cutPair those in both directions.
+func (f *testFleet) setCut(from, to *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{from.name, to.name}] = true
+}
+
+func (f *testFleet) cutPair(a, b *testNode) { f.setCut(a, b); f.setCut(b, a) }
+
 func (f *testFleet) lost(from, to *testNode) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -317,6 +337,14 @@
 	return f.at(f.nodes[0].Owners(orderKey(testKey), 1)[0])
 }
 
+// order returns the nodes in the cell's order, in the view of the first one.
+func (f *testFleet) order() (out []*testNode) {
+	for _, name := range f.nodes[0].Owners(orderKey(testKey), len(f.nodes)) {
+		out = append(out, f.at(name))
+	}
+	return out
+}
+
 // other returns a node that isn't the owner, nor the next in the order.
 func (f *testFleet) other() *testNode {
 	order := f.nodes[0].Owners(orderKey(testKey), len(f.nodes))
@@ -329,19 +357,42 @@
 	return Request{Service: testService, Workspace: "w", TargetLatency: testLatency, StartWithin: testLatency / 3}
 }
 
-// run runs a request on a target until the work is done.
-func (f *testFleet) run(p *Place, work time.Duration) {
-	f.mu.Lock()
-	f.running[p.Target()]++
-	f.worst[p.Target()] = max(f.worst[p.Target()], f.running[p.Target()])
-	f.mu.Unlock()
+// run runs a request on a place until the work is done.
+func (f *testFleet) run(p *Place, granted bool, work time.Duration) {
+	if granted {
+		f.count(p.Target(), 1)
+	}
 	time.Sleep(work)
-	f.mu.Lock()
-	f.running[p.Target()]--
-	f.mu.Unlock()
+	if granted {
+		f.count(p.Target(), -1)
+	}
 	p.Release(cell.Answered)
 }
 
+func (f *testFleet) count(target string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.granted[target] += n
+	sum := 0
+	for _, n := range f.granted {
+		sum += n
+	}
+	f.mostGranted = max(f.mostGranted, sum)
+}
+
+// most returns the most granted places in use at a time since resetMost.
+func (f *testFleet) most() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mostGranted
+}
+
+func (f *testFleet) resetMost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mostGranted = 0
+}
+
 func (n *testNode) ownedPlaces() int {
 	return n.owned.sum(func(c *ownedCell) int { return c.record.Places() })
 }
--- /dev/null
+++ b/dispatch/lifecycle_test.go
@@ -0,0 +1,284 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/admission/cell"
+	"github.com/knapweedgw/knapweedgw/admission/holds"
+)
+
+// hold acquires places without releasing them.
+func (n *testNode) hold(t *testing.T, places int) []*Place {
+	t.Helper()
+	var out []*Place
+	for range places {
+		a := n.Acquire(context.Background(), testRequest())
+		if a.Outcome != Granted {
+			t.Fatalf("%v %s instead of a place", a.Outcome, a.Why)
+		}
+		out = append(out, a.Place)
+	}
+	return out
+}
+
+func release(places []*Place) {
+	for _, p := range places {
+		p.Release(cell.Answered)
+	}
+}
+
+// TestGracefulStopHandsOverAtOnce: an owner that shuts down and lets its queue wait, or the others
+// ask on, costs the waiting requests their place in time.
+func TestGracefulStopHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		order := f.order()
+		owner, next, asker := order[0], order[1], order[6]
+		places := asker.hold(t, 36)
+		waiting := make(chan Answer)
+		go func() { waiting <- asker.Acquire(context.Background(), testRequest()) }()
+		time.Sleep(5 * time.Millisecond)
+		is.NoErr(owner.Drain(context.Background()))
+		f.mu.Lock()
+		owner.leaves = true
+		f.mu.Unlock()
+		drained := time.Now()
+		a := <-waiting // the successor has to collect the places first
+		is.Equal(a.Why, reasonRecovering)
+		is.Equal(a.Owner, next.name)
+		is.True(time.Since(drained) <= 6*oneWay) // notice, ask, answer
+		time.Sleep(4 * oneWay)
+		is.Equal(next.ownedPlaces(), 36)
+		is.Equal(owner.owned.len(), 0)
+		release(places[:1])
+		is.Equal(asker.Acquire(context.Background(), testRequest()).Owner, next.name)
+	})
+}
+
+// TestRestartOfAllNodes: nodes that all start again know nothing of each other, and each thinks that
+// it owns the cell. No request may wait long, and soon one owner counts exactly.
+func TestRestartOfAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		l := &load{fleet: f}
+		for _, n := range f.nodes {
+			n.kill()
+		}
+		time.Sleep(600 * time.Millisecond)
+		for _, n := range f.nodes {
+			f.start(t, n, 2)
+		}
+		restarted := time.Now()
+		go l.run(500, 3*time.Second, 60*time.Millisecond, nil)
+		time.Sleep(2 * time.Second)
+		f.resetMost()
+		time.Sleep(1500 * time.Millisecond)
+		l.done.Wait()
+		for _, a := range l.answers {
+			is.True(a.outcome != Unavailable || a.took <= testPatience)
+		}
+		after := restarted.Add(2 * time.Second)
+		is.Equal(l.count(func(a timedAnswer) bool { return a.began.After(after) && a.outcome == Unavailable }), 0)
+		is.True(f.most() <= 36)
+		t.Logf("%d requests without an owner after the restart", l.count(func(a timedAnswer) bool { return a.outcome == Unavailable }))
+	})
+}
+
+// TestPlacesOfADeadNodeComeBack: places of a node that dies, is cut off or restarts must not be lost
+// to the others.
+func TestPlacesOfADeadNodeComeBack(t *testing.T) {
+	faults := map[string]struct {
+		inject func(t *testing.T, f *testFleet, n *testNode)
+		within time.Duration
+	}{
+		"killed":    {func(_ *testing.T, _ *testFleet, n *testNode) { n.kill() }, deadAfter + expiryInterval + 2*tickInterval},
+		"cut off":   {func(_ *testing.T, f *testFleet, n *testNode) { f.cutOff(n, true, true) }, deadAfter + expiryInterval + 2*tickInterval},
+		"restarted": {func(t *testing.T, f *testFleet, n *testNode) { n.kill(); f.start(t, n, 2); time.Sleep(heartbeatTime) }, heartbeatTime + 2*tickInterval},
+	}
+	for name, tt := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, 7, 6)
+				owner, holder := f.owner(), f.other()
+				holder.hold(t, 20)
+				is.Equal(owner.ownedPlaces(), 20)
+				begun := time.Now()
+				tt.inject(t, f, holder)
+				if name == "restarted" {
+					release(holder.hold(t, 1))
+				}
+				for owner.ownedPlaces() > 1 {
+					time.Sleep(time.Millisecond)
+				}
+				t.Logf("free after %v", time.Since(begun))
+				is.True(time.Since(begun) <= tt.within)
+			})
+		})
+	}
+}
+
+// TestLostLateAndDuplicateMessages: a place that is lost by a message leaves the target idle, one
+// that is granted or released twice overloads it.
+func TestLostLateAndDuplicateMessages(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(t, 7, 6)
+			rng := rand.New(rand.NewPCG(seed, 0))
+			f.mu.Lock()
+			f.mangle = func(_, _, _ string) (int, time.Duration) {
+				late := time.Duration(0)
+				if rng.IntN(10) == 0 {
+					late = time.Duration(rng.IntN(50)) * time.Millisecond
+				}
+				return max(1+rng.IntN(20)/19-rng.IntN(50)/49, 0), late
+			}
+			f.mu.Unlock()
+			l := &load{fleet: f}
+			l.run(600, 2*time.Second, 60*time.Millisecond, nil)
+			l.done.Wait()
+			f.mu.Lock()
+			f.mangle = nil
+			f.mu.Unlock()
+			time.Sleep(4 * time.Second)
+			held := 0
+			for _, n := range f.nodes {
+				held += n.table.Len() + n.ownedPlaces()
+			}
+			is.Equal(held, 0)
+			t.Logf("seed %d: %d granted, %d without an owner, at most %d of 36 places", seed,
+				l.count(func(a timedAnswer) bool { return a.outcome == Granted }),
+				l.count(func(a timedAnswer) bool { return a.outcome == Unavailable }), f.most())
+			is.True(f.most() <= 36)
+		})
+	}
+}
+
+// TestListsOfTargetsDiffer: the owner's list may have targets that a node doesn't know or knows to be
+// leaving, and lack others. Places on them must neither be used nor lost.
+func TestListsOfTargetsDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		owner, asker := f.owner(), f.other()
+		f.mu.Lock()
+		asker.targets = slices.Clone(testTargets(6, 6)[1:]) // doesn't know target-0
+		asker.targets[0].Leaving = true                     // target-1
+		owner.targets = testTargets(6, 6)[:5]               // lacks target-5
+		f.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		places := asker.hold(t, 18)
+		for _, p := range places {
+			is.True(!slices.Contains([]string{"target-0", "target-1", "target-5"}, p.Target()))
+		}
+		places = append(places, asker.RecordUngranted(testService, "w", "target-5"))
+		time.Sleep(reportDelay + tickInterval + 4*oneWay)
+		is.Equal(owner.ownedPlaces(), 19) // refused grants are given back, and the own choice counts
+		is.Equal(owner.owned.sum(func(c *ownedCell) int {
+			i := slices.IndexFunc(c.record.Targets(), func(l holds.TargetLoad) bool { return l.ID == "target-5" })
+			return c.record.Targets()[i].InFlight
+		}), 1)
+		release(places)
+		time.Sleep(releaseDelay + 2*oneWay)
+		is.Equal(owner.ownedPlaces(), 0)
+
+		// A target that the owner knows to leave gets nothing new; its requests still count.
+		places = asker.hold(t, 18)
+		f.mu.Lock()
+		owner.targets = slices.Clone(owner.targets)
+		for i := range owner.targets {
+			owner.targets[i].Leaving = true
+		}
+		f.mu.Unlock()
+		time.Sleep(2 * tickInterval)
+		is.Equal(asker.Acquire(context.Background(), testRequest()).Why, reasonNoTarget)
+		is.Equal(owner.ownedPlaces(), 18)
+		release(places)
+	})
+}
+
+// TestOwnerOfThePreviousRelease: a node that doesn't know the methods must be left out of the order
+// at once, not suspected after two failures of each request, and asked again later.
+func TestOwnerOfThePreviousRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		order := f.order()
+		f.mu.Lock()
+		order[0].old = true
+		f.mu.Unlock()
+		began := time.Now()
+		for {
+			a := order[6].Acquire(context.Background(), testRequest())
+			if a.Outcome == Granted {
+				is.Equal(a.Owner, order[1].name)
+				a.Place.Release(cell.Answered)
+				break
+			}
+			is.Equal(a.Why, reasonRecovering)
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("the next node grants after %v", time.Since(began))
+		is.True(time.Since(began) < 50*time.Millisecond)
+		f.mu.Lock()
+		order[0].old = false
+		f.mu.Unlock()
+		time.Sleep(incapableFor)
+		a := order[6].Acquire(context.Background(), testRequest())
+		is.Equal(a.Outcome, Granted)
+		is.Equal(a.Owner, order[0].name)
+	})
+}
+
+// TestCallerGoesAwayWhileItsRequestWaits: a place that is granted to a caller that is gone would be
+// idle until the next resync, or for ever.
+func TestCallerGoesAwayWhileItsRequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		for _, asker := range []*testNode{f.other(), f.owner()} {
+			places := asker.hold(t, 36)
+			for _, gone := range []time.Duration{oneWay / 2, 10 * time.Millisecond, testLatency/holdDivisor + oneWay, 50 * time.Millisecond} {
+				ctx, cancel := context.WithTimeout(context.Background(), gone)
+				began := time.Now()
+				is.Equal(asker.Acquire(ctx, testRequest()).Outcome, Canceled)
+				is.Equal(time.Since(began), gone)
+				cancel()
+			}
+			time.Sleep(10 * time.Millisecond)
+			release(places)
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(f.owner().ownedPlaces(), 0)
+			is.Equal(asker.table.Len(), 0)
+			is.Equal(f.owner().owned.sum(func(c *ownedCell) int { return len(c.waiters) + len(c.unclaimed) }), 0)
+		}
+	})
+}
+
+// TestOutsideRequestsOfNodesThatDontAsk: requests of a node of the previous release are known by its
+// heartbeats only; their places must not be granted again.
+func TestOutsideRequestsOfNodesThatDontAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		owner, old := f.owner(), f.other()
+		old.Service.ownPlaces.add(testService, "target-2", 4)
+		time.Sleep(heartbeatTime + outsideSpan + 2*outsideStep)
+		counted := func(c *ownedCell) int { return c.outside.at("target-2", time.Now()) }
+		is.Equal(owner.owned.sum(counted), 4)
+		is.Equal(owner.owned.sum(func(c *ownedCell) int { return c.targets[2].Outside }), 4)
+		old.Service.ownPlaces.add(testService, "target-2", -4)
+		time.Sleep(heartbeatTime + 2*tickInterval)
+		is.Equal(owner.owned.sum(counted), 0)
+	})
+}
--- a/dispatch/owned.go
+++ b/dispatch/owned.go
@@ -86,6 +86,7 @@
 	outside   outsideCounts
 	// rivals is the number of other nodes that claim the cell.
 	rivals      int
+	share       float64
 	nextClaim   time.Time
 	nextExpiry  time.Time
 	bySuccessor bool // owned since the nodes before this one are silent
@@ -93,7 +94,7 @@
 
 func newOwnedCell(k holds.CellKey, m *metrics, now func() time.Time, r record) *ownedCell {
 	return &ownedCell{
-		key: k, metrics: m, now: now, record: r, lastTick: now(), outside: make(outsideCounts),
+		key: k, metrics: m, now: now, record: r, lastTick: now(), share: 1, outside: make(outsideCounts),
 		waiters: make(map[waiterKey]*waiter), unclaimed: make(map[waiterKey]unclaimed),
 	}
 }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -57,7 +57,9 @@
 // serve registers the handlers.
 func (s *Service) serve() {
 	b := s.metrics.bytes
-	s.net.Handle(methodAcquire, wire.Handler(b, methodAcquire, s.serveAcquire))
+	known := &names{known: make(map[string]string)}
+	decode := func(raw []byte) (acquireMessage, error) { return decodeAcquire(raw, known) }
+	s.net.Handle(methodAcquire, wire.HandlerWith(b, methodAcquire, decode, s.serveAcquire))
 	s.net.Handle(methodRelease, wire.Notice(b, methodRelease, s.serveRelease))
 	s.net.Handle(methodResync, wire.Handler(b, methodResync, s.serveResync))
 	s.net.Handle(methodPull, wire.Handler(b, methodPull, s.servePull))
@@ -66,6 +68,9 @@
 
 func validFrom(f holds.From) bool { return f.Node != "" && len(f.Node) <= maxNameBytes }
 
+// fromOther reports whether a message is from another node, as all that arrive are.
+func (s *Service) fromOther(f holds.From) bool { return validFrom(f) && f.Node != s.self.Node }
+
 func validKey(k holds.CellKey) bool {
 	return k.Pool != "" && len(k.Pool) <= maxNameBytes && k.Of >= 1 && k.Of <= maxCells && k.Cell >= 0 && k.Cell < k.Of
 }
@@ -91,7 +96,7 @@
 }
 
 func (s *Service) serveAcquire(ctx context.Context, m acquireMessage) (holds.Reply, error) {
-	if !normalize(&m) {
+	if !s.fromOther(m.From) || !normalize(&m) {
 		return holds.Reply{}, errInvalid
 	}
 	s.recordMessage(m.From, m.LeavingNodes)
@@ -100,6 +105,7 @@
 			s.releaseOwned(m.Holder(), e)
 		}
 	}
+	m.Ended = nil
 	return s.acquireOwned(ctx, m), nil
 }
 
@@ -202,7 +208,7 @@
 }
 
 func (s *Service) serveRelease(m holds.Release) error {
-	if !validFrom(m.From) || len(m.Cells) > maxCells {
+	if !s.fromOther(m.From) || len(m.Cells) > maxCells {
 		return errInvalid
 	}
 	s.recordMessage(m.From, nil)
@@ -226,7 +232,7 @@
 }
 
 func (s *Service) serveResync(_ context.Context, m holds.Resync) (holds.ResyncReply, error) {
-	if !validResync(m) {
+	if !s.fromOther(m.From) || !validResync(m) {
 		return holds.ResyncReply{}, errInvalid
 	}
 	s.recordMessage(m.From, nil)
@@ -260,10 +266,13 @@
 // servePull returns this node's places in a cell, whose owner the caller claims to be. Without a
 // cell it only tells the caller that this node answers.
 func (s *Service) servePull(_ context.Context, m holds.Pull) (holds.Resync, error) {
-	if m.CellKey == (holds.CellKey{}) && validFrom(m.From) {
+	if !s.fromOther(m.From) {
+		return holds.Resync{}, errInvalid
+	}
+	if m.CellKey == (holds.CellKey{}) {
 		return holds.Resync{From: s.self}, nil
 	}
-	if !validFrom(m.From) || !validKey(m.CellKey) {
+	if !validKey(m.CellKey) {
 		return holds.Resync{}, errInvalid
 	}
 	s.recordMessage(m.From, nil)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -25,8 +25,11 @@
 const (
 	tickInterval = 25 * time.Millisecond
 	// releaseDelay is how long ended places wait for an ask that reports them.
-	releaseDelay     = 2 * time.Millisecond
-	reportDelay      = 25 * time.Millisecond // until a place that no owner granted is reported
+	releaseDelay = 2 * time.Millisecond
+	reportDelay  = 25 * time.Millisecond // until a place that no owner granted is reported
+	// ownInterval is how often a node looks for cells that it has come to own; an ask makes it look
+	// at once. Computing an order sorts all nodes.
+	ownInterval      = 100 * time.Millisecond
 	resyncInterval   = time.Second
 	resyncRetry      = 250 * time.Millisecond
 	resyncTimeout    = 250 * time.Millisecond
@@ -69,6 +72,9 @@
 	ownPlaces *ownPlaces
 	leaving   atomic.Bool
 
+	// nextClaim is when to look again for cells that this node owns. Only tick uses it.
+	nextClaim time.Time
+
 	// work ends when the service stops.
 	work   context.Context
 	cancel context.CancelFunc
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -66,7 +66,10 @@
 
 // tickOwned does the periodic work of the owned cells.
 func (s *Service) tickOwned(now time.Time) {
-	s.claimCells()
+	if !now.Before(s.nextClaim) {
+		s.nextClaim = now.Add(ownInterval)
+		s.claimCells()
+	}
 	for _, c := range s.owned.all() {
 		if reply, owner := s.stillOwner(c, now); !owner {
 			s.owned.remove(c, reply)
@@ -198,20 +201,24 @@
 		}
 	}
 	s.mu.Unlock()
-	if (len(rivals) > 0) != (c.rivals > 0) {
-		share := 1.0
-		if len(rivals) > 0 {
-			share = rivalShare
-			s.log.Warn("another node owns the same cell", "service", c.key.Pool, "cell", c.key.Cell, "rivals", rivals)
-		} else {
-			s.log.Info("no other node owns the cell any more", "service", c.key.Pool, "cell", c.key.Cell)
-		}
+	share := 1.0
+	if len(rivals) > 0 || s.maybeSplit() {
+		share = rivalShare
+	}
+	if share != c.share {
+		s.log.Warn("share of the places changed", "service", c.key.Pool, "cell", c.key.Cell, "share", share, "rivals", rivals)
 		c.record.SetShare(share)
 	}
-	c.rivals = len(rivals)
+	c.rivals, c.share = len(rivals), share
 	return rivals
 }
 
+// maybeSplit reports whether at most half of the nodes of the last minute are live. The others may
+// then be behind a partition of the network, with an owner that no message tells of.
+func (s *Service) maybeSplit() bool {
+	return 2*(len(s.fleet.LiveAddresses())+1) <= s.fleet.FleetSize()
+}
+
 // recordRivals records the nodes that an asking node knows to own the cell.
 func (s *Service) recordRivals(c *ownedCell, rivals []holds.From) {
 	if len(rivals) == 0 {
