Limit long prompts only while urgent answers are late

The limit followed from a queue with one server (M/G/1) and the highest reading speed seen. Engines read prompts in chunks between other requests' tokens, and the learnt speed is below the true one.

Change: a node counts the answers of the most urgent class with the shortest target latency (Gate.RecordFirstEvent, time constant 2 s). While more than LatePart (0.1, from the aim of 0.9 in time) of at least 5 begin late, the limit on long prompts (4,096 tokens to read or more) of less urgent ranks falls within 1 s or more to MinShare; at half of LatePart or without answers it rises within 3 s. The formula, the learnt speed and RecordPrefill are removed, with Config.TokensPerSecond and LongPart. The test of the learnt speed is replaced by one of the limit. The router records streams and complete answers.

The model of pool_test.go reads 4,096 tokens between two tokens of the other requests. The unlimited case of TestPoolPromptTokens now sets LatePart to 1, since the speed is gone. TestSharesChangeNothingBelowCapacity is replaced by TestNoRejectionWhileSlotsAreFree, which adds prompts, target latencies, own counts, their age, and gates without any ended request.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -64,8 +64,7 @@
 	// Surging means that the workspace sends much more than its usual share while the service
 	// is short of capacity.
 	Surging
-	// LongPrompt means that the targets have so many prompt tokens to read that this prompt would
-	// make urgent requests late.
+	// LongPrompt means that the prompt is long while requests that are more urgent are answered late.
 	LongPrompt
 )
 
@@ -90,9 +89,8 @@
 	// of slots that the requests of all nodes would occupy, and Capacity the number that can be
 	// given out now to ranks up to this one.
 	Share, Demand, Capacity float64
-	// PrefillLoad is the fraction of the time that the targets read prompts, and PrefillLimit the
-	// one from which long prompts are rejected, 0 if not evaluated.
-	PrefillLoad, PrefillLimit float64
+	// LateAnswers is the fraction of the recent answers of the most urgent class that began late.
+	LateAnswers float64
 	// Returned reports whether the caller is taken for one that was refused before.
 	Returned bool
 }
@@ -149,16 +147,12 @@
 	Headroom float64
 	// MinShare is the fraction of its part of the capacity that a rank always gets.
 	MinShare float64
-	// TokensPerSecond is the number of prompt tokens that a target reads in a second; 0 means that it
-	// is learnt from RecordPrefill.
-	TokensPerSecond float64
 	// TimeSpread is the fraction of the longest remaining time by which the times of first attempts
 	// differ. A caller with even less time has been refused before.
 	TimeSpread float64
-	// LongPart is the fraction of the shortest target latency from which reading a prompt makes
-	// it a long one, and LatePart the fraction of urgent requests that may be late behind others'
-	// prompts.
-	LongPart, LatePart float64
+	// LatePart is the fraction of late answers of the most urgent class from which long prompts of
+	// less urgent ranks are limited.
+	LatePart float64
 }
 
 // DefaultConfig leaves two thirds of the target latency for processing and for errors of the
@@ -185,13 +179,12 @@
 // second at each of up to a hundred nodes, with counts that are up to 1.6 s old. Headroom is 3 of
 // the 24 slots of an engine: urgent requests find a free one at engines with more than the mean
 // load, too. MinShare is above the half that no rank may fall below by the error of the measured
-// demand; with 0.5 a rank of TestSharesAtOtherServices got 0.49 of its part. A tenth of the urgent requests may be late; a fifth of them, LatePart,
-// behind long prompts and the others since they wait for a slot. With 0.05 in place of 0.02, 0.90
-// in place of 0.93 of the urgent requests of TestPoolPromptTokens are in time (seed 3).
+// demand; with 0.5 a rank of TestSharesAtOtherServices got 0.49 of its part.
+// LatePart is the tenth of the urgent requests that may be late.
 func SharesConfig() Config {
 	c := DefaultConfig()
 	c.Shares, c.Headroom, c.MinShare = true, 0.12, 0.55
-	c.LongPart, c.LatePart = 0.1, 0.02
+	c.LatePart = 0.1
 	c.TimeSpread = 0.18
 	return c
 }
@@ -218,8 +211,7 @@
 	// that of the last one.
 	shortageStart, lastRejection time.Time
 	// shares is nil for limits by rank.
-	shares  *shares
-	prefill prefillSpeed
+	shares *shares
 }
 
 // NewGate returns a gate without any observations.
--- a/overload/shares.go
+++ b/overload/shares.go
@@ -78,11 +78,8 @@
 	// sum of their squares.
 	work             sums
 	offered, squares float64
-	// tokens and tokenSquares are those of the prompts that are admitted by the shares of the slots,
-	// long and short ones; long are the tokens of the long ones by group.
-	tokens, tokenSquares float64
-	long                 sums
-	last                 time.Time
+	last             time.Time
+	prompts          promptLimit
 	// own and equal are the decaying sums of the requests in progress of this node and of an equal
 	// part of all, as of partAt.
 	own, equal float64
@@ -104,11 +101,8 @@
 	s.last = now
 	left := math.Exp(-since.Seconds() / demandDecay.Seconds())
 	s.work.scale(left)
-	s.long.scale(left)
 	s.offered *= left
 	s.squares *= left
-	s.tokens *= left
-	s.tokenSquares *= left
 }
 
 // fleetShare returns this node's part of the fleet's requests. It is measured while there is no
@@ -132,6 +126,8 @@
 	s := g.shares
 	s.roll(now)
 	rank := min(max(r.Priority, 0), ranks-1)
+	kind.target, kind.rank = r.TargetLatency, rank
+	s.prompts.watch(r.TargetLatency, rank)
 	d.Returned = r.Returned || kind.hasReturned(r, g.cfg.TimeSpread)
 	hold := g.holdOf(kind)
 	share := s.fleetShare(l, g.inShortage(now), now)
@@ -145,13 +141,14 @@
 	d.Demand = s.fleetDemand(own, share, d.Estimate)
 	toFleet := d.Demand / own
 	d.Share = 1
+	floor := g.cfg.MinShare
 	if l.Slots > 0 && d.Estimate >= noRejectionBelow*float64(l.Slots) {
 		total := g.capacity(float64(l.Slots)*(1+d.QueuePerSlot), l, d, s.squares/own)
 		d.Capacity = total
 		if at.isExcess() || s.work.before(returnedOf(rank)) > 0 {
 			d.Capacity = g.capacity(float64(l.Slots)*(1-g.cfg.Headroom), l, d, s.squares/own)
 		}
-		floor := g.cfg.MinShare * min(total/d.Demand, 1)
+		floor *= min(total/d.Demand, 1)
 		d.Share = s.shareOf(&s.work, at, d.Capacity/toFleet, total/toFleet, floor)
 	}
 	reason := None
@@ -161,7 +158,7 @@
 			reason = Surging
 		}
 	}
-	if reason == None && g.isPromptTooLong(r, l, at, share, d) {
+	if reason == None && g.isPromptTooLong(r, at, floor, now, d) {
 		reason = LongPrompt
 	}
 	if reason == None {
@@ -264,57 +261,6 @@
 	return min(max(capacity, least, 0)/demand[at], 1)
 }
 
-// isPromptTooLong reports whether a prompt is long and the engines would read so many prompt
-// tokens that more than LatePart of the urgent requests would be late behind others' prompts.
-//
-// An engine reads one prompt at a time, so a request waits as in a queue with one server
-// (M/G/1, Pollaczek and Khinchine): with probability load, and then about exponentially with a mean
-// of s/(2(1-load)), with s the mean duration by work.
-func (g *Gate) isPromptTooLong(r Request, l Load, at group, share float64, d *Decision) bool {
-	s, target := g.shares, g.minTargetLatency.Seconds()
-	if r.PromptTokens <= 0 || l.Targets <= 0 || g.tokensPerSecond() <= 0 || target <= 0 {
-		return false
-	}
-	n := float64(r.PromptTokens)
-	s.tokens += n
-	s.tokenSquares += n * n
-	toLoad := 1 / (demandDecay.Seconds() * share * float64(l.Targets) * g.tokensPerSecond())
-	d.PrefillLoad = s.tokens * toLoad
-	if n/g.tokensPerSecond() < g.cfg.LongPart*target {
-		return false
-	}
-	s.long[at] += n
-	meanByWork := s.tokenSquares / s.tokens / g.tokensPerSecond()
-	multiple := (1 - g.cfg.QueueFraction) * target / meanByWork
-	if d.PrefillLoad < 1 && latePart(d.PrefillLoad, multiple) <= g.cfg.LatePart {
-		return false
-	}
-	d.PrefillLimit = prefillLimit(multiple, g.cfg.LatePart)
-	short := s.tokens - s.long.before(groups)
-	capacity := max(d.PrefillLimit/toLoad-short, 0)
-	part := s.shareOf(&s.long, at, capacity, capacity, g.cfg.MinShare*min(capacity/s.long.before(groups), 1))
-	d.Share *= part
-	return g.rng.Float64() >= part
-}
-
-// latePart returns the fraction of the requests that wait for longer than the given multiple of the
-// mean duration by work.
-func latePart(load, multiple float64) float64 { return load * math.Exp(-2*multiple*(1-load)) }
-
-// prefillLimit returns the load at which latePart returns part.
-func prefillLimit(multiple, part float64) float64 {
-	low, high := 0.0, 1.0
-	for range 12 {
-		mid := (low + high) / 2
-		if latePart(mid, multiple) > part {
-			high = mid
-			continue
-		}
-		low = mid
-	}
-	return low
-}
-
 // sparePerSecond returns the number of returning callers a second that this node's part of the
 // slots can serve: what the demand of their rank and of the more urgent ones leaves. Without any
 // they return as late as they wait, since the shortage lasts for longer.
--- a/router/assignment.go
+++ b/router/assignment.go
@@ -169,11 +169,11 @@
 	return p.gate(service).RetryAfter(remaining, p.now())
 }
 
-// recordPrefill records the time in which a target read a prompt of that many tokens.
-func (p *pool) recordPrefill(service string, tokens int, took time.Duration) {
+// recordFirstEvent records the time until an answer of a target began.
+func (p *pool) recordFirstEvent(a assignment, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gate(service).RecordPrefill(tokens, took, p.now())
+	p.gate(a.service).RecordFirstEvent(a.class, took, p.now())
 }
 
 // release ends a request's use of a target. Only answered requests contribute to the estimate
--- a/router/relay.go
+++ b/router/relay.go
@@ -45,6 +45,9 @@
 	if len(body) > maxBufferedAnswer {
 		return x.relayUnbuffered(ctx, a, resp, body)
 	}
+	if resp.StatusCode == http.StatusOK {
+		x.recordFirstEvent(a)
+	}
 	x.markCompleted(resp)
 	x.deliver(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body})
 	return nil
@@ -111,13 +114,12 @@
 	return x.copyRest(ctx, a, resp)
 }
 
-// recordPrefill records how long the target took to read the prompt, when the first part of its
-// answer arrives. A queued request and one that fetches parts waited for something else.
-func (x *exchange) recordPrefill(a assignment) {
-	if x.answerBegun || x.call.PromptTokens == 0 || a.queued || a.choice.FetchFrom != nil {
+// recordFirstEvent records how long the target took until the first part of its answer arrived.
+func (x *exchange) recordFirstEvent(a assignment) {
+	if x.answerBegun {
 		return
 	}
-	x.router.pool.recordPrefill(a.service, x.call.PromptTokens-a.choice.CachedTokens, x.router.now().Sub(x.sentAt))
+	x.router.pool.recordFirstEvent(a, x.router.now().Sub(x.sentAt))
 }
 
 // copyRest relays bytes as they arrive.
@@ -127,7 +129,7 @@
 	for {
 		n, err := resp.Body.Read(*buf)
 		if n > 0 {
-			x.recordPrefill(a)
+			x.recordFirstEvent(a)
 			x.beginStream(resp)
 			if werr := x.writeAndFlush((*buf)[:n]); werr != nil {
 				return x.callerWriteFailed(werr)
@@ -157,7 +159,7 @@
 		gaps.event()
 		pending = append(pending, (*buf)[:n]...)
 		if end := completeEvents(pending); end > 0 {
-			x.recordPrefill(a)
+			x.recordFirstEvent(a)
 			x.beginStream(resp)
 			if werr := x.writeAndFlush(pending[:end]); werr != nil {
 				return x.callerWriteFailed(werr)
