Wait longer and return callers later while no node has a configuration

Cause: a request to a node without a configuration was refused after 150 ms with a Retry-After of 0.3 s. In an outage of 2 s the one retry of most callers met the same refusal.

Change: the Retry-After grows with the time without a configuration, up to a third of the caller's remaining time, and is spread over a quarter of its range (startRetryAfter). While no other node is known to have a configuration, a request waits for half of its remaining time, 0.7 s at most (startWait); otherwise 150 ms as before, since the retry may meet another node.

--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/peer"
@@ -72,6 +73,8 @@
 	handler  peer.Handler
 	// ready is when the node had a configuration and all targets, -1 before.
 	ready time.Duration
+	// source is where its first configuration came from.
+	source string
 }
 
 func (f *startFleet) since() time.Duration { return time.Since(f.begin) }
@@ -137,6 +140,10 @@
 			if n.Ready() {
 				n.ready = n.fleet.since()
 			}
+			n.source = sourcePeer
+			if testutil.ToFloat64(n.metrics.firstConfiguration.WithLabelValues(sourceStore)) > 0 {
+				n.source = sourceStore
+			}
 		case <-ctx.Done():
 		}
 	}()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -258,8 +258,8 @@
 	}
 	if r.state.catalog != nil {
 		r.initOnce.Do(func() {
-			close(r.initialized)
 			r.recordStart(source)
+			close(r.initialized)
 		})
 	}
 }
--- a/replica/starting.go
+++ b/replica/starting.go
@@ -125,6 +125,14 @@
 	return r.now().Sub(r.startedAt)
 }
 
+// OtherNodeAhead reports whether a live node is known to have a newer copy than this one.
+func (r *Replica) OtherNodeAhead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ahead := r.peers.Ahead(r.versions())
+	return ahead
+}
+
 // announceVersions announces this node's versions: to all nodes after the first configuration,
 // if recordStart requested it, and otherwise to a few.
 func (r *Replica) announceVersions(ctx context.Context) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -17,18 +18,9 @@
 	"github.com/knapweedgw/knapweedgw/routing"
 )
 
-const (
-	// startRetryAfter is the Retry-After for callers of a node that has just started: it
-	// usually has the configuration within a few round trips to the store.
-	startRetryAfter = 300 * time.Millisecond
-	// configWait is how long a request waits for the first configuration: a few round trips to
-	// the store, but short compared with the shortest known target latencies, so that a request
-	// that must be refused anyway is not delayed for long.
-	configWait = 150 * time.Millisecond
-	// timeoutSlack is added to the deadline so that an answer that the target itself sends at
-	// the deadline still arrives.
-	timeoutSlack = 40 * time.Millisecond
-)
+// timeoutSlack is added to the deadline so that an answer that the target itself sends at the
+// deadline still arrives.
+const timeoutSlack = 40 * time.Millisecond
 
 // exchange is the state of one caller's request in progress.
 type exchange struct {
@@ -126,7 +118,9 @@
 		return problem.New(problem.BadRequest, problem.NotRun, err.Error())
 	}
 	if !x.awaitCatalog() {
-		return problem.New(problem.NoSettings, problem.NotRun, "").WithRetryAfter(startRetryAfter)
+		remaining := max(0, x.call.Deadline-x.router.now().Sub(x.start))
+		after := startRetryAfter(x.router.replica.WithoutConfiguration(), remaining, rand.Float64())
+		return problem.New(problem.NoSettings, problem.NotRun, "").WithRetryAfter(after)
 	}
 	if err := x.readBody(); err != nil {
 		return err
@@ -150,7 +144,8 @@
 	if x.router.replica.Catalog() != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(x.req.Context(), configWait)
+	wait := startWait(x.call.Deadline, x.router.replica.OtherNodeAhead())
+	ctx, cancel := context.WithTimeout(x.req.Context(), wait)
 	defer cancel()
 	select {
 	case <-x.router.replica.Initialized():
--- a/router/router.go
+++ b/router/router.go
@@ -51,6 +51,11 @@
 	Initialized() <-chan struct{}
 	Versions() (catalogVersion, revision int64)
 	ConfirmedAge(now time.Time) (age time.Duration, ok bool)
+	// WithoutConfiguration returns for how long this node has been running without a
+	// configuration; 0 if it has one. OtherNodeAhead reports whether another live node is known
+	// to have a newer copy than this one.
+	WithoutConfiguration() time.Duration
+	OtherNodeAhead() bool
 	StoreUnreachable() bool
 	// WritesNote reports whether this node writes the fleet's note. SaveNote writes it; a node
 	// reads it when it starts and passes it to the functions registered with OnNote.
