--- a/replica/follower.go
+++ b/replica/follower.go
@@ -65,8 +65,13 @@
 	}
 }
 
-// hasCopy reports whether the node holds a copy; before its first list, one from another node.
-func (r *Replica) hasCopy() bool { return r.revision() > 0 }
+// hasCopy reports whether the node holds a complete copy; before its first list, one from another
+// node.
+func (r *Replica) hasCopy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.revision > 0 && !r.state.incomplete
+}
 
 func (r *Replica) setStale() {
 	r.mu.Lock()
