--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -109,7 +109,6 @@
 // askCell asks the owner of a cell, and another node if the first one isn't the owner.
 func (a *acquisition) askCell(ctx context.Context, k holds.CellKey) Answer {
 	patience := max(a.request.TargetLatency/patienceDivisor, time.Millisecond)
-	until := a.now().Add(patience)
 	var st step
 	for range maxAsks {
 		owner, passed := a.choose(k, patience)
@@ -119,7 +118,7 @@
 		if owner == "" {
 			return Answer{Outcome: Unavailable, Why: reasonNoOwner}
 		}
-		st = a.askOwner(ctx, k, owner, passed, until, patience)
+		st = a.askOwner(ctx, k, owner, passed, patience)
 		st.answer.Owner = owner
 		if !st.again {
 			break
@@ -129,20 +128,28 @@
 }
 
 // askOwner asks one node, and repeats the ask while the request waits in its queue.
-func (a *acquisition) askOwner(ctx context.Context, k holds.CellKey, owner string, passed []string, until time.Time, patience time.Duration) step {
+func (a *acquisition) askOwner(ctx context.Context, k holds.CellKey, owner string, passed []string, patience time.Duration) step {
 	holder := cell.Holder{Node: owner}
 	seq := a.table.Begin(a.now(), k, holder)
 	m := a.message(k, owner, seq, passed)
+	began := a.now()
+	answered := began // when the owner last answered
 	for {
-		reply, err := a.send(ctx, owner, m, until)
-		if err != nil || ctx.Err() != nil {
-			return a.abandon(ctx, k, owner, seq, err)
-		}
-		a.metrics.asks.WithLabelValues(codeLabel(reply.Code)).Inc()
-		if reply.Code != holds.Waiting {
-			return a.handle(k, owner, seq, reply)
+		reply, err := a.send(ctx, owner, m, patience)
+		var st step
+		switch {
+		case err != nil || ctx.Err() != nil:
+			st = a.abandon(ctx, k, owner, seq, err)
+		case reply.Code != holds.Waiting:
+			a.metrics.asks.WithLabelValues(codeLabel(reply.Code)).Inc()
+			st = a.handle(k, owner, seq, reply)
+		default:
+			a.metrics.asks.WithLabelValues(codeLabel(reply.Code)).Inc()
+			answered = a.now()
+			continue
 		}
-		until = a.now().Add(patience)
+		st.answer.Waited = max(st.answer.Waited, answered.Sub(began))
+		return st
 	}
 }
 
@@ -167,13 +174,13 @@
 }
 
 // send sends an ask, with the ended places that the owner doesn't know yet.
-func (a *acquisition) send(ctx context.Context, owner string, m acquireMessage, until time.Time) (holds.Reply, error) {
+func (a *acquisition) send(ctx context.Context, owner string, m acquireMessage, patience time.Duration) (holds.Reply, error) {
 	if owner == a.self.Node {
 		return a.acquireOwned(ctx, m), nil
 	}
 	began := a.now()
 	m.Ended = a.ended.TakeFor(owner)
-	ctx, cancel := context.WithTimeout(ctx, until.Sub(began))
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var reply holds.Reply
 	err := a.call(ctx, owner, methodAcquire, m, &reply)
--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -213,3 +214,48 @@
 		is.Equal(c.update(step.places, at(step.ms)), step.want)
 	}
 }
+
+// TestRivalsShareThePlaces: an owner that isn't told of a rival, or doesn't tell that it owns the cell
+// too, grants all places a second time.
+func TestRivalsShareThePlaces(t *testing.T) {
+	is := is.New(t)
+	now := start
+	s, n := newLoneNode(&now)
+	s.tick(t.Context())
+	share := func() float64 { return s.owned.all()[0].share }
+	claims := 0
+	n.call = func(method string) any {
+		if method == methodPull {
+			claims++
+		}
+		return nil
+	}
+	advance := func(ms int) {
+		for range ms / 25 {
+			now = now.Add(tickInterval)
+			s.tick(t.Context())
+		}
+	}
+	pull := fmt.Appendf(nil, `{"n":"rival","i":1,"p":%q,"o":1}`, testService)
+	_, err := n.handlers[methodPull](t.Context(), pull)
+	is.NoErr(err)
+	advance(25)
+	is.Equal(share(), rivalShare)
+	advance(950)
+	is.Equal(claims, 2) // to the rival, each claimInterval
+	advance(50)
+	is.Equal(share(), 1.0)
+
+	_, err = n.handlers[methodAcquire](t.Context(), fmt.Appendf(nil, `{"n":"x","i":1,"p":%q,"o":1,"q":1,"w":"w","rv":[{"n":"rival","i":1}]}`, testService))
+	is.NoErr(err)
+	is.Equal(share(), rivalShare) // at once
+	advance(1025)
+	is.Equal(share(), 1.0)
+
+	// As an asking node, it names the node that claimed the cell to the one that it asks, and itself.
+	_, err = n.handlers[methodPull](t.Context(), pull)
+	is.NoErr(err)
+	a := &acquisition{Service: s, request: testRequest()}
+	is.Equal(a.message(testKey, "owner", 1, nil).Rivals, []holds.From{{Node: "rival", Incarnation: 1}, s.self})
+	is.Equal(a.message(testKey, "rival", 1, nil).Rivals, []holds.From{s.self})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,8 +100,8 @@
 	// Reason and RetryAfter are set if the request was refused.
 	Reason     cell.Reason
 	RetryAfter time.Duration
-	// Owner is the node that decided, Waited the time in its queue, and Why the reason for
-	// Unavailable.
+	// Owner is the node that decided or was asked last, Waited the time in its queue as far as it
+	// answered, and Why the reason for Unavailable.
 	Owner  string
 	Waited time.Duration
 	Why    string
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -191,6 +191,8 @@
 func (c *ownedCell) applyPlaces(now time.Time, resyncs []holds.Resync) {
 	for _, m := range resyncs {
 		c.record.Resync(now, m)
-		c.record.EndWait(unknownRun(m.Node))
+		if c.takeover == nil || c.takeover.answered[m.Node] {
+			c.record.EndWait(unknownRun(m.Node))
+		}
 	}
 }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -27,7 +27,8 @@
 	// maxSeqs is the number of places in one list. A node holds at most a few times the places of a
 	// cell.
 	maxSeqs      = 4096
-	maxNodes     = 64 // names of nodes in one list
+	maxPushed    = 1024 // resyncs during a takeover
+	maxNodes     = 64   // names of nodes in one list
 	maxNameBytes = 256
 	maxExclude   = 1024
 	maxWait      = time.Hour   // longest time in a message
@@ -254,7 +255,10 @@
 	if c.closed != nil {
 		return holds.ResyncReply{NotOwner: true}
 	}
-	if c.recovering() { // the pull of this takeover lists all places
+	if c.recovering() {
+		if len(c.takeover.pushed) < maxPushed {
+			c.takeover.pushed = append(c.takeover.pushed, m)
+		}
 		return holds.ResyncReply{Missing: m.Held}
 	}
 	now := s.now()
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -28,6 +28,9 @@
 	pending  map[string]time.Time // nodes that haven't answered, and when to ask them again
 	answered map[string]bool
 	kept     []holds.Resync // until granting begins
+	// pushed are resyncs that nodes sent by themselves meanwhile. They may have places that began
+	// after the node answered the pull; holds.Owner ignores those that are older than the answer.
+	pushed   []holds.Resync
 	granting bool
 }
 
@@ -80,6 +83,8 @@
 	}
 	t.granting = true
 	kept, t.kept = t.kept, nil
+	pushed := t.pushed
+	t.pushed = nil
 	newest := make(map[string]cell.Holder)
 	for _, m := range kept {
 		if h := m.Holder(); h.Incarnation >= newest[h.Node].Incarnation {
@@ -92,7 +97,7 @@
 	for node := range t.pending {
 		holders = append(holders, unknownRun(node))
 	}
-	return true, holders, kept
+	return true, holders, append(kept, pushed...)
 }
 
 // ended reports whether the takeover is complete.
