Test quiet nodes and a node that alone can't reach the owner

Cause: two more rules could be taken out without a failing test: that a live node's places are kept while it sends nothing, and that a node doesn't take over on its own suspicion.

Change: a test for each.

--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -154,6 +154,38 @@
 	}
 }
 
+// TestQuietNodeKeepsItsPlaces: a node with long requests sends nothing but a resync a second. Its places
+// must not be dropped in between, nor granted again.
+func TestQuietNodeKeepsItsPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		places := f.other().hold(t, 20)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(f.owner().ownedPlaces(), 20)
+		}
+		release(places)
+	})
+}
+
+// TestOwnSuspicionIsNotEnough: a node that alone can't reach the owner must not become a second one,
+// which would halve the places for all.
+func TestOwnSuspicionIsNotEnough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		order := f.order()
+		f.setCut(order[1], order[0])
+		for range 10 {
+			is.Equal(order[1].Acquire(context.Background(), testRequest()).Outcome, Unavailable)
+			time.Sleep(minFailureGap)
+		}
+		is.Equal(order[1].owned.len(), 0)
+		release(order[6].hold(t, 36)) // the others still get all places
+	})
+}
+
 // TestPausedOwnerCountsAgain: an owner that goes on with the counts of before its pause grants the
 // places that its successor granted meanwhile.
 func TestPausedOwnerCountsAgain(t *testing.T) {
