Let the limit on long prompts fall within 0.5 s

Change: limitFallTime is 0.5 s.

Found, not changed: limits by rank reject a surging workspace at 0.60 of the slots where requests can't wait (Limit 0.6, QueuePerSlot 0), although the README said that nothing is rejected while 0.3 are free.

--- a/overload/long.go
+++ b/overload/long.go
@@ -20,7 +20,7 @@
 	// LatePart or more of the urgent answers are late; it is longer for fewer. limitRiseTime is that
 	// in which it rises to 1 again, longer than lateDecay so that the effect of a rise is counted
 	// before the limit ends.
-	limitFallTime = time.Second
+	limitFallTime = 500 * time.Millisecond
 	limitRiseTime = 3 * time.Second
 )
 
