Forget an empty cell that no node owns

Cause: Table.ResyncAnswered removed an empty cell only after an answer of its owner. Found by reading.

Change: an empty cell is removed after any answer to an empty resync. A place whose release was lost is dropped by the owner when the node is silent there for three intervals, as before.

--- a/admission/holds/table.go
+++ b/admission/holds/table.go
@@ -174,7 +174,9 @@
 
 // ResyncAnswered records the owner's answer to a resync. The cell is due again at once if
 // the owner lacks places, and is removed after an answered resync that was empty, if it is
-// still empty.
+// still empty. An answer that the node isn't the owner counts, too: a cell of another number
+// of cells, or of a pool that has no owners any more, never gets another one. An owner that
+// missed the last release drops the place when this node is silent.
 func (t *Table) ResyncAnswered(now time.Time, owner cell.Holder, m Resync, r ResyncReply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -184,6 +186,11 @@
 	}
 	c.resyncing = false
 	c.nextResync = now.Add(t.timing.Interval)
+	wasEmpty := len(m.Held)+len(m.Details)+len(m.Pending) == 0
+	if wasEmpty && len(c.places)+len(c.pending) == 0 {
+		delete(t.cells, m.CellKey)
+		return
+	}
 	if r.NotOwner {
 		c.nextResync = now.Add(t.timing.Retry)
 		return
@@ -199,10 +206,6 @@
 			c.nextResync = now
 		}
 	}
-	wasEmpty := len(m.Held)+len(m.Details)+len(m.Pending) == 0
-	if wasEmpty && len(c.places)+len(c.pending) == 0 {
-		delete(t.cells, m.CellKey)
-	}
 }
 
 // ResyncFailed records that a resync got no answer.
