Withdraw claims per cell, and rely on recent checks only

Cause: the answer NotOwner for one cell removed the claims of that node on all cells, so that a rival there was forgotten until its next claim. A check of the nodes before a successor counted without a limit of age: a succession left over from an earlier one, for example after the number of cells had changed, let a node take over without a new check.

Change: a claim is withdrawn for the cell of the answer.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -252,8 +252,8 @@
 	now := a.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.claims.withdraw(asked)
-	a.reported.withdraw(asked)
+	a.claims.withdraw(k, asked)
+	a.reported.withdraw(k, asked)
 	if r.Leaving && asked != a.self.Node {
 		a.states.recordLeaving(asked, now, true)
 	}
--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -130,6 +130,11 @@
 	s.checked(at(1530), "a")
 	s.ask(at(1531), time.Millisecond)
 	is.True(!s.owns(at(1531)))
+	is.True(s.checkDue(at(2100)))
+	s.checked(at(2110), "")
+	is.True(s.owns(at(2111)))
+	is.True(s.ask(at(60000), time.Millisecond))
+	is.True(!s.owns(at(60000))) // the last check was long ago
 }
 
 // TestTakeoverWaitsForHalf: an owner that grants before half of the nodes have reported their places
@@ -175,8 +180,12 @@
 	is.Equal(len(c.others(testKey, "b", at(999))), 1)
 	is.Equal(len(c.others(testKey, "me", at(999))), 2)
 	is.Equal(len(c.others(testKey, "me", at(1000))), 1)
-	c.withdraw("b")
+	other := holds.CellKey{Pool: testService, Cell: 1, Of: 2}
+	c.add(other, holds.From{Node: "b", Incarnation: 1}, at(500))
+	c.withdraw(testKey, "b")
 	is.Equal(len(c.others(testKey, "me", at(1000))), 0)
+	is.Equal(len(c.others(other, "me", at(1000))), 1) // it may still be a rival there
+	c.withdraw(other, "b")
 	c.expire(at(1000))
 	is.Equal(len(c.cells), 0)
 }
--- a/dispatch/rivals.go
+++ b/dispatch/rivals.go
@@ -55,12 +55,8 @@
 	return out
 }
 
-// withdraw removes the claims of a node that says that it doesn't own cells.
-func (c *claims) withdraw(node string) {
-	for _, m := range c.cells {
-		delete(m, node)
-	}
-}
+// withdraw removes the claim of a node that says that it doesn't own a cell.
+func (c *claims) withdraw(k holds.CellKey, node string) { delete(c.cells[k], node) }
 
 func (c *claims) expire(now time.Time) {
 	for k, m := range c.cells {
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -142,7 +142,9 @@
 }
 
 // owns reports whether this node acts as the owner: the nodes before it were silent at the last
-// check, and a node still needs it.
+// check, and a node still needs it. A check of an earlier succession doesn't count: while this node is
+// the owner, it checks every checkInterval.
 func (s *succession) owns(now time.Time) bool {
-	return !s.checkedAt.IsZero() && s.alive == "" && now.Sub(s.askedAt) < successionTTL
+	recent := !s.checkedAt.IsZero() && now.Sub(s.checkedAt) < successionTTL+s.patience
+	return recent && s.alive == "" && now.Sub(s.askedAt) < successionTTL
 }
