Send the time that is left when a request asks another owner

Cause: after a request had waited in an owner's queue, the next node that it asked got a timeout in the past: the call failed at once and counted against that node, which was suspected after two of them. At a graceful stop of an owner this concerns all requests that waited for longer than an eighth of the target latency. The next owner also got the times of a new request, and a time that had passed was sent or clamped to 0, which means no limit. A route without a target latency on a dispatched service waited 1 ms for its owner, less than a round trip, and so suspected it for all routes.

Change: the wait for an answer moves on with each answer from a queue. The times in an ask are those left, negative if they have passed. Requests without a target latency use the waits of 400 ms.

Result: TestWaitingRequestIsAskedAgainElsewhere fails before with "timeout" instead of the successor's answer, and TestRouteWithoutTargetLatency with "unavailable" instead of "granted".

--- a/admission/cell/queue.go
+++ b/admission/cell/queue.go
@@ -265,7 +265,7 @@
 		spare = max(e.perSecond-c.queue.flows.demandUpTo(now, w.Urgency), 0)
 	}
 	remaining := w.Remaining
-	if remaining > 0 {
+	if remaining != 0 {
 		remaining = max(remaining-now.Sub(w.arrivedAt), 1)
 	}
 	d.RetryAfter = c.queue.returns.Next(now, w.Urgency, spare, remaining)
--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -21,6 +21,9 @@
 	// difference is for the messages' way and a busy owner.
 	patienceDivisor = 8
 	holdDivisor     = 16
+	// defaultTargetLatency is that of requests whose route has none. An eighth of it, 50 ms, is more
+	// than nearly all answers take.
+	defaultTargetLatency = 400 * time.Millisecond
 	// maxRetryAfter limits the delay that an owner's refusal may name.
 	maxRetryAfter = time.Minute
 )
@@ -29,6 +32,7 @@
 type acquisition struct {
 	*Service
 	request Request
+	began   time.Time
 	targets []cell.Target
 	chat    uint64
 	exclude []string
@@ -38,8 +42,11 @@
 // the target latency for an owner that doesn't answer.
 func (s *Service) Acquire(ctx context.Context, r Request) Answer {
 	targets, dispatched := s.directory.Targets(r.Service)
+	if r.TargetLatency <= 0 {
+		r.TargetLatency = defaultTargetLatency
+	}
 	// A request has no chat. Failures of a target count once for each, so each request is one.
-	a := &acquisition{Service: s, request: r, targets: targets, chat: uint64(rand.Uint32()), exclude: r.Exclude}
+	a := &acquisition{Service: s, request: r, began: s.now(), targets: targets, chat: uint64(rand.Uint32()), exclude: r.Exclude}
 	ans := Answer{Outcome: Unavailable, Why: reasonNotDispatched}
 	if dispatched {
 		ans = a.run(ctx)
@@ -119,7 +126,7 @@
 		if owner == "" {
 			return Answer{Outcome: Unavailable, Why: reasonNoOwner}
 		}
-		st = a.askOwner(ctx, k, owner, passed, until, patience)
+		st = a.askOwner(ctx, k, owner, passed, &until, patience)
 		st.answer.Owner = owner
 		if !st.again {
 			break
@@ -128,13 +135,15 @@
 	return st.answer
 }
 
-// askOwner asks one node, and repeats the ask while the request waits in its queue.
-func (a *acquisition) askOwner(ctx context.Context, k holds.CellKey, owner string, passed []string, until time.Time, patience time.Duration) step {
+// askOwner asks one node, and repeats the ask while the request waits in its queue. until is the time
+// to wait for an answer; it moves on with each answer from the queue, so that a node asked next gets
+// as long.
+func (a *acquisition) askOwner(ctx context.Context, k holds.CellKey, owner string, passed []string, until *time.Time, patience time.Duration) step {
 	holder := cell.Holder{Node: owner}
 	seq := a.table.Begin(a.now(), k, holder)
 	m := a.message(k, owner, seq, passed)
 	for {
-		reply, err := a.send(ctx, owner, m, until)
+		reply, err := a.send(ctx, owner, m, *until)
 		if err != nil || ctx.Err() != nil {
 			return a.abandon(ctx, k, owner, seq, err)
 		}
@@ -142,8 +151,20 @@
 		if reply.Code != holds.Waiting {
 			return a.handle(k, owner, seq, reply)
 		}
-		until = a.now().Add(patience)
+		*until = a.now().Add(patience)
+	}
+}
+
+// left returns how many milliseconds of a limit at the beginning are left: 0 for no limit, and
+// negative if it has passed.
+func left(limit, passed time.Duration) int64 {
+	if limit == 0 {
+		return 0
+	}
+	if ms := (limit - passed).Milliseconds(); ms != 0 {
+		return ms
 	}
+	return -1
 }
 
 func (a *acquisition) message(k holds.CellKey, owner string, seq uint64, passed []string) acquireMessage {
@@ -158,8 +179,8 @@
 	return acquireMessage{
 		Acquire: holds.Acquire{
 			From: a.self, CellKey: k, Seq: seq, Chat: a.chat, Workspace: r.Workspace, Urgency: r.Urgency,
-			Exclude: a.exclude, LeavingNodes: leaving, StartWithinMS: r.StartWithin.Milliseconds(),
-			RemainingMS: r.Remaining.Milliseconds(), Returned: r.Returned, Domain: a.cfg.Domain,
+			Exclude: a.exclude, LeavingNodes: leaving, StartWithinMS: left(r.StartWithin, now.Sub(a.began)),
+			RemainingMS: left(r.Remaining, now.Sub(a.began)), Returned: r.Returned, Domain: a.cfg.Domain,
 			Rivals: rivals, Suspects: passed,
 		},
 		HoldMicros: (r.TargetLatency / holdDivisor).Microseconds(),
--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -222,3 +222,26 @@
 		is.Equal(c.update(step.places, at(step.ms)), step.want)
 	}
 }
+
+// TestTimesOfAnAskAreThoseLeft: a request that asks another owner after it has waited must not get the
+// time of a new request there, and one whose time has passed must not become one without a limit.
+func TestTimesOfAnAskAreThoseLeft(t *testing.T) {
+	is := is.New(t)
+	now := start
+	s, _ := newLoneNode(&now)
+	a := &acquisition{Service: s, began: now, request: Request{Service: testService, StartWithin: 100 * time.Millisecond, Remaining: time.Second}}
+	for _, c := range []struct {
+		passed              time.Duration
+		startWithin, remain int64
+	}{{0, 100, 1000}, {60 * time.Millisecond, 40, 940}, {100 * time.Millisecond, -1, 900}, {1500 * time.Millisecond, -1400, -500}} {
+		now = start.Add(c.passed)
+		m := a.message(testKey, "other", 1, nil)
+		is.True(normalize(&m))
+		is.Equal(m.StartWithinMS, c.startWithin)
+		is.Equal(m.RemainingMS, c.remain)
+	}
+	a.request.StartWithin, a.request.Remaining = 0, 0
+	m := a.message(testKey, "other", 1, nil)
+	is.Equal(m.StartWithinMS, int64(0)) // no limit
+	is.Equal(m.RemainingMS, int64(0))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,7 +67,7 @@
 	// Urgency is the rank of the request's priority; 0 is the most urgent.
 	Urgency int
 	// TargetLatency is that of the route. An eighth of it is the longest wait for an owner that
-	// doesn't answer.
+	// doesn't answer; 0 means none, and a default is used for these waits.
 	TargetLatency time.Duration
 	// StartWithin is the time within which the request must start to be answered within its target
 	// latency, Remaining the time until the caller's deadline; 0 means no limit.
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -63,6 +63,52 @@
 	})
 }
 
+// TestWaitingRequestIsAskedAgainElsewhere: the time that a request has waited in the queue of an owner
+// that shuts down must not count as a wait for its successor, which would then be suspected without
+// having been asked, nor may the successor let it wait as long as a new request.
+func TestWaitingRequestIsAskedAgainElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		order := f.order()
+		owner, next, asker := order[0], order[1], order[6]
+		asker.hold(t, 36)
+		waiting := make(chan Answer)
+		go func() { waiting <- asker.Acquire(context.Background(), testRequest()) }()
+		time.Sleep(2 * testPatience)
+		is.NoErr(owner.Drain(context.Background()))
+		a := <-waiting
+		is.Equal(a.Owner, next.name)
+		is.Equal(a.Why, reasonRecovering) // the successor's answer, not a timeout
+		asker.mu.Lock()
+		defer asker.mu.Unlock()
+		is.True(asker.states.nodes[next.name] == nil || asker.states.nodes[next.name].unanswered == 0)
+	})
+}
+
+// TestRouteWithoutTargetLatency: an eighth of no target latency is shorter than the way to the owner, so
+// that the owner would be suspected, also by the requests of other routes.
+func TestRouteWithoutTargetLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 7, 6)
+		asker, r := f.other(), testRequest()
+		r.TargetLatency, r.StartWithin = 0, time.Second
+		for range 3 {
+			a := asker.Acquire(context.Background(), r)
+			is.Equal(a.Outcome, Granted)
+			is.Equal(a.Owner, f.owner().name)
+			a.Place.Release(cell.Answered)
+			time.Sleep(2 * minFailureGap)
+		}
+		places := asker.hold(t, 36)
+		before := f.messages()
+		time.AfterFunc(100*time.Millisecond, func() { release(places[:1]) })
+		is.Equal(asker.Acquire(context.Background(), r).Outcome, Granted)
+		is.True(f.messages()-before < 20) // it waits in held calls
+	})
+}
+
 // TestRestartOfAllNodes: nodes that all start again know nothing of each other, and each thinks that
 // it owns the cell. No request may wait long, and soon one owner counts exactly.
 func TestRestartOfAllNodes(t *testing.T) {
