--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/admission/cell"
 	"github.com/knapweedgw/knapweedgw/admission/holds"
 )
 
@@ -131,6 +133,11 @@
 	s.checked(at(1530), "a")
 	s.ask(at(1531), time.Millisecond)
 	is.True(!s.owns(at(1531)))
+	is.True(s.checkDue(at(2100)))
+	s.checked(at(2110), "")
+	is.True(s.owns(at(2111)))
+	is.True(s.ask(at(60000), time.Millisecond))
+	is.True(!s.owns(at(60000))) // the last check was long ago
 }
 
 // TestTakeoverWaitsForHalf: an owner that grants before half of the nodes have reported their places
@@ -176,8 +183,12 @@
 	is.Equal(len(c.others(testKey, "b", at(999))), 1)
 	is.Equal(len(c.others(testKey, "me", at(999))), 2)
 	is.Equal(len(c.others(testKey, "me", at(1000))), 1)
-	c.withdraw("b")
+	other := holds.CellKey{Pool: testService, Cell: 1, Of: 2}
+	c.add(other, holds.From{Node: "b", Incarnation: 1}, at(500))
+	c.withdraw(testKey, "b")
 	is.Equal(len(c.others(testKey, "me", at(1000))), 0)
+	is.Equal(len(c.others(other, "me", at(1000))), 1) // it may still be a rival there
+	c.withdraw(other, "b")
 	c.expire(at(1000))
 	is.Equal(len(c.cells), 0)
 }
@@ -259,3 +270,72 @@
 	is.Equal(a.message(testKey, "owner", 1, nil).Rivals, []holds.From{{Node: "rival", Incarnation: 1}, s.self})
 	is.Equal(a.message(testKey, "rival", 1, nil).Rivals, []holds.From{s.self})
 }
+
+// TestCellsFollowTheSlots: places beyond a target's slots depend on durations that each node measures
+// itself, so nodes that count them for the number of cells would not find the owners of each other.
+func TestCellsFollowTheSlots(t *testing.T) {
+	is := is.New(t)
+	targets := testTargets(7, 7)
+	is.Equal(capacityOf(targets), 49)
+	for i := range targets {
+		targets[i].Slots = 6
+	}
+	is.Equal(capacityOf(targets), 42)
+}
+
+// TestTimesOfAnAskAreThoseLeft: a request that asks another owner after it has waited must not get the
+// time of a new request there, and one whose time has passed must not become one without a limit.
+func TestTimesOfAnAskAreThoseLeft(t *testing.T) {
+	is := is.New(t)
+	now := start
+	s, _ := newLoneNode(&now)
+	a := &acquisition{Service: s, began: now, request: Request{Service: testService, StartWithin: 100 * time.Millisecond, Remaining: time.Second}}
+	for _, c := range []struct {
+		passed              time.Duration
+		startWithin, remain int64
+	}{{0, 100, 1000}, {60 * time.Millisecond, 40, 940}, {100 * time.Millisecond, -1, 900}, {1500 * time.Millisecond, -1400, -500}} {
+		now = start.Add(c.passed)
+		m := a.message(testKey, "other", 1, nil)
+		is.True(normalize(&m))
+		is.Equal(m.StartWithinMS, c.startWithin)
+		is.Equal(m.RemainingMS, c.remain)
+	}
+	a.request.StartWithin, a.request.Remaining = 0, 0
+	m := a.message(testKey, "other", 1, nil)
+	is.Equal(m.StartWithinMS, int64(0)) // no limit
+	is.Equal(m.RemainingMS, int64(0))
+}
+
+// countingDirectory counts the lists of targets that are computed.
+type countingDirectory struct {
+	Directory
+	lists int
+}
+
+func (d *countingDirectory) Targets(service string) ([]cell.Target, bool) {
+	d.lists++
+	return d.Directory.Targets(service)
+}
+
+// TestOwnerDoesntListTargetsForEachAsk: a list of 90 targets takes the router 50 us, so that an owner
+// which computes one for each ask spends more on it than on the grant.
+func TestOwnerDoesntListTargetsForEachAsk(t *testing.T) {
+	is := is.New(t)
+	now := start
+	s, n := newLoneNode(&now)
+	d := &countingDirectory{Directory: n}
+	s.SetDirectory(d)
+	k := holds.CellKey{Pool: testService, Of: 1}
+	now = now.Add(tickInterval)
+	for range 100 {
+		is.True(s.ownable(k))
+	}
+	is.Equal(d.lists, 1)
+	n.targets = testTargets(100, 1) // three cells
+	now = now.Add(tickInterval)
+	is.True(!s.ownable(k))
+	for i := range 3 * maxCells { // names of other nodes' services must not stay in memory
+		is.True(!s.ownable(holds.CellKey{Pool: strconv.Itoa(i), Of: 1}))
+	}
+	is.Equal(len(s.cells), 1)
+}
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -87,8 +87,8 @@
 		len(m.Workspace) <= maxNameBytes && len(m.Domain) <= maxNameBytes && len(m.Exclude) <= maxExclude &&
 		len(m.Ended) <= maxNodes && len(m.Rivals) <= maxNodes && len(m.Suspects) <= maxNodes && len(m.LeavingNodes) <= maxNodes
 	limit := maxWait.Milliseconds()
-	m.StartWithinMS = min(max(m.StartWithinMS, 0), limit)
-	m.RemainingMS = min(max(m.RemainingMS, 0), limit)
+	m.StartWithinMS = min(max(m.StartWithinMS, -limit), limit)
+	m.RemainingMS = min(max(m.RemainingMS, -limit), limit)
 	m.Urgency = min(max(m.Urgency, 0), maxUrgency)
 	if !(m.Weight >= 0 && m.Weight <= maxWeight) {
 		m.Weight = 0
@@ -140,8 +140,16 @@
 	return s.succeed(k, before, m.Node != s.self.Node, m.patience())
 }
 
-// ownable reports whether this node's list of targets has the cell.
+// ownable reports whether this node's list of targets has the cell. Asks between two ticks use the same
+// list, since computing it takes longer than a grant if there are many targets.
 func (s *Service) ownable(k holds.CellKey) bool {
+	s.mu.Lock()
+	c := s.cells[k.Pool]
+	if c != nil && s.now().Sub(c.updatedAt) < tickInterval {
+		defer s.mu.Unlock()
+		return c.cells == k.Of
+	}
+	s.mu.Unlock()
 	targets, dispatched := s.directory.Targets(k.Pool)
 	return dispatched && s.cellsOf(k.Pool, targets) == k.Of
 }
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -415,11 +415,12 @@
 }
 
 // FleetSize returns the number of nodes, this one included, that are live or were within the last
-// minute. Unlike KnownNodes it is small at the start of a node.
+// minute, without those that have announced that they leave. Unlike KnownNodes it is small at the
+// start of a node.
 func (e *Exchange) FleetSize() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.machine.view.size()
+	return e.machine.view.staying()
 }
 
 // Drain implements kernel.Drainer. From then on this node ranks last as a watcher, so that
--- a/heartbeat/owners.go
+++ b/heartbeat/owners.go
@@ -35,6 +35,18 @@
 	return out
 }
 
+// staying returns the number of known nodes, this one included, that haven't announced that they
+// leave.
+func (v *View) staying() int {
+	n := 1
+	for _, p := range v.peers {
+		if !p.report.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // heardAt returns when the last message of a node arrived, zero for never.
 func (v *View) heardAt(node string) time.Time {
 	p, ok := v.peers[node]
