Let the soak end the owners of a service's places

Cause: the soak knew no service that is dispatched, so no run killed, paused or stopped an owner while callers waited at it.

Change: the profile "owners" gives the plain service 3 targets of 2 slots, fewer places than twice the nodes, and has steps that kill, pause or stop the first node of the cell's order (the second for every third step), besides faults of other nodes, targets and the store. Added checks: a granted run that begins 3 s or more after the last disruption finds its target within its places, and fewer than twice the places are granted at any time. Runs that a node chose by its own counts (owner_fallback) count as load, but are not checked themselves. The stand-in engine records when a run ends and has a number of slots.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -26,6 +26,8 @@
 	// them not a byte of it arrived. Late counts requests whose connection was still open when the
 	// caller stopped reading.
 	Cut, Unanswered, Late int
+	// Owned has the figures of requests to a service whose places an owner grants, nil without one.
+	Owned *OwnedRuns
 	// Stalled is how long the machine didn't run this process.
 	Stalled time.Duration
 	Steps   []Step
@@ -37,10 +39,14 @@
 
 // String returns the result line of a run.
 func (r *Report) String() string {
-	return fmt.Sprintf(
+	line := fmt.Sprintf(
 		"soak: seed=%d requests=%d whole=%d refused=%d failed=%d early=%d cut=%d unanswered=%d late=%d stalled=%.1fs steps=%d findings=%d broken=%d",
 		r.Seed, r.Requests, r.Whole, r.Refused, r.Failed, r.Early, r.Cut, r.Unanswered, r.Late, r.Stalled.Seconds(),
 		len(r.Steps), len(r.Findings), len(r.Broken))
+	if r.Owned != nil {
+		line += fmt.Sprintf(" owned=%+v", *r.Owned)
+	}
+	return line
 }
 
 func (r *Report) broken(format string, args ...any) {
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -29,6 +29,8 @@
 	logs  string
 	front string
 	ready string
+	// peer is the address for other nodes, which identifies the node in the order of owners.
+	peer string
 	// store is the proxy between this node and the store, nil if the node has none.
 	store *Proxy
 
@@ -69,6 +71,7 @@
 		name: fmt.Sprint("node-", i), grace: grace * time.Second, store: proxy,
 		logs:  filepath.Join(dir, fmt.Sprint("node-", i, ".log")),
 		front: standin.FreeAddr(host, ip), ready: standin.FreeAddr(host, ip),
+		peer: net.JoinHostPort(ip, strconv.Itoa(port)),
 	}
 	settings := filepath.Join(dir, fmt.Sprint("node-", i, ".json"))
 	p.command = func() (*exec.Cmd, error) {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -34,6 +34,11 @@
 	// AnnounceLeave makes a target announce in its response headers that it leaves, while the
 	// store doesn't answer and the target's entry there still says "ready".
 	AnnounceLeave Kind = "leave"
+	// KillOwner, FreezeOwner and TermOwner are Kill, Freeze and Term of the node that owns the places
+	// of the plain service, or of the next one in its order for every third Variant.
+	KillOwner   Kind = "owner_kill"
+	FreezeOwner Kind = "owner_freeze"
+	TermOwner   Kind = "owner_term"
 	// Shed makes a target reject requests and ask to receive none for a while.
 	Shed Kind = "shed"
 )
@@ -59,6 +64,9 @@
 	// Announcing has targets announce in their responses that they leave or want no requests for
 	// a while, while nodes restart and the store is unavailable.
 	Announcing Profile = "announcing"
+	// Owners gives the plain service so few places that an owner grants them (package dispatch),
+	// and disrupts the owner, other nodes and the targets.
+	Owners Profile = "owners"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, ChangeTimeout}
@@ -75,6 +83,8 @@
 
 var announcing = []Kind{AnnounceLeave, AnnounceLeave, Shed, Shed, Shed, Term, Kill, KillAll, Freeze, Hup, CutStore, StoreBusy, StoreWatchStall, RestartTarget, Configure}
 
+var owners = []Kind{KillOwner, KillOwner, FreezeOwner, FreezeOwner, TermOwner, TermOwner, Term, Kill, KillAll, Freeze, Hup, CutTarget, StoreBusy, TargetFault, RestartTarget, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -87,13 +97,15 @@
 		return evacuating
 	case Announcing:
 		return announcing
+	case Owners:
+		return owners
 	default:
 		return mixed
 	}
 }
 
 func (p Profile) pause() time.Duration {
-	if p == Evacuating {
+	if p == Evacuating || p == Owners {
 		return longPause
 	}
 	return meanPause
@@ -122,8 +134,9 @@
 // so that the fleet can recover.
 const (
 	meanPause = 600 * time.Millisecond
-	// longPause is the mean pause of Evacuating. What is checked of an evacuated domain holds only
-	// some seconds after the last fault, so faults must be further apart.
+	// longPause is the mean pause of Evacuating and Owners. What is checked of an evacuated domain
+	// and of the places of a target holds only some seconds after the last fault, so faults must be
+	// further apart.
 	longPause  = 1500 * time.Millisecond
 	minFault   = 200 * time.Millisecond
 	maxFault   = 2500 * time.Millisecond
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -92,6 +92,7 @@
 	r.checker.finish()
 	r.checkDomains()
 	r.checkAnnouncements()
+	r.checkOwners()
 	if ended, limit := r.ends.count(); ended > limit {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, limit)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -54,6 +54,9 @@
 	"a target started again and asked for rest before its node knew of the start": {
 		Seed: 529, Profile: Announcing, Nodes: 4, Callers: 24, Length: seedLength,
 	},
+	"the owner of a service's places is killed, paused and stopped": {
+		Seed: 1, Profile: Owners, Nodes: 6, Callers: 60, Length: seedLength,
+	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -30,6 +30,9 @@
 	e := standin.NewEngine(r.host, id, service, zone, r.journal)
 	e.Pace, e.StallFor, e.Public = enginePace, stallTime, t.proxy.Addr()
 	e.OnEnd = func() { r.targetEnded(t, e) }
+	if r.Profile == Owners && service == standin.ServicePool {
+		e.Slots = ownedSlots
+	}
 	if r.domains.cold() {
 		e.ColdFor, e.ColdPerSecond = coldFor, coldBound
 	}
@@ -93,6 +96,12 @@
 		r.killAll()
 	case Freeze:
 		n.freeze(s.For)
+	case KillOwner:
+		r.must(r.owner(s).restart(syscall.SIGKILL))
+	case FreezeOwner:
+		r.owner(s).freeze(s.For)
+	case TermOwner:
+		r.must(r.owner(s).restart(syscall.SIGTERM))
 	case Hup:
 		n.signal(syscall.SIGHUP)
 	case CutStore, StoreBusy, StoreWatchStall:
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -69,6 +70,9 @@
 // DefaultEvents is the number of events of a stream unless the engine sets another.
 const DefaultEvents = 5
 
+// DefaultSlots is the number of slots of an engine unless it sets another.
+const DefaultSlots = 8
+
 // Run is one execution of a request, as recorded by the engine.
 type Run struct {
 	Engine, Service string
@@ -80,6 +84,8 @@
 	Path   string
 	Header http.Header
 	Body   string
+	// Ended is the time at which the run ended, zero if it has not.
+	Ended time.Time
 	// Canceled reports whether the caller's connection ended before the run did.
 	Canceled bool
 }
@@ -195,6 +201,12 @@
 	r.Canceled = true
 }
 
+func (j *Journal) markEnded(r *Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.Ended = time.Now()
+}
+
 // Engine is a stand-in for a model engine or for the server of a plain service.
 type Engine struct {
 	ID, Service, Zone string
@@ -203,6 +215,9 @@
 	Pace   time.Duration
 	// StallFor is the delay of the faults Stall and LateEnd.
 	StallFor time.Duration
+	// Slots is the number of requests that the engine runs at once according to its store entry and
+	// its answers, DefaultSlots if 0.
+	Slots int
 	// Public is the ip:port in the engine's store entry; if empty, the one it listens on.
 	Public string
 	// ColdFor is how long the engine is cold after its first start. A cold engine handles up
@@ -239,11 +254,13 @@
 	}
 	return map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1",
-		"slots": 8, "state": state, "cold_remaining_ms": e.coldRemaining().Milliseconds(), "sequence": 1,
+		"slots": e.slots(), "state": state, "cold_remaining_ms": e.coldRemaining().Milliseconds(), "sequence": 1,
 		"born": e.Born(),
 	}
 }
 
+func (e *Engine) slots() int { return cmp.Or(e.Slots, DefaultSlots) }
+
 // coldRemaining returns how much longer the engine is cold.
 func (e *Engine) coldRemaining() time.Duration {
 	return max(time.Until(time.UnixMilli(e.Born()).Add(e.ColdFor)), 0)
@@ -379,6 +396,7 @@
 		Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.recordRun(run, id)
+	defer e.journal.markEnded(run)
 	if run.Body == EndingBody {
 		e.sleep(r, run, headerTime(r, BeforeHeader, 0))
 		if e.OnEnd != nil {
@@ -397,7 +415,7 @@
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Engine-Signature", "sig-"+e.ID)
-	h.Set("Engine-Load", "1,0,8")
+	h.Set("Engine-Load", fmt.Sprintf("1,0,%d", e.slots()))
 	switch fault {
 	case FakeRefuse:
 		h.Del("Engine-Signature")
