--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -134,9 +134,8 @@
 // so that the fleet can recover.
 const (
 	meanPause = 600 * time.Millisecond
-	// longPause is the mean pause of Evacuating and Owners. What is checked of an evacuated domain
-	// and of the places of a target holds only some seconds after the last fault, so faults must be
-	// further apart.
+	// longPause is the mean pause of Evacuating and Owners. What is checked of evacuated domains and
+	// of granted places holds only some seconds after the last fault, so faults must be further apart.
 	longPause  = 1500 * time.Millisecond
 	minFault   = 200 * time.Millisecond
 	maxFault   = 2500 * time.Millisecond
