Log what tells a lost path from a target that is down

The line 'target unreachable' of a partitioned node couldn't be told from that of a node whose targets are down. It now names what the other nodes were answered by the target, how many of them can't reach it either, the age of these counts, and how many of the service's targets this node can't reach. Dials to targets go through a function that a node's platform may provide, so that a test can cut a node off. No decision changes.

--- a/node/router.go
+++ b/node/router.go
@@ -15,6 +15,7 @@
 	"github.com/knapweedgw/knapweedgw/replica"
 	"github.com/knapweedgw/knapweedgw/router"
 	"github.com/knapweedgw/knapweedgw/telemetry"
+	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
 // Platform contains the parts of a platform's adapter that a router node uses.
@@ -24,6 +25,8 @@
 	Dialect router.Dialect
 	// Seeds returns possible addresses of other nodes; some may be outdated.
 	Seeds func() []string
+	// DialTarget opens connections to targets; nil for the network.
+	DialTarget upstream.DialFunc
 }
 
 // routerLogLevel is the level of the log lines that explain failed requests.
@@ -65,7 +68,7 @@
 	cfg *config.RouterNode, p Platform, rep *replica.Replica, x *heartbeat.Exchange, places *dispatch.Service,
 	l *log.Logger, reg prometheus.Registerer,
 ) *router.Router {
-	return router.New(cfg, p.Dialect, rep, x, places, l, reg)
+	return router.New(cfg, p.Dialect, p.DialTarget, rep, x, places, l, reg)
 }
 
 func provideDispatch(
--- a/router/members.go
+++ b/router/members.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// unreachable returns the number of members that this node cannot reach.
+func (s *serviceMembers) unreachable() int {
+	n := 0
+	for m := range s.reportable {
+		if m.state.Unreachable() {
+			n++
+		}
+	}
+	return n
+}
+
 // sample moves n random members to the start of the list and returns them.
 func (s *serviceMembers) sample(n int, rng *rand.Rand) []*member {
 	for i := range n {
--- a/router/pool.go
+++ b/router/pool.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -74,6 +75,8 @@
 // and its state there.
 type member struct {
 	target *roster.Target
+	// dialTarget opens the connections.
+	dialTarget upstream.DialFunc
 	// connections are opened with the first request, since most nodes send nothing to most
 	// targets of a large fleet. The client is set once, by the method client.
 	connections atomic.Pointer[upstream.Client]
@@ -109,7 +112,10 @@
 	domain       string
 	log          *log.Logger
 	now          func() time.Time
-	dial         func(addr string) error
+	// dialTarget opens connections for requests, dial one that only shows whether a target can be
+	// reached.
+	dialTarget upstream.DialFunc
+	dial       func(addr string) error
 	// self identifies this node when the nodes' sending times to cold targets are derived.
 	self uint64
 	// regionOf maps each failure domain to its region.
@@ -144,9 +150,9 @@
 }
 
 func newPool(f Fleet, g *quarantine.Guard, domain string, l *log.Logger) *pool {
-	return &pool{
+	p := &pool{
 		fleet: f, guard: g, healthConfig: health.DefaultConfig(),
-		domain: domain, log: l, now: clock.Monotonic, dial: dialOnce,
+		domain: domain, log: l, now: clock.Monotonic, dialTarget: networkDial(),
 		members: make(map[string]*member), byRun: make(map[uint32]*member),
 		services: make(map[string]*serviceMembers), fullScanLimit: maxFullScan,
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -156,6 +162,13 @@
 		warmUpOf:  func(string) warmup.Limit { return warmup.Limit{} },
 		trafficOf: func(string) catalog.Traffic { return catalog.Traffic{} },
 	}
+	p.dial = p.dialOnce
+	return p
+}
+
+// networkDial returns the function that connects to targets over the network.
+func networkDial() upstream.DialFunc {
+	return upstream.NetworkDial(upstream.Config{DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout, KeepAlive: keepAlive})
 }
 
 // client returns the member's connections.
@@ -164,8 +177,7 @@
 		return c
 	}
 	m.connections.CompareAndSwap(nil, upstream.New(upstream.Config{
-		MaxIdle: idlePerTarget, IdleTimeout: idleTimeout,
-		DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout, KeepAlive: keepAlive,
+		Dial: m.dialTarget, MaxIdle: idlePerTarget, IdleTimeout: idleTimeout,
 	}))
 	return m.connections.Load()
 }
@@ -200,7 +212,7 @@
 		ok = false
 	}
 	if !ok {
-		m = &member{notices: p.notices.State(runOf(t))}
+		m = &member{notices: p.notices.State(runOf(t)), dialTarget: p.dialTarget}
 		p.members[t.ID] = m
 	}
 	reportable := p.leaveService(m)
@@ -330,8 +342,9 @@
 	p.log.Info("target reachable again", "target", m.target.ID)
 }
 
-func dialOnce(addr string) error {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+// dialOnce opens a connection to a target and closes it.
+func (p *pool) dialOnce(addr string) error {
+	conn, err := p.dialTarget(context.Background(), "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -344,11 +357,26 @@
 	defer p.mu.Unlock()
 	m.markReportable()
 	if m.state.Observe(p.healthConfig, o, p.now()) {
-		p.log.Warn("target unreachable", "target", m.target.ID)
+		p.logUnreachable(m)
 		m.closeIdle()
 	}
 }
 
+// logUnreachable logs that this node cannot reach a target, with what distinguishes a target that is
+// down from a node that lost its network path: what the other nodes report about the target, and how
+// many of its service's targets this node cannot reach. The caller must hold p.mu.
+func (p *pool) logUnreachable(m *member) {
+	var others heartbeat.Sum
+	p.fleet.Targets([]uint64{m.target.RunHash()}, func(_ int, s heartbeat.Sum) { others = s })
+	unreachable, targets := 0, 0
+	if m.service != nil {
+		unreachable, targets = m.service.unreachable(), len(m.service.list)
+	}
+	p.log.Warn("target unreachable", "target", m.target.ID, "others_answered", others.Counts.Answered,
+		"others_unreachable", others.Unreachable, "counts_age_ms", p.fleet.CountAge().Milliseconds(),
+		"unreachable", unreachable, "targets", targets)
+}
+
 // report records the load that a target reported in an answer.
 func (p *pool) report(m *member, running int) {
 	p.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/upstream"
 	"github.com/knapweedgw/knapweedgw/warmup"
 )
 
@@ -99,10 +100,11 @@
 	cancelRequests context.CancelCauseFunc
 }
 
-// New returns a router that will listen on the addresses of cfg.
+// New returns a router that will listen on the addresses of cfg. dial opens connections to targets;
+// nil for the network.
 func New(
-	cfg *config.RouterNode, d Dialect, b *replica.Replica, x *heartbeat.Exchange, places *dispatch.Service,
-	l *log.Logger, reg prometheus.Registerer,
+	cfg *config.RouterNode, d Dialect, dial upstream.DialFunc, b *replica.Replica, x *heartbeat.Exchange,
+	places *dispatch.Service, l *log.Logger, reg prometheus.Registerer,
 ) *Router {
 	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Monotonic, l, reg)
 	r := &Router{
@@ -112,6 +114,9 @@
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
 		replies: newReplyTimes(), deadlines: newLongestDeadlines(), dispatcher: places,
 	}
+	if dial != nil {
+		r.pool.dialTarget = dial
+	}
 	r.pool.regionOf = cfg.Regions
 	r.pool.self = routing.Hash(cfg.PeerListen)
 	r.pool.warmUpOf, r.pool.trafficOf = r.warmUpOf, r.trafficOf
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,8 +21,13 @@
 // ErrGateClosed is the cause of an error of Client.Do if its gate function forbade the request.
 var ErrGateClosed = errors.New("request may no longer be sent")
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Config configures the connections of a Client.
 type Config struct {
+	// Dial opens the connections; nil for the network with the options below.
+	Dial DialFunc
 	// NewConnPerRequest means that each request gets a new connection.
 	NewConnPerRequest bool
 	// MaxIdle is the maximum number of idle connections to one target, IdleTimeout how long
@@ -43,16 +48,25 @@
 // connections the transport never retries.
 type Client struct{ http *http.Client }
 
-// New returns a client.
-func New(c Config) *Client {
+// NetworkDial returns the function that opens connections over the network with the options of c.
+func NetworkDial(c Config) DialFunc {
 	d := &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: c.KeepAlive}
 	if c.UnackedTimeout > 0 {
 		d.Control = socket.UnackedTimeout(c.UnackedTimeout)
 	}
+	return d.DialContext
+}
+
+// New returns a client.
+func New(c Config) *Client {
+	dial := c.Dial
+	if dial == nil {
+		dial = NetworkDial(c)
+	}
 	return &Client{&http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				conn, err := d.DialContext(ctx, network, addr)
+				conn, err := dial(ctx, network, addr)
 				if err != nil {
 					return nil, err
 				}
