--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -67,8 +67,10 @@
 type Node struct {
 	Config *config.RouterNode
 	Logs   *Logs
-	kernel *kernel.Kernel
-	once   sync.Once
+	// Engines is the network between the node and all engines.
+	Engines *EnginePath
+	kernel  *kernel.Kernel
+	once    sync.Once
 }
 
 // Logs holds the log output of a node.
@@ -195,6 +197,8 @@
 	if s.WrapDialect != nil {
 		p.Dialect = s.WrapDialect(p.Dialect)
 	}
+	path := NewEnginePath()
+	p.DialTarget = path.Dial
 	k, err := node.NewRouter(cfg, p, logs, prometheus.NewRegistry())
 	if err != nil {
 		s.T.Fatal(err)
@@ -202,7 +206,7 @@
 	if err := k.Start(context.Background()); err != nil {
 		s.T.Fatal(err)
 	}
-	started := &Node{Config: cfg, Logs: logs, kernel: k}
+	started := &Node{Config: cfg, Logs: logs, Engines: path, kernel: k}
 	s.T.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
