Connect to targets through other nodes while the own path is lost

What callers saw: from 3 s after a cut, nodes that are partitioned from all targets served 0 of 537 first tries, the other nodes 872 of 882.

Cause: a node had no way to a target but its own network path, and took "I can't reach it" for "it is down": it dialled each target until each was marked unreachable, refused what came with reasons of an overload, told the others that targets are unreachable, and recorded innocent requests as having ended targets.

Package reachability decides over which path to connect. A direct attempt has a head start of 150 ms; after that, or when it fails, another node is asked (package tunnel). If another node reaches what this one doesn't, the path is lost; after three targets, with no direct connection since, the node is partitioned, and connects through others at once. Lost paths are tried every 250 ms, and used again when they have worked for 0.3 s, longer if they flap. Choice, retries, budget, quarantine and the truth of 'not run' stay where the request is. A target counts as terminated only if others accept this node's connections. A node's own answers outweigh reports of others, and a node that may be partitioned reports nothing as unreachable. A node without any path says no_path, not run, and to come back at once, since the next connection reaches another node.

--- a/config/router.go
+++ b/config/router.go
@@ -20,6 +20,9 @@
 	ReadyListen string
 	// PeerListen is the address for datagrams and connections of other nodes.
 	PeerListen string
+	// TunnelListen is the address at which the node opens connections to targets for other nodes; empty
+	// for none. All nodes use the same port.
+	TunnelListen string
 	// Seeds are PeerListen addresses of other nodes; some may be outdated.
 	Seeds []string
 	// MetricsListen is the address that serves metrics; empty for none.
@@ -52,6 +55,7 @@
 	check(isIPPort(c.Listen), "the callers' address is not ip:port: use an IP number of this VM")
 	check(isIPPort(c.ReadyListen), "the readiness address is not ip:port: use an IP number of this VM")
 	check(isIPPort(c.PeerListen), "the nodes' address is not ip:port: give the VM's IP number and a range of internal ports")
+	check(c.TunnelListen == "" || isIPPort(c.TunnelListen), "the address for tunnels is not ip:port: use an IP number of this VM")
 	check(isIPPort(c.StoreAddr), "the store's address is not ip:port: use the IP number of the platform's store")
 	check(c.MaxFileDescriptors >= 0, "the limit of descriptors is negative: use 0 for none")
 	check(c.ShutdownGrace > 0, "the grace time is not positive: give the time from SIGTERM to SIGKILL in seconds")
--- a/health/health.go
+++ b/health/health.go
@@ -188,10 +188,13 @@
 	return s.unreachable || now.Before(s.suspendedUntil)
 }
 
+// TrialDue reports whether Trial would return true.
+func (s *State) TrialDue(now time.Time) bool { return s.unreachable && !now.Before(s.nextTrial) }
+
 // Trial reports whether a trial connection to an unreachable target may be opened now. If so,
 // the next trial is allowed only after the pause.
 func (s *State) Trial(now time.Time) bool {
-	if !s.unreachable || now.Before(s.nextTrial) {
+	if !s.TrialDue(now) {
 		return false
 	}
 	s.nextTrial = now.Add(s.pause)
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -400,6 +400,19 @@
 	return e.machine.view.LiveAddresses(e.now(), e.machine.view.size())
 }
 
+// StayingAddresses returns the addresses of the other live nodes that haven't announced that they leave.
+func (e *Exchange) StayingAddresses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	e.machine.view.live(e.now(), func(node string, p *peer) {
+		if !p.report.Leaving {
+			out = append(out, node)
+		}
+	})
+	return out
+}
+
 // IsLive reports whether another node is live.
 func (e *Exchange) IsLive(node string) bool {
 	e.mu.Lock()
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -86,7 +86,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"node": p.name, "ip": ip, "zone": fmt.Sprint("zone-", i%3), "region": "region",
 		"listen":              map[string]string{"front": p.front, "ready": p.ready},
-		"internal_port_range": []int{port, port}, "seeds": seeds,
+		"internal_port_range": []int{port, port + 1}, "seeds": seeds,
 		"limits": map[string]int{"memory_mb": 284},
 		"bounds": map[string]float64{
 			"grace_s": grace, "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 54,
--- a/lab/standin/partition_test.go
+++ b/lab/standin/partition_test.go
@@ -1,12 +1,17 @@
 package standin_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/config"
 	. "github.com/knapweedgw/knapweedgw/lab/standin"
 )
 
@@ -92,3 +97,169 @@
 		})
 	}
 }
+
+// cut applies a fault to the paths of some nodes.
+func cut(nodes []*Node, f PathFault) {
+	for _, n := range nodes {
+		n.Engines.SetFault(f)
+	}
+}
+
+// Guards against innocent requests being quarantined by all nodes: a partition that resets open
+// connections and refuses new ones looked like the end of every target under its requests.
+func TestPartitionQuarantinesNothing(t *testing.T) {
+	s := start(t, 8)
+	for range 4 {
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				s.Nodes[i%len(s.Nodes)].Do(Request{Path: UnsafePath + "same", Body: "x", Header: http.Header{BeforeHeader: {"600"}}})
+			})
+		}
+		time.Sleep(300 * time.Millisecond) // the requests are in progress
+		cut(s.Nodes[:5], PathReset)
+		wg.Wait()
+		cut(s.Nodes, PathOpen)
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, n := range s.Nodes {
+		for _, line := range []string{"target ended under a request", "request quarantined"} {
+			if count := strings.Count(n.Logs.String(), line); count > 0 {
+				t.Errorf("%s: %d lines %q, though no target ended", n.Config.NodeID, count, line)
+			}
+		}
+	}
+}
+
+// Guards against refusals that name another cause, or delay callers, while targets stand ready behind
+// other nodes: a node without any path says so at once, and serves again when its path is back.
+func TestNodeWithoutAnyPathSaysSo(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	sendFirstTries(s, 0, 500*time.Millisecond)
+	cut(s.Nodes, PathReset)
+	sendFirstTries(s, 0, time.Second)
+	for i := range 20 {
+		begun := time.Now()
+		a := s.Nodes[i%2].Do(Request{Path: UnsafePath, Body: "x"})
+		is.NoErr(a.Err)
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(a.Body, `"error":"no_path"`))
+		is.True(strings.Contains(a.Body, `"ran":"no"`))
+		is.Equal(len(s.Journal.Runs(a.ID)), 0)
+		after, err := time.ParseDuration(a.Header.Get("Retry-After") + "s")
+		is.NoErr(err)
+		is.True(after <= 50*time.Millisecond)
+		is.True(time.Since(begun) < time.Second)
+	}
+	cut(s.Nodes, PathOpen)
+	s.Eventually("both nodes serve again", func() bool {
+		return s.Nodes[0].Do(Request{Path: UnsafePath, Body: "x"}).Status == http.StatusOK &&
+			s.Nodes[1].Do(Request{Path: UnsafePath, Body: "x"}).Status == http.StatusOK
+	})
+}
+
+// Guards against callers that are harmed by the end of the node that carries their connections: it is
+// stopped in order, killed, or cut off itself. What was sent isn't repeated unless it may be, what
+// wasn't goes through another node.
+func TestNodeThatCarriesConnectionsEnds(t *testing.T) {
+	for name, end := range map[string]func(*Node){
+		"stopped": func(n *Node) { go n.Stop(context.Background()) },
+		"killed": func(n *Node) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			n.Stop(ctx)
+		},
+		"cut off": func(n *Node) { n.Engines.SetFault(PathReset) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.New(t), start(t, 4)
+			cut(s.Nodes[:1], PathReset)
+			sendFirstTries(s, 1, contact)
+			var wg sync.WaitGroup
+			for k := range 100 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(k) * 20 * time.Millisecond)
+					path := []string{StreamPath, UnsafePath}[k%2]
+					a := s.Nodes[0].Do(Request{Path: path, Body: "x", Header: http.Header{BeforeHeader: {"100"}}})
+					runs := len(s.Journal.Runs(a.ID))
+					if runs > 1 || runs == 1 && a.Status == http.StatusServiceUnavailable {
+						t.Errorf("%s: %d runs, status %d", a.ID, runs, a.Status)
+					}
+					if a.Status == http.StatusOK && path == UnsafePath && a.Body != "whole answer to "+a.ID {
+						t.Errorf("%s: a success with body %q", a.ID, a.Body)
+					}
+				})
+			}
+			time.Sleep(500 * time.Millisecond)
+			end(s.Nodes[1])
+			time.Sleep(500 * time.Millisecond)
+			end(s.Nodes[2])
+			wg.Wait()
+			served := &firstTries{}
+			for range 20 {
+				served.add(s.Nodes[0].Do(Request{Path: UnsafePath, Body: "x"}))
+			}
+			t.Log("failures after the ends:", served.failures)
+			is.Equal(served.served, served.sent)
+		})
+	}
+}
+
+// Guards against a target that works on for a caller that has left, if another node carries the
+// connection.
+func TestCallerLeavesARequestThatAnotherNodeCarries(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	cut(s.Nodes[:1], PathReset)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	id := NewID()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Nodes[0].DoContext(ctx, Request{ID: id, Path: StreamPath, Body: "x", Header: http.Header{BeforeHeader: {"2500"}}})
+	}()
+	s.Eventually("the request runs", func() bool { return len(s.Journal.Runs(id)) == 1 })
+	cancel()
+	left := time.Now()
+	<-done
+	s.Eventually("its run is canceled", func() bool { return s.Journal.Runs(id)[0].Canceled })
+	is.True(time.Since(left) < 500*time.Millisecond)
+}
+
+// Guards against a partitioned node that depends on nodes of an earlier release, which carry no
+// connections.
+func TestPartitionedNodeAmongNodesThatCarryNothing(t *testing.T) {
+	s := NewSite(t)
+	s.AdjustConfig = func(cfg *config.RouterNode) {
+		if cfg.NodeID != "node-0" && cfg.NodeID != "node-4" {
+			cfg.TunnelListen = ""
+		}
+	}
+	s.Start(5)
+	cut(s.Nodes[:1], PathHang)
+	sendFirstTries(s, 1, contact)
+	partitioned, _ := sendFirstTries(s, 1, observed)
+	if partitioned.share() < leastShare {
+		t.Errorf("served %d of %d: %v", partitioned.served, partitioned.sent, partitioned.failures)
+	}
+}
+
+// Guards against a node that goes on using other nodes, and prices their links and processors, when its
+// own path is back.
+func TestRestoredPathIsUsedAgain(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	cut(s.Nodes[:1], PathReset)
+	sendFirstTries(s, 1, time.Second)
+	before := s.Nodes[0].Engines.Dials()
+	cut(s.Nodes, PathOpen)
+	s.Eventually("the path is restored", func() bool {
+		s.Nodes[0].Do(Request{Path: UnsafePath, Body: "x"})
+		return strings.Contains(s.Nodes[0].Logs.String(), "paths to targets restored")
+	})
+	helper := s.Nodes[1].Engines.Dials()
+	for range 50 {
+		is.Equal(s.Nodes[0].Do(Request{Path: UnsafePath, Body: "x"}).Status, http.StatusOK)
+	}
+	is.True(s.Nodes[0].Engines.Dials() > before)
+	is.Equal(s.Nodes[1].Engines.Dials(), helper)
+}
--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -61,6 +61,8 @@
 	// peerPort is the port on which nodes listen for each other, the same on all nodes as on
 	// the platform. Sites of test processes that run concurrently use different ports.
 	peerPort int
+	// tunnelPort is the port on which nodes open connections to engines for each other.
+	tunnelPort int
 }
 
 // Node is a router node of the site.
@@ -162,7 +164,7 @@
 
 // Start starts n nodes and waits until they are ready. Node i has the IP 127.0.0.(i+2).
 func (s *Site) Start(n int) {
-	s.peerPort = freePort(s.T, n)
+	s.peerPort, s.tunnelPort = freePort(s.T, n), freePort(s.T, n)
 	for i := range n {
 		s.Nodes = append(s.Nodes, s.startNode(i, n))
 	}
@@ -183,7 +185,8 @@
 	cfg := &config.RouterNode{
 		NodeID: fmt.Sprint("node-", i), Region: "region", FailureDomain: fmt.Sprint("zone-", i%3),
 		Listen: FreeAddr(s.T, ip), ReadyListen: FreeAddr(s.T, ip), PeerListen: peers[i], Seeds: peers,
-		StoreAddr: s.Store.Addr(), ShutdownGrace: Grace, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 50,
+		TunnelListen: net.JoinHostPort(ip, strconv.Itoa(s.tunnelPort)),
+		StoreAddr:    s.Store.Addr(), ShutdownGrace: Grace, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 50,
 	}
 	if s.AdjustConfig != nil {
 		s.AdjustConfig(cfg)
--- a/node/router.go
+++ b/node/router.go
@@ -7,14 +7,17 @@
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/peer"
+	"github.com/knapweedgw/knapweedgw/reachability"
 	"github.com/knapweedgw/knapweedgw/replica"
 	"github.com/knapweedgw/knapweedgw/router"
 	"github.com/knapweedgw/knapweedgw/telemetry"
+	"github.com/knapweedgw/knapweedgw/tunnel"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
@@ -64,11 +67,58 @@
 	return replica.New(p.Store, p.Schema, x, hub, l, reg)
 }
 
+// targetDial opens connections to targets over this node's own network path.
+type targetDial upstream.DialFunc
+
+func provideTargetDial(p Platform) targetDial {
+	if p.DialTarget != nil {
+		return targetDial(p.DialTarget)
+	}
+	return targetDial(router.NetworkDial())
+}
+
+func provideDialer(
+	cfg *config.RouterNode, dial targetDial, x *heartbeat.Exchange, l *log.Logger, reg prometheus.Registerer,
+) *reachability.Dialer {
+	c := reachability.DialerConfig{
+		Self: cfg.TunnelListen, Domain: cfg.FailureDomain, Direct: upstream.DialFunc(dial), Now: clock.Monotonic,
+	}
+	if cfg.TunnelListen != "" {
+		c.Nodes = func() []string { return reachability.TunnelAddresses(x.StayingAddresses(), cfg.TunnelListen) }
+	}
+	return reachability.NewDialer(c, l, reg)
+}
+
+// Limits of the connections that a node carries for others: a share of its file descriptors, of which
+// each takes two, and their memory, about 30 kB each.
+const (
+	tunnelFileShare = 0.2
+	maxTunnels      = 512
+)
+
+func provideTunnelServer(
+	cfg *config.RouterNode, dial targetDial, l *log.Logger, reg prometheus.Registerer,
+) *tunnel.Server {
+	limit := maxTunnels
+	if cfg.MaxFileDescriptors > 0 {
+		limit = min(limit, int(tunnelFileShare*float64(cfg.MaxFileDescriptors)/2))
+	}
+	return tunnel.NewServer(tunnel.ServerConfig{
+		Listen: cfg.TunnelListen, Node: cfg.NodeID, Domain: cfg.FailureDomain, MaxTunnels: limit,
+		Grace: cfg.ShutdownGrace - tunnelStopMargin, Dial: upstream.DialFunc(dial),
+	}, l, reg)
+}
+
+// tunnelStopMargin is left between the end of the last tunnel and SIGKILL.
+const tunnelStopMargin = 400 * time.Millisecond
+
 func provideRouter(
-	cfg *config.RouterNode, p Platform, rep *replica.Replica, x *heartbeat.Exchange, places *dispatch.Service,
-	l *log.Logger, reg prometheus.Registerer,
+	cfg *config.RouterNode, p Platform, dialer *reachability.Dialer, tunnels *tunnel.Server, rep *replica.Replica,
+	x *heartbeat.Exchange, places *dispatch.Service, l *log.Logger, reg prometheus.Registerer,
 ) *router.Router {
-	return router.New(cfg, p.Dialect, p.DialTarget, rep, x, places, l, reg)
+	r := router.New(cfg, p.Dialect, dialer, rep, x, places, l, reg)
+	tunnels.SetDirectory(r)
+	return r
 }
 
 func provideDispatch(
@@ -85,7 +135,7 @@
 // last, so that it starts to listen after all other services and stops before them.
 func provideRouterKernel(
 	tel telemetry.Service, srv *telemetry.Server, hub *peer.Hub, x *heartbeat.Exchange,
-	rep *replica.Replica, places *dispatch.Service, r *router.Router,
+	rep *replica.Replica, places *dispatch.Service, dialer *reachability.Dialer, tunnels *tunnel.Server, r *router.Router,
 ) (*kernel.Kernel, error) {
-	return kernel.New(tel, srv, hub, x, rep, places, r)
+	return kernel.New(tel, srv, hub, x, rep, places, dialer, tunnels, r)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -47,6 +47,9 @@
 	provideExchange,
 	provideReplica,
 	provideDispatch,
+	provideTargetDial,
+	provideDialer,
+	provideTunnelServer,
 	provideRouter,
 	provideRouterKernel,
 )
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -34,8 +34,11 @@
 	exchange := provideExchange(cfg, p, logger, registerer)
 	replica := provideReplica(p, exchange, hub, logger, registerer)
 	dispatchService := provideDispatch(cfg, exchange, hub, logger, registerer)
-	router := provideRouter(cfg, p, replica, exchange, dispatchService, logger, registerer)
-	kernelKernel, err := provideRouterKernel(service, server, hub, exchange, replica, dispatchService, router)
+	nodeTargetDial := provideTargetDial(p)
+	dialer := provideDialer(cfg, nodeTargetDial, exchange, logger, registerer)
+	tunnelServer := provideTunnelServer(cfg, nodeTargetDial, logger, registerer)
+	router := provideRouter(cfg, p, dialer, tunnelServer, replica, exchange, dispatchService, logger, registerer)
+	kernelKernel, err := provideRouterKernel(service, server, hub, exchange, replica, dispatchService, dialer, tunnelServer, router)
 	if err != nil {
 		return nil, err
 	}
@@ -92,6 +95,9 @@
 	provideExchange,
 	provideReplica,
 	provideDispatch,
+	provideTargetDial,
+	provideDialer,
+	provideTunnelServer,
 	provideRouter,
 	provideRouterKernel,
 )
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -41,6 +41,7 @@
 	NotFound             Reason = "not_found"
 	NoSettings           Reason = "no_settings"
 	NoTarget             Reason = "no_target"
+	NoPath               Reason = "no_path"
 	Saturated            Reason = "saturated"
 	WorkspaceLimit       Reason = "workspace_limit"
 	DeadlineExceeded     Reason = "deadline_exceeded"
@@ -83,6 +84,7 @@
 	NotFound:             {http.StatusNotFound, "There is no such resource", "See the README for the paths served."},
 	NoSettings:           {http.StatusServiceUnavailable, "This node has no settings yet", "Send the request again after Retry-After."},
 	NoTarget:             {http.StatusServiceUnavailable, "No live target serves this pool", "Send the request again after Retry-After; operators: check the VM list."},
+	NoPath:               {http.StatusServiceUnavailable, "This node has lost its network path to the targets", "Send the request again on a new connection; operators: check the node's network."},
 	Saturated:            {http.StatusServiceUnavailable, "Every target of this pool is full", "Send the request again after Retry-After."},
 	WorkspaceLimit:       {http.StatusTooManyRequests, "Your workspace uses its whole share", "Send the request again after Retry-After, or ask for a larger weight."},
 	DeadlineExceeded:     {http.StatusGatewayTimeout, "The deadline passed", "Send the request again with a later deadline."},
--- a/router/ends.go
+++ b/router/ends.go
@@ -15,7 +15,8 @@
 // or the target has terminated. The node distinguishes the two by opening another connection: a
 // terminated target refuses it; a live target, or a proxy in front of it that keeps listening,
 // accepts it. If the connection is neither refused nor accepted, a later refusal or a restart
-// of the target shows that it terminated.
+// of the target shows that it terminated. A refusal counts only if other targets accept this node's
+// connections: a node that is partitioned from all targets may be refused by all of them.
 
 const (
 	// suspectTTL is how long a request whose connection was closed remains a suspect without
@@ -42,34 +43,47 @@
 		s.Closed = now
 		m.suspects = append(m.suspects, s)
 	}
+	p.startProbe(m)
+	return m.probe
+}
+
+// startProbe starts a probe of a target unless one is in progress. The caller must hold p.mu.
+func (p *pool) startProbe(m *member) {
 	if m.probe == nil {
 		m.probe = make(chan struct{})
 		go p.probeTarget(m, m.target.Addr)
 	}
-	return m.probe
 }
 
 // probeTarget finds out whether a target accepts connections.
 func (p *pool) probeTarget(m *member, addr string) {
 	err := p.dial(addr)
-	if upstream.IsRefused(err) {
-		p.connectionRefused(m)
+	refused := upstream.IsRefused(err)
+	if refused {
+		p.observe(m, health.Unreachable)
 	}
+	terminated := refused && p.pathWorks(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		m.suspects = nil // the target is alive, so the answers were lost
+	case terminated:
+		p.reportSuspects(m)
 	}
 	close(m.probe)
 	m.probe = nil
 }
 
-// connectionRefused handles a target that refuses connections: it has terminated.
+// connectionRefused handles a target that refuses connections. It has terminated, unless this node has
+// lost its path to all targets.
 func (p *pool) connectionRefused(m *member) {
 	p.observe(m, health.Unreachable)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reportSuspects(m)
+	if len(m.suspects) > 0 {
+		p.startProbe(m)
+	}
 }
 
 // reportSuspects reports to the quarantine guard the requests that were running when a target
--- a/router/ends_test.go
+++ b/router/ends_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/roster"
 )
@@ -53,6 +54,39 @@
 	}
 }
 
+// Guards against a node that lost its network path taking every target that refuses its connections for
+// a terminated one, so that innocent requests are quarantined: other targets have to accept connections.
+func TestRefusalByAllTargetsIsNoTermination(t *testing.T) {
+	for name, tt := range map[string]struct {
+		others error
+		want   int
+	}{
+		"others refuse too":  {errDialRefused, 0},
+		"others don't reply": {errDialTimeout, 0},
+		"others accept":      {nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPool(
+				roster.Target{ID: "a", Addr: "a:1", Service: service, Slots: 8},
+				roster.Target{ID: "b", Addr: "b:1", Service: service, Slots: 8},
+				roster.Target{ID: "c", Addr: "c:1", Service: "other", Slots: 8},
+			)
+			for _, m := range p.members {
+				p.observe(m, health.Answered)
+			}
+			p.dial = func(addr string) error {
+				if addr == "a:1" {
+					return errDialRefused
+				}
+				return tt.others
+			}
+			s := closedRequest(p, 1)
+			<-p.connectionClosed(p.members["a"], s)
+			is.New(t).Equal(strikes(p, s), tt.want)
+		})
+	}
+}
+
 // If the probe gets no reply, a restart of the target soon after shows that it had terminated.
 // A target that accepted a connection since the failure has not terminated: a proxy in front of
 // it may keep listening while it is down, and then every connection to it is closed.
--- a/router/evaluate.go
+++ b/router/evaluate.go
@@ -97,7 +97,7 @@
 			Own:               m.running,
 			SelectedByRequest: m.biased,
 			Unranked:          m.unranked,
-			Suspended:         m.state.Suspended(now) || sums[i].Unreachable >= unreachableQuorum,
+			Suspended:         m.state.Suspended(now) || m.suspendedByReports(sums[i], now),
 			Unreachable:       m.state.Unreachable(),
 			Excluded:          crit.excludes(m.target.ID),
 			Leaving:           m.notices.Leaving(),
@@ -167,7 +167,7 @@
 		if !m.state.Unreachable() || m.notices.InCooldown(now) || m.target.Evacuated || m.notices.Leaving() {
 			continue
 		}
-		if m.state.Trial(now) {
+		if m.state.TrialDue(now) && p.paths.TakeProbe(partitionProbeInterval) && m.state.Trial(now) {
 			go p.trial(m, m.target.Addr)
 		}
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -242,8 +242,10 @@
 		f.local, f.reason = true, problem.Saturated
 	case upstream.IsRefused(err):
 		x.router.pool.connectionRefused(a.member)
-	case upstream.IsDial(err) || isTimeout(err):
+	case upstream.IsDial(err):
 		x.router.pool.observe(a.member, health.Unreachable)
+	case isTimeout(err):
+		x.router.pool.connectionTimedOut(a.member)
 	case p == retry.NotSent:
 		f.stale = true
 	default:
--- /dev/null
+++ b/router/paths_test.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/health"
+	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/reachability"
+	"github.com/knapweedgw/knapweedgw/roster"
+)
+
+// pathState is the state of a node's paths that a test sets.
+type pathState struct{ partitioned bool }
+
+func (s *pathState) MayBePartitioned() bool        { return s.partitioned }
+func (*pathState) TakeProbe(time.Duration) bool    { return true }
+func (s *pathState) ProbeDirect(addr string) error { return nil }
+
+// targetsAt returns n targets of the service, each at an address of its own.
+func targetsAt(n int) []roster.Target {
+	out := make([]roster.Target, n)
+	for i := range out {
+		out[i] = roster.Target{ID: fmt.Sprint("t", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Service: service, Slots: 8, Hash: uint64(i)}
+	}
+	return out
+}
+
+// Guards against nodes that are cut off from half of a service's targets making all other nodes suspend
+// these: what a node was just answered by a target itself weighs more than any number of reports.
+func TestReportsOfPartitionedNodesDoNotSuspendAnsweringTargets(t *testing.T) {
+	for _, nodes := range []int{8, 31, 295} {
+		is := is.New(t)
+		p := newTestPool(targetsAt(6)...)
+		for i := range nodes / 2 {
+			var reports []heartbeat.TargetReport
+			for _, id := range []string{"t0", "t1", "t2"} {
+				reports = append(reports, heartbeat.TargetReport{Target: uint32(p.members[id].target.RunHash()), Unreachable: true})
+			}
+			p.fleet.view.Receive(heartbeat.Report{Node: fmt.Sprint("cut-", i), Sequence: 1, Targets: reports}, p.clock)
+		}
+		usable := func() int { return len(p.evaluateAll(criteria{service: service}, p.clock).Eligible()) }
+		is.Equal(usable(), 3) // this node has not been answered by them
+		for _, m := range p.members {
+			p.observe(m, health.Answered)
+		}
+		is.Equal(usable(), 6)
+		p.clock = p.clock.Add(answeredTTL)
+		is.Equal(usable(), 3)
+	}
+}
+
+// Guards against a node that lost its own path telling the others that targets can't be reached.
+func TestPartitionedNodeReportsNoTargetAsUnreachable(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(targetsAt(3)...)
+	paths := &pathState{}
+	p.paths = paths
+	p.observe(p.members["t1"], health.Unreachable)
+	unreachable := func() int {
+		var r heartbeat.Report
+		p.fillReport(&r, p.clock)
+		n := 0
+		for _, t := range r.Targets {
+			if t.Unreachable {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(unreachable(), 1)
+	paths.partitioned = true
+	is.Equal(unreachable(), 0)
+}
+
+// Guards against targets that stay unused after a partition has been recognized, until a trial of each.
+func TestRecognizedPartitionClearsTargets(t *testing.T) {
+	for _, c := range []reachability.Change{reachability.Partitioned, reachability.Rejoined} {
+		is := is.New(t)
+		p := newTestPool(targetsAt(3)...)
+		for _, m := range p.members {
+			p.observe(m, health.Unreachable)
+		}
+		p.pathChanged(reachability.PathRestored, "10.0.0.1:80", false)
+		is.True(p.members["t1"].state.Unreachable())
+		p.pathChanged(c, "10.0.0.1:80", true)
+		for _, m := range p.members {
+			is.True(!m.state.Unreachable())
+		}
+	}
+}
+
+// A service is out of reach only if the node's path is lost and no target can be reached otherwise.
+func TestServiceIsOutOfReach(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(targetsAt(2)...)
+	paths := &pathState{}
+	p.paths = paths
+	is.True(!p.outOfReach(service))
+	for _, m := range p.members {
+		p.observe(m, health.Unreachable)
+	}
+	is.True(!p.outOfReach(service)) // the targets are down
+	paths.partitioned = true
+	is.True(p.outOfReach(service))
+	p.observe(p.members["t0"], health.Answered) // through another node
+	is.True(!p.outOfReach(service))
+}
+
+// The addresses that the node connects to for others are those of its targets.
+func TestKnownAddressesFollowTheTargets(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(targetsAt(2)...)
+	is.True(p.knowsAddress("10.0.0.1:80"))
+	is.True(!p.knowsAddress("10.0.0.9:80"))
+	moved := targetsAt(2)[1]
+	moved.Addr = "10.0.0.9:80"
+	p.put(moved)
+	is.True(!p.knowsAddress("10.0.0.1:80"))
+	is.True(p.knowsAddress("10.0.0.9:80"))
+	p.registry.Reset(nil, p.clock)
+	p.registry.Expire(p.clock.Add(time.Hour))
+	p.update(p.registry.TakeChanges())
+	is.Equal(len(p.addresses), 0)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -90,6 +90,11 @@
 	index      int
 	running    int
 	state      health.State
+	// answeredAt is when the target last answered this node. trials counts the trials since it became
+	// unreachable; checking means that a connection is being opened to see whether it is.
+	answeredAt time.Time
+	trials     int
+	checking   bool
 	// reported is the load that the target itself reported at reportedAt.
 	reported   int
 	reportedAt time.Time
@@ -116,6 +121,7 @@
 	// reached.
 	dialTarget upstream.DialFunc
 	dial       func(addr string) error
+	paths      Paths
 	// self identifies this node when the nodes' sending times to cold targets are derived.
 	self uint64
 	// regionOf maps each failure domain to its region.
@@ -126,6 +132,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// addresses counts the members with each address.
+	addresses map[string]int
 	// byRun maps the hash of a run to its member.
 	byRun      map[uint32]*member
 	services   map[string]*serviceMembers
@@ -152,8 +160,8 @@
 func newPool(f Fleet, g *quarantine.Guard, domain string, l *log.Logger) *pool {
 	p := &pool{
 		fleet: f, guard: g, healthConfig: health.DefaultConfig(),
-		domain: domain, log: l, now: clock.Monotonic, dialTarget: networkDial(),
-		members: make(map[string]*member), byRun: make(map[uint32]*member),
+		domain: domain, log: l, now: clock.Monotonic, dialTarget: NetworkDial(),
+		members: make(map[string]*member), addresses: make(map[string]int), byRun: make(map[uint32]*member),
 		services: make(map[string]*serviceMembers), fullScanLimit: maxFullScan,
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		parts: affinity.NewTable(affinity.DefaultConfig()),
@@ -163,11 +171,12 @@
 		trafficOf: func(string) catalog.Traffic { return catalog.Traffic{} },
 	}
 	p.dial = p.dialOnce
+	p.paths = ownPath{func(addr string) error { return p.dial(addr) }}
 	return p
 }
 
-// networkDial returns the function that connects to targets over the network.
-func networkDial() upstream.DialFunc {
+// NetworkDial returns the function that connects to targets over this node's own network path.
+func NetworkDial() upstream.DialFunc {
 	return upstream.NetworkDial(upstream.Config{DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout, KeepAlive: keepAlive})
 }
 
@@ -216,6 +225,10 @@
 		p.members[t.ID] = m
 	}
 	reportable := p.leaveService(m)
+	if ok {
+		p.countAddress(m.target.Addr, -1)
+	}
+	p.countAddress(t.Addr, 1)
 	m.target = t
 	p.byRun[uint32(t.RunHash())] = m
 	if t.Withdrawn {
@@ -240,6 +253,7 @@
 func (p *pool) end(m *member) {
 	p.reportSuspects(m)
 	p.leaveService(m)
+	p.countAddress(m.target.Addr, -1)
 	if run := uint32(m.target.RunHash()); p.byRun[run] == m {
 		delete(p.byRun, run)
 	}
@@ -327,7 +341,17 @@
 
 // trial checks whether an unreachable target accepts connections again.
 func (p *pool) trial(m *member, addr string) {
-	err := p.dial(addr)
+	p.mu.Lock()
+	dial := p.paths.ProbeDirect
+	if m.trials%(directTrials+1) == 0 {
+		dial = p.dial
+	}
+	m.trials++
+	p.mu.Unlock()
+	if p.paths.MayBePartitioned() {
+		dial = p.dial
+	}
+	err := dial(addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if upstream.IsLocal(err) {
@@ -338,6 +362,7 @@
 		m.state.Observe(p.healthConfig, health.Unreachable, p.now())
 		return
 	}
+	m.trials = 0
 	m.state.RecordReachable()
 	p.log.Info("target reachable again", "target", m.target.ID)
 }
@@ -356,6 +381,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.markReportable()
+	if o == health.Answered {
+		m.answeredAt = p.now()
+	}
 	if m.state.Observe(p.healthConfig, o, p.now()) {
 		p.logUnreachable(m)
 		m.closeIdle()
@@ -390,7 +418,10 @@
 // fillReport adds the requests in progress and the outcomes at each target, and the sums of
 // each service. Targets without requests in progress and without failures are omitted: they are
 // the majority, and their outcomes are included in the sums.
+//
+// A node that may be partitioned reports no target as unreachable, since the others would suspend it.
 func (p *pool) fillReport(r *heartbeat.Report, now time.Time) {
+	partitioned := p.paths.MayBePartitioned()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.Uses = p.pendingUses(now)
@@ -401,7 +432,8 @@
 			r.Targets = append(r.Targets, cold...)
 			c := m.state.Counts(p.healthConfig, now)
 			sum = sum.Plus(c)
-			if m.running == 0 && c.Failed == 0 && !m.state.Unreachable() {
+			unreachable := m.state.Unreachable() && !partitioned
+			if m.running == 0 && c.Failed == 0 && !unreachable {
 				if c == (health.Counts{}) && len(cold) == 0 {
 					delete(s.reportable, m)
 				}
@@ -409,7 +441,7 @@
 			}
 			r.Targets = append(r.Targets, heartbeat.TargetReport{
 				Target: uint32(m.target.RunHash()), Running: uint16(m.running),
-				Answered: uint16(c.Answered), Failed: uint16(c.Failed), Unreachable: m.state.Unreachable(),
+				Answered: uint16(c.Answered), Failed: uint16(c.Failed), Unreachable: unreachable,
 			})
 		}
 		if sum != (health.Counts{}) {
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -17,6 +17,13 @@
 // target that accepts requests again would get all of the retries at once.
 const cooldownJitter = 250 * time.Millisecond
 
+// noPathRetryAfter is the Retry-After for callers whose next node can serve them at once; up to
+// noPathJitter is added.
+const (
+	noPathRetryAfter = 10 * time.Millisecond
+	noPathJitter     = 40 * time.Millisecond
+)
+
 var (
 	errNoTarget    = errors.New("no target of the service is left")
 	errEvacuated   = errors.New("the targets of the service that are left are in evacuated failure domains")
@@ -92,6 +99,9 @@
 	case ran != problem.NotRun && reason != problem.DeadlineExceeded:
 		reason = problem.TargetFailed
 	}
+	if ran == problem.NotRun && x.lacksPath(reason) {
+		return problem.New(problem.NoPath, ran, cause.Error()).WithRetryAfter(noPathRetryAfter + rand.N(noPathJitter))
+	}
 	p := problem.New(reason, ran, cause.Error())
 	if ran == problem.NotRun {
 		p.WithRetryAfter(x.retryAfter(f))
@@ -99,6 +109,16 @@
 	return p
 }
 
+// lacksPath reports whether the cause of a refusal for another reason is that this node has no path to
+// the service's targets.
+func (x *exchange) lacksPath(reason problem.Reason) bool {
+	switch reason {
+	case problem.NoTarget, problem.TargetRefused, problem.Saturated, problem.WorkspaceLimit, problem.RetryBudgetExhausted:
+		return x.router.pool.outOfReach(x.service)
+	}
+	return false
+}
+
 func (x *exchange) retryAfter(f *failure) time.Duration {
 	if f.retryAfter > 0 {
 		return f.retryAfter
--- a/router/relay.go
+++ b/router/relay.go
@@ -226,7 +226,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case isTimeout(err):
-		x.router.pool.observe(a.member, health.Unreachable)
+		x.router.pool.connectionTimedOut(a.member)
 	default:
 		x.router.pool.observe(a.member, health.Failed)
 		x.closedByTarget(a, f)
--- a/router/router.go
+++ b/router/router.go
@@ -19,11 +19,11 @@
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/reachability"
 	"github.com/knapweedgw/knapweedgw/replica"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
-	"github.com/knapweedgw/knapweedgw/upstream"
 	"github.com/knapweedgw/knapweedgw/warmup"
 )
 
@@ -100,10 +100,9 @@
 	cancelRequests context.CancelCauseFunc
 }
 
-// New returns a router that will listen on the addresses of cfg. dial opens connections to targets;
-// nil for the network.
+// New returns a router that will listen on the addresses of cfg and connect to targets by dialer.
 func New(
-	cfg *config.RouterNode, d Dialect, dial upstream.DialFunc, b *replica.Replica, x *heartbeat.Exchange,
+	cfg *config.RouterNode, d Dialect, dialer *reachability.Dialer, b *replica.Replica, x *heartbeat.Exchange,
 	places *dispatch.Service, l *log.Logger, reg prometheus.Registerer,
 ) *Router {
 	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Monotonic, l, reg)
@@ -114,9 +113,7 @@
 		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
 		replies: newReplyTimes(), deadlines: newLongestDeadlines(), dispatcher: places,
 	}
-	if dial != nil {
-		r.pool.dialTarget = dial
-	}
+	r.pool.usePaths(dialer)
 	r.pool.regionOf = cfg.Regions
 	r.pool.self = routing.Hash(cfg.PeerListen)
 	r.pool.warmUpOf, r.pool.trafficOf = r.warmUpOf, r.trafficOf
@@ -128,6 +125,7 @@
 	x.OnReport(r.pool.receiveReport)
 	x.OnReport(func(rep heartbeat.Report) { b.HandlePeerVersions(rep.Catalog, rep.Revision) })
 	x.OnReport(func(rep heartbeat.Report) { guard.MergeRecords(rep.Node, rep.Requests) })
+	x.OnReport(r.retireTunnels)
 	guard.OnLocalChange(func() { go x.Announce() })
 	guard.OnQuarantined(r.requestNote)
 	return r
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -46,7 +46,13 @@
 // method or have an Idempotency-Key. A request that must not be repeated therefore needs a body
 // of unknown content (see NonReplayableBody) or a client with NewConnPerRequest, on whose new
 // connections the transport never retries.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+
+	mu sync.Mutex
+	// tunnels are the open connections that another node carries.
+	tunnels map[*sendConn]struct{}
+}
 
 // NetworkDial returns the function that opens connections over the network with the options of c.
 func NetworkDial(c Config) DialFunc {
@@ -63,14 +69,15 @@
 	if dial == nil {
 		dial = NetworkDial(c)
 	}
-	return &Client{&http.Client{
+	client := &Client{tunnels: make(map[*sendConn]struct{})}
+	client.http = &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := dial(ctx, network, addr)
 				if err != nil {
 					return nil, err
 				}
-				return &sendConn{Conn: conn}, nil
+				return client.track(conn), nil
 			},
 			MaxIdleConnsPerHost: c.MaxIdle,
 			IdleConnTimeout:     c.IdleTimeout,
@@ -79,7 +86,44 @@
 		},
 		// Redirects are not followed: they are answers of the target like any other.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return client
+}
+
+// tunneled is implemented by connections that another node carries, at the returned ip:port.
+type tunneled interface{ Via() string }
+
+// track wraps a new connection.
+func (c *Client) track(conn net.Conn) *sendConn {
+	out := &sendConn{Conn: conn}
+	if t, ok := conn.(tunneled); ok {
+		out.via = t.Via()
+		out.onClose = func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			delete(c.tunnels, out)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tunnels[out] = struct{}{}
+	}
+	return out
+}
+
+// RetireTunnels closes the connections that the node at via carries, or those of all nodes if via is
+// empty, as soon as no request uses them. Requests in progress are not affected.
+func (c *Client) RetireTunnels(via string) {
+	c.mu.Lock()
+	retired := make([]*sendConn, 0, len(c.tunnels))
+	for conn := range c.tunnels {
+		if via == "" || conn.via == via {
+			retired = append(retired, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range retired {
+		conn.retire()
+	}
 }
 
 // CloseIdle closes the connections that are not in use.
@@ -119,16 +163,26 @@
 func (c *Client) Do(req *http.Request, gate func() bool) (*http.Response, retry.Progress, error) {
 	var mu sync.Mutex
 	var conns []*sendConn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, ok := info.Conn.(*sendConn)
-		if !ok {
-			return
-		}
-		conn.begin(gate)
-		mu.Lock()
-		conns = append(conns, conn)
-		mu.Unlock()
-	}}
+	var ended func()
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn, ok := info.Conn.(*sendConn)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ended = conn.begin(gate)
+			conns = append(conns, conn)
+		},
+		PutIdleConn: func(error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if ended != nil {
+				ended()
+			}
+		},
+	}
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		return resp, retry.Sent, nil
@@ -148,18 +202,57 @@
 // the network.
 type sendConn struct {
 	net.Conn
+	// via is the node that carries the connection, empty for a direct one; onClose may be nil.
+	via     string
+	onClose func()
 
 	mu     sync.Mutex
 	gate   func() bool
 	wrote  bool
 	sealed bool
+	// request counts the requests on the connection. inUse is set while one uses it, retired if it
+	// is to be closed after that.
+	request        int
+	inUse, retired bool
+}
+
+// begin starts a request on the connection. The returned function ends it when the connection is idle
+// again.
+func (c *sendConn) begin(gate func() bool) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate, c.wrote, c.inUse = gate, false, true
+	c.request++
+	request := c.request
+	return func() { c.end(request) }
+}
+
+// end ends a request, unless the next one has begun meanwhile.
+func (c *sendConn) end(request int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.request != request {
+		return
+	}
+	c.inUse = false
+	c.closeRetired()
 }
 
-// begin starts a request on the connection.
-func (c *sendConn) begin(gate func() bool) {
+// retire closes the connection when no request uses it.
+func (c *sendConn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gate, c.wrote = gate, false
+	c.retired = true
+	c.closeRetired()
+}
+
+// closeRetired closes the connection if it is retired and not in use. A request that begins on it at
+// the same time fails before its first byte is sent. The caller must hold c.mu.
+func (c *sendConn) closeRetired() {
+	if c.retired && !c.inUse && !c.sealed {
+		c.sealed = true
+		_ = c.Close()
+	}
 }
 
 // seal closes the connection, so that nothing more can be written, and reports whether a byte
@@ -168,10 +261,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return c.wrote
 }
 
+// Close implements net.Conn.
+func (c *sendConn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *sendConn) Write(p []byte) (int, error) {
 	if err := c.open(); err != nil {
