--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -275,8 +275,19 @@
 	}
 }
 
-// peerPort returns a port that is free on all nodes' addresses.
+// peerPort returns a port that is free on all nodes' addresses and followed by another one, on which
+// nodes open connections to targets for each other.
 func peerPort(host standin.Owner) int {
+	for first := freePort(host); ; {
+		second := freePort(host)
+		if second == first+1 {
+			return first
+		}
+		first = second
+	}
+}
+
+func freePort(host standin.Owner) int {
 	_, port, err := net.SplitHostPort(standin.FreeAddr(host, "0.0.0.0"))
 	if err != nil {
 		host.Fatal(err)
