Keep connections to targets that are silent for a second

What callers saw: when the targets of a service fell silent for a second, requests in progress were answered with 502, since their connections were cut off before the targets went on.

Cause: TCP_USER_TIMEOUT of 700 ms also decides when keep-alive probes give up, whatever their count, so that a silence of 0.3 to 1 s cut a connection. The class: one timeout for two purposes, finding a lost path soon and giving up a connection. Paths are now found by new connections, over both paths (package reachability), so that the timeout can be longer than a silence: 1.5 s, and the time until a probe notices it.

A node that can reach no target, although no other node was seen to reach one, says no_path, but sends its callers away for as long as an outage suggests: all targets may be silent, and their next node is no better.

--- a/reachability/dialer.go
+++ b/reachability/dialer.go
@@ -139,7 +139,14 @@
 	return d.tracker.Trial(d.cfg.Now())
 }
 
-// MayBePartitioned reports whether this node has lost the paths to all targets, or may have.
+// IsPartitioned is Tracker.IsPartitioned.
+func (d *Dialer) IsPartitioned() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tracker.IsPartitioned()
+}
+
+// MayBePartitioned is Tracker.MayBePartitioned.
 func (d *Dialer) MayBePartitioned() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/router/paths.go
+++ b/router/paths.go
@@ -27,7 +27,9 @@
 
 // Paths is the state of this node's network paths to targets.
 type Paths interface {
-	// MayBePartitioned reports whether this node has lost the paths to all targets, or may have.
+	// IsPartitioned reports whether this node has lost the paths to all targets, which others still
+	// have; MayBePartitioned also whether it can reach no target, for whatever reason.
+	IsPartitioned() bool
 	MayBePartitioned() bool
 	// TakeProbe reports whether a connection that only shows whether a target can be reached may be
 	// opened now; interval is the time between two while the node may be partitioned.
@@ -39,6 +41,9 @@
 // ownPath is the state of a node that uses its own path only.
 type ownPath struct{ dial func(addr string) error }
 
+// IsPartitioned implements Paths.
+func (ownPath) IsPartitioned() bool { return false }
+
 // MayBePartitioned implements Paths.
 func (ownPath) MayBePartitioned() bool { return false }
 
--- a/router/paths_test.go
+++ b/router/paths_test.go
@@ -16,6 +16,7 @@
 // pathState is the state of a node's paths that a test sets.
 type pathState struct{ partitioned bool }
 
+func (s *pathState) IsPartitioned() bool           { return s.partitioned }
 func (s *pathState) MayBePartitioned() bool        { return s.partitioned }
 func (*pathState) TakeProbe(time.Duration) bool    { return true }
 func (s *pathState) ProbeDirect(addr string) error { return nil }
--- a/router/pool.go
+++ b/router/pool.go
@@ -33,10 +33,17 @@
 	// and for a request sent while the target closes the connection it is unknown whether it
 	// was run. The timeout is therefore well below the shortest one that targets announce.
 	idleTimeout = 3 * time.Second
-	// dialTimeout and unackedTimeout detect a target whose network has failed: many round trips
-	// within a region, and two retransmissions.
-	dialTimeout    = 400 * time.Millisecond
-	unackedTimeout = 700 * time.Millisecond
+	// DialTimeout is how long a target's VM may take to accept a connection: many round trips within
+	// a region. Another target, or another path, may do better.
+	DialTimeout = 400 * time.Millisecond
+	// UnackedTimeout is how long a target's VM may be silent on an open connection, since healthy
+	// targets are silent for 1.5 s at times. Keep-alive probes detect a silence up to
+	// KeepAliveIdle after it has begun.
+	UnackedTimeout = 1500*time.Millisecond + KeepAliveIdle + KeepAliveInterval
+	// KeepAliveIdle and KeepAliveInterval are the times until the first keep-alive probe and between
+	// two.
+	KeepAliveIdle     = 700 * time.Millisecond
+	KeepAliveInterval = 300 * time.Millisecond
 	// maxUsesPerReport is the maximum number of uses of parts in one report, about 10 bytes
 	// each.
 	maxUsesPerReport = 100
@@ -51,9 +58,12 @@
 	unreachableQuorum = 2
 )
 
-// keepAlive detects a target whose network fails while it has nothing to send.
+// keepAlive detects a target whose network fails while it has nothing to send. On Linux, probes give up
+// after UnackedTimeout, whatever their count, since that option (TCP_USER_TIMEOUT) is set too; the count
+// gives the same time elsewhere.
 var keepAlive = net.KeepAliveConfig{
-	Enable: true, Idle: 700 * time.Millisecond, Interval: 300 * time.Millisecond, Count: 2,
+	Enable: true, Idle: KeepAliveIdle, Interval: KeepAliveInterval,
+	Count: int((UnackedTimeout - KeepAliveIdle) / KeepAliveInterval),
 }
 
 // Fleet provides what the other nodes report about targets.
@@ -177,7 +187,7 @@
 
 // NetworkDial returns the function that connects to targets over this node's own network path.
 func NetworkDial() upstream.DialFunc {
-	return upstream.NetworkDial(upstream.Config{DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout, KeepAlive: keepAlive})
+	return upstream.NetworkDial(upstream.Config{DialTimeout: DialTimeout, UnackedTimeout: UnackedTimeout, KeepAlive: keepAlive})
 }
 
 // client returns the member's connections.
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -17,8 +17,8 @@
 // target that accepts requests again would get all of the retries at once.
 const cooldownJitter = 250 * time.Millisecond
 
-// noPathRetryAfter is the Retry-After for callers whose next node can serve them at once; up to
-// noPathJitter is added.
+// noPathRetryAfter is the Retry-After for callers of a partitioned node, since other nodes can serve them
+// at once; up to noPathJitter is added.
 const (
 	noPathRetryAfter = 10 * time.Millisecond
 	noPathJitter     = 40 * time.Millisecond
@@ -100,7 +100,7 @@
 		reason = problem.TargetFailed
 	}
 	if ran == problem.NotRun && x.lacksPath(reason) {
-		return problem.New(problem.NoPath, ran, cause.Error()).WithRetryAfter(noPathRetryAfter + rand.N(noPathJitter))
+		reason = problem.NoPath
 	}
 	p := problem.New(reason, ran, cause.Error())
 	if ran == problem.NotRun {
@@ -120,6 +120,9 @@
 }
 
 func (x *exchange) retryAfter(f *failure) time.Duration {
+	if x.router.pool.paths.IsPartitioned() && x.router.pool.outOfReach(x.service) {
+		return noPathRetryAfter + rand.N(noPathJitter)
+	}
 	if f.retryAfter > 0 {
 		return f.retryAfter
 	}
