Forward requests of the own interface through other nodes as well

The gateway had the same fault as the router: callers of a node that has lost its path to all targets got 502 and 503, and the owners of targets' places were told that these had failed, which suspends them for all nodes.

--- a/config/config.go
+++ b/config/config.go
@@ -25,6 +25,7 @@
 	FailureDomain    string
 	Listen           string
 	PeerListen       string
+	TunnelListen     string
 	StoreEndpoints   []string
 	VMListURL        string
 	VMListInterval   time.Duration
@@ -72,6 +73,7 @@
 	fs.StringVar(&c.FailureDomain, "failure-domain", "", "failure domain of this VM (required)")
 	fs.StringVar(&c.Listen, "listen", "127.0.0.1:8080", "ip:port for callers, metrics and health")
 	fs.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:8081", "ip:port for other nodes")
+	fs.StringVar(&c.TunnelListen, "tunnel-listen", "", "ip:port at which this node opens connections to targets for nodes that have lost their path; the same port on all nodes, empty for none")
 	fs.StringSliceVar(&c.StoreEndpoints, "store", nil, "URLs of the platform's key-value service (required)")
 	fs.StringVar(&c.VMListURL, "vm-list", "", "URL of the platform's VM list (required)")
 	fs.DurationVar(&c.VMListInterval, "vm-list-interval", defaultVMListInterval, "time between reads of the VM list")
@@ -124,6 +126,7 @@
 	check(isIPPort(c.Listen), "--listen is not ip:port: use an IP number of this VM")
 	check(isIPPort(c.PeerListen), "--peer-listen is not ip:port: use an IP number of this VM")
 	check(!isUnspecified(c.PeerListen), "--peer-listen is no address that others can reach: use an IP number of this VM")
+	check(c.TunnelListen == "" || isIPPort(c.TunnelListen) && !isUnspecified(c.TunnelListen), "--tunnel-listen is not ip:port: use an IP number of this VM, or leave it empty")
 	check(len(c.StoreEndpoints) > 0, "--store is empty: list the URLs of the platform's key-value service")
 	for _, ep := range c.StoreEndpoints {
 		check(isHTTPURL(ep), "--store "+ep+" is not a URL: use http://ip:port")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -172,6 +172,9 @@
 	before := c.sent.Load()
 	fail := g.exchange(ctx, c, f, grant.Target)
 	result = resultOf(ctx, c, fail)
+	if g.lacksPath(fail) {
+		result = admission.Unknown
+	}
 	if fail != nil && fail.progress <= retry.Refused {
 		c.sent.Store(before)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
+	"github.com/knapweedgw/knapweedgw/reachability"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -52,6 +54,9 @@
 // TargetSource provides the current targets.
 type TargetSource interface{ Snapshot() *targets.Snapshot }
 
+// Paths is the state of this node's network paths to targets.
+type Paths interface{ MayBePartitioned() bool }
+
 // LoadObserver receives the load that a target reports in a response.
 type LoadObserver interface {
 	Observe(target string, inFlight int, at time.Time)
@@ -64,11 +69,13 @@
 
 // Gateway accepts callers' HTTP requests and forwards them to targets.
 type Gateway struct {
-	cfg          *config.Node
-	log          *log.Logger
-	registry     *prometheus.Registry
-	metrics      *metrics
-	clients      clients
+	cfg      *config.Node
+	log      *log.Logger
+	registry *prometheus.Registry
+	metrics  *metrics
+	clients  clients
+	// paths is the state of this node's network paths to targets, nil if it isn't known.
+	paths        Paths
 	budget       *retry.Budget
 	backoff      retry.Backoff
 	writeTimeout time.Duration
@@ -95,7 +102,7 @@
 	budget := retry.BudgetConfig{Share: cfg.RetryShare, Floor: retryFloor, Burst: retryBurst}
 	return &Gateway{
 		cfg: cfg, log: l, registry: reg, metrics: newMetrics(reg),
-		clients:      newClients(),
+		clients:      newClients(NetworkDial()),
 		budget:       retry.NewBudget(budget, time.Now()),
 		backoff:      retry.Backoff{Base: retryBaseBackoff, Max: retryMaxBackoff},
 		writeTimeout: callerWriteTimeout,
@@ -107,7 +114,8 @@
 func (g *Gateway) ID() kernel.ID { return ServiceID }
 
 // Provision implements kernel.Provisioner. It fails if settings, admission or the quarantine
-// guard are missing. Claims, targets and the observers are optional.
+// guard are missing. Claims, targets, the observers and the dialer are optional; without the dialer,
+// connections to targets use this node's own network path only.
 func (g *Gateway) Provision(k *kernel.Kernel) error {
 	var err error
 	if g.settings, err = kernel.Lookup[SettingsSource](k, settings.ServiceID); err != nil {
@@ -123,9 +131,35 @@
 	g.targets = lookupOptional[TargetSource](k, targets.ServiceID)
 	g.loads = lookupOptional[LoadObserver](k, admission.ServiceID)
 	g.leaving = lookupOptional[LeavingObserver](k, targets.ServiceID)
+	if d := lookupOptional[*reachability.Dialer](k, reachability.ServiceID); d != nil {
+		g.clients, g.paths = newClients(d.DialContext), d
+		d.OnChange(func(c reachability.Change, _ string, hung bool) { g.clients.pathChanged(c, hung) })
+	}
 	return nil
 }
 
+// lacksPath reports whether an attempt failed before anything was sent while this node can't reach any
+// target, which says nothing about the one that it was meant for.
+func (g *Gateway) lacksPath(fail *attemptError) bool {
+	return fail != nil && fail.progress == retry.NotSent && g.paths != nil && g.paths.MayBePartitioned()
+}
+
+// KnowsTarget implements tunnel.Directory.
+func (g *Gateway) KnowsTarget(addr string) bool {
+	if g.targets == nil {
+		return false
+	}
+	for _, pool := range g.targets.Snapshot().Pools {
+		if slices.ContainsFunc(pool, func(t targets.Target) bool { return t.Addr == addr }) {
+			return true
+		}
+	}
+	return false
+}
+
+// HasPath implements tunnel.Directory.
+func (g *Gateway) HasPath() bool { return g.paths == nil || !g.paths.MayBePartitioned() }
+
 func lookupGuard(k *kernel.Kernel) (*quarantine.Guard, error) {
 	s, err := kernel.Lookup[GuardSource](k, gossip.ServiceID)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -22,12 +22,14 @@
 	"github.com/knapweedgw/knapweedgw/peer"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/quarantine/gossip"
+	"github.com/knapweedgw/knapweedgw/reachability"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
 	"github.com/knapweedgw/knapweedgw/store"
 	"github.com/knapweedgw/knapweedgw/store/etcd"
 	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/telemetry"
+	"github.com/knapweedgw/knapweedgw/tunnel"
 	"github.com/knapweedgw/knapweedgw/vmlist"
 )
 
@@ -93,6 +95,47 @@
 	return gossip.New(guard, hub, mem, l)
 }
 
+// tunnelGrace is how long after the begin of a shutdown connections that this node carries for others may
+// last.
+const tunnelGrace = 10 * time.Second
+
+func provideGatewayDialer(
+	cfg *config.Node, mem *membership.Members, l *log.Logger, reg prometheus.Registerer,
+) *reachability.Dialer {
+	c := reachability.DialerConfig{Self: cfg.TunnelListen, Domain: cfg.FailureDomain, Direct: gateway.NetworkDial()}
+	if cfg.TunnelListen != "" {
+		c.Nodes = func() []string { return reachability.TunnelAddresses(otherNodes(mem.View()), cfg.TunnelListen) }
+	}
+	return reachability.NewDialer(c, l, reg)
+}
+
+// otherNodes returns the addresses of the other live nodes of the region.
+func otherNodes(v *membership.View) []string {
+	if v == nil {
+		return nil
+	}
+	var out []string
+	for _, n := range v.Nodes {
+		if n.ID != v.Self && n.State == membership.Alive {
+			out = append(out, n.PeerAddr)
+		}
+	}
+	return out
+}
+
+func provideGatewayTunnels(cfg *config.Node, l *log.Logger, reg prometheus.Registerer) *tunnel.Server {
+	return tunnel.NewServer(tunnel.ServerConfig{
+		Listen: cfg.TunnelListen, Node: cfg.NodeID, Domain: cfg.FailureDomain, MaxTunnels: maxTunnels,
+		Grace: tunnelGrace, Dial: gateway.NetworkDial(),
+	}, l, reg)
+}
+
+func provideGateway(cfg *config.Node, tunnels *tunnel.Server, l *log.Logger, reg *prometheus.Registry) *gateway.Gateway {
+	g := gateway.New(cfg, l, reg)
+	tunnels.SetDirectory(g)
+	return g
+}
+
 // provideKernel registers the services in their start order.
 func provideKernel(
 	tel telemetry.Service,
@@ -105,7 +148,9 @@
 	clm *claims.Service,
 	ord *orders.Service,
 	gos *gossip.Service,
+	dialer *reachability.Dialer,
+	tunnels *tunnel.Server,
 	gw *gateway.Gateway,
 ) (*kernel.Kernel, error) {
-	return kernel.New(tel, hub, mem, reg, set, acc, adm, clm, ord, gos, gw)
+	return kernel.New(tel, hub, mem, reg, set, acc, adm, clm, ord, gos, dialer, tunnels, gw)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/config"
-	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
@@ -33,7 +32,9 @@
 	provideClaims,
 	provideOrders,
 	provideGossip,
-	gateway.New,
+	provideGatewayDialer,
+	provideGatewayTunnels,
+	provideGateway,
 	provideKernel,
 )
 
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"github.com/google/wire"
 	"github.com/knapweedgw/knapweedgw/config"
-	"github.com/knapweedgw/knapweedgw/gateway"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/settings/acceptor"
 	"github.com/knapweedgw/knapweedgw/settings/follower"
@@ -65,8 +64,10 @@
 	claimsService := provideClaims(cfg, store, hub, members, logger, registry)
 	ordersService := provideOrders(cfg, store, logger, registry)
 	gossipService := provideGossip(hub, members, logger, registry)
-	gatewayGateway := gateway.New(cfg, logger, registry)
-	kernelKernel, err := provideKernel(service, hub, targetsRegistry, members, followerFollower, acceptorAcceptor, admissionService, claimsService, ordersService, gossipService, gatewayGateway)
+	dialer := provideGatewayDialer(cfg, members, logger, registry)
+	server := provideGatewayTunnels(cfg, logger, registry)
+	gateway := provideGateway(cfg, server, logger, registry)
+	kernelKernel, err := provideKernel(service, hub, targetsRegistry, members, followerFollower, acceptorAcceptor, admissionService, claimsService, ordersService, gossipService, dialer, server, gateway)
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +85,11 @@
 	provideMembers, follower.New, acceptor.New, provideAdmission,
 	provideClaims,
 	provideOrders,
-	provideGossip, gateway.New, provideKernel,
+	provideGossip,
+	provideGatewayDialer,
+	provideGatewayTunnels,
+	provideGateway,
+	provideKernel,
 )
 
 // routerServices is the set of providers for NewRouter.
