Soak nodes that lose the path to all engines

The profile partitioned cuts one to all but one of the nodes off from all engines (hang, reset, refuse, one way), while nodes are killed, frozen and stopped, and engines restart. Its nodes are router nodes whose connections to engines lab/soaknode can disturb; callers are judged by the rule's own formula.

--- a/lab/cmd/knapweedlab/main.go
+++ b/lab/cmd/knapweedlab/main.go
@@ -33,7 +33,7 @@
 		platformCommand(), engineCommand(), serviceCommand(), vmCommand(),
 		loadCommand(), portsCommand(), waitCommand(), digestCommand(),
 		experimentCommand(), callsCommand(),
-		measureCommand(), benchCommand(), capacityCommand(), soakCommand(),
+		measureCommand(), benchCommand(), capacityCommand(), soakCommand(), soakNodeCommand(),
 	)
 	return cmd
 }
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -28,6 +28,8 @@
 	Cut, Unanswered, Late int
 	// Owned has the figures of requests to a service whose places an owner grants, nil without one.
 	Owned *OwnedRuns
+	// Partitions has the requests of each time in which nodes were partitioned from all engines.
+	Partitions []PartitionServed
 	// Stalled is how long the machine didn't run this process.
 	Stalled time.Duration
 	Steps   []Step
@@ -37,6 +39,14 @@
 	Findings []string
 }
 
+// PartitionServed is how many requests were sent, and how many served, at Nodes nodes that were
+// partitioned from all engines by a fault, and at the others.
+type PartitionServed struct {
+	Fault                                string
+	Nodes                                int
+	Cut, CutServed, Others, OthersServed int
+}
+
 // String returns the result line of a run.
 func (r *Report) String() string {
 	line := fmt.Sprintf(
@@ -46,6 +56,9 @@
 	if r.Owned != nil {
 		line += fmt.Sprintf(" owned=%+v", *r.Owned)
 	}
+	for _, p := range r.Partitions {
+		line += fmt.Sprintf(" partition=%+v", p)
+	}
 	return line
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -22,8 +22,9 @@
 	// HalfClose adds callers that close their sending side after a request, which a node can't
 	// distinguish from callers that abort.
 	HalfClose bool
-	// Program is the path of the knapweedgw binary.
-	Program string
+	// Program is the path of the knapweedgw binary, LabProgram that of the knapweedlab binary, whose
+	// nodes the profile Partitioned uses.
+	Program, LabProgram string
 	// Dir is the directory for the nodes' settings and logs.
 	Dir string
 }
@@ -40,6 +41,7 @@
 	ends          *endingCheck
 	domains       *domainCheck
 	announcements *announcementCheck
+	partitions    *partitionCheck
 	// configMu serializes writes of the configuration, so that versions are stored in order.
 	configMu   sync.Mutex
 	version    int
@@ -93,6 +95,7 @@
 	r.checkDomains()
 	r.checkAnnouncements()
 	r.checkOwners()
+	r.checkPartitions()
 	if ended, limit := r.ends.count(); ended > limit {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, limit)
 	}
@@ -107,6 +110,7 @@
 	}
 	r.ends = &endingCheck{journal: r.journal, storeDisrupted: func(from, to time.Time) bool { return r.lost.storeFaults.overlaps(from, to) }}
 	r.domains = &domainCheck{evacuated: make(map[string]*timeline)}
+	r.partitions = &partitionCheck{}
 	r.announcements = &announcementCheck{nodes: make(map[string]*process)}
 	r.lost = &lossCheck{journal: r.journal, targetFaults: r.targetFaultsOf}
 	r.checker = newChecker(r.journal, o.Seed, r.lost)
@@ -120,7 +124,11 @@
 	}
 	port := peerPort(host)
 	for i := range o.Nodes {
-		p, err := newProcess(o.Dir, o.Program, host, r.store, o.Seed, i, o.Nodes, port)
+		program, verb := o.Program, "route"
+		if o.Profile == Partitioned {
+			program, verb = o.LabProgram, "soak-node"
+		}
+		p, err := newProcess(o.Dir, program, verb, host, r.store, o.Seed, i, o.Nodes, port)
 		if err != nil {
 			return nil, err
 		}
@@ -139,6 +147,7 @@
 		observe: func(x *exchange) {
 			r.checker.observe(x)
 			r.announcements.observe(x)
+			r.partitions.observe(x)
 		},
 	}
 }
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -122,6 +122,8 @@
 		r.announceLeave(s)
 	case Shed:
 		r.shed(s)
+	case PartitionNodes:
+		r.partitionNodes(s)
 	case Configure:
 		r.configure(func() { r.laterRoute = s.Which%2 == 0 })
 	case ChangeTimeout:
--- a/lab/standin/partition.go
+++ b/lab/standin/partition.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,10 +29,13 @@
 	PathOneWay
 )
 
+var pathFaultNames = []string{"open", "hang", "reset", "refuse", "one_way"}
+
 // String returns the name of the fault.
-func (f PathFault) String() string {
-	return [...]string{"open", "hang", "reset", "refuse", "one_way"}[f]
-}
+func (f PathFault) String() string { return pathFaultNames[f] }
+
+// PathFaultOf returns the fault with a name, PathOpen for any other.
+func PathFaultOf(name string) PathFault { return PathFault(max(slices.Index(pathFaultNames, name), 0)) }
 
 // The options that a node sets for its connections to targets, which its operating system would apply.
 const (
@@ -85,6 +89,12 @@
 	return p.dials
 }
 
+// Fault returns the present fault.
+func (p *EnginePath) Fault() PathFault {
+	f, _ := p.current()
+	return f
+}
+
 func (p *EnginePath) current() (PathFault, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
