Count only rejections for want of capacity at targets with a limit

A 421 comes from another process at the target's address and says nothing about the target's capacity, but the node left the target alone for seconds.

--- a/router/forward.go
+++ b/router/forward.go
@@ -337,7 +337,9 @@
 		outcome = health.Unreachable
 	}
 	x.router.pool.observe(a.member, outcome)
-	x.router.pool.recordRejection(a)
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		x.router.pool.recordRejection(a)
+	}
 	return &failure{
 		progress: retry.Refused, reason: problem.TargetRefused,
 		cause: errors.Newf("the target did not run the request: status %d", resp.StatusCode),
--- a/router/rejections.go
+++ b/router/rejections.go
@@ -84,7 +84,7 @@
 	return m.quota.slots
 }
 
-// recordRejection records that a target rejected a request.
+// recordRejection records that a target rejected a request for want of capacity.
 func (p *pool) recordRejection(a assignment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
