Don't lose removals behind a node that has just started

Cause: a node that starts by listing the store, or by its first copy, has no record of removals before that. Asked for the changes since the revision before, it sent none, and the asking node took over the revision with the target still in its list.

Evidence: the late node logs 'copied from a node that is ahead' from 50 to 51 with 0 entries; six others log the removal at 51.

Fix: a copy remembers between which revisions it hasn't seen the changes one by one, and sends everything to a node that asks from in between. TestRemovalIsNotLostBehindANodeThatHasJustStarted failed before, both ways.

--- a/replica/history.go
+++ b/replica/history.go
@@ -29,6 +29,9 @@
 	tombstones []keyChange
 	// discardedUpTo is the highest revision of a discarded tombstone.
 	discardedUpTo int64
+	// Keys that were written after gapFrom and removed before gapTo may be missing: the copy
+	// passed from one to the other by a list, which doesn't contain removals.
+	gapFrom, gapTo int64
 }
 
 func newHistory() history { return history{last: make(map[string]lastChange)} }
@@ -125,5 +128,16 @@
 	return out, false
 }
 
-// isIncompleteSince reports whether tombstones after a revision were discarded.
-func (h *history) isIncompleteSince(revision int64) bool { return revision < h.discardedUpTo }
+// skip records that the changes between two revisions were not seen one by one.
+func (h *history) skip(from, to int64) {
+	if h.gapTo == 0 {
+		h.gapFrom = from
+	}
+	h.gapFrom, h.gapTo = min(h.gapFrom, from), max(h.gapTo, to)
+}
+
+// isIncompleteSince reports whether removals after a revision may be missing for a node that has a copy of
+// that revision: tombstones were discarded or never seen.
+func (h *history) isIncompleteSince(revision int64) bool {
+	return revision < h.discardedUpTo || h.gapFrom < revision && revision < h.gapTo
+}
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -148,12 +148,17 @@
 	if got.More && (c.revision == 0 || c.incomplete) {
 		c.firstCopyHead = max(c.firstCopyHead, got.Head)
 	}
+	first := c.completeRevision() == 0
 	var out changes
 	for _, e := range got.Entries {
 		out.add(c.applyChange(e, now))
 	}
 	c.advance(got.Revision)
 	c.incomplete = c.revision < c.firstCopyHead
+	if first {
+		// The sender may have discarded or not seen older removals.
+		c.history.skip(0, c.revision)
+	}
 	return out
 }
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -124,6 +124,7 @@
 	if got.Revision < c.revision {
 		return changes{}
 	}
+	c.history.skip(c.completeRevision(), got.Revision)
 	c.revision = got.Revision
 	c.staged, c.incomplete, c.firstCopyHead = nil, false, 0
 	var out changes
@@ -146,6 +147,15 @@
 	return out
 }
 
+// completeRevision returns the revision up to which the copy has seen all changes, 0 if it has no complete
+// copy yet.
+func (c *copyState) completeRevision() int64 {
+	if c.incomplete {
+		return 0
+	}
+	return c.revision
+}
+
 // rebuildHistory makes the history match the current entries.
 func (c *copyState) rebuildHistory() {
 	held := make([]keyChange, 0, len(c.targets)+len(c.evacuations))
