Log which node carried the connection of a request

A request on another node's connection couldn't be followed to it: only the state of the paths was logged. Lines of such requests have the field via.

--- a/lab/standin/partition_test.go
+++ b/lab/standin/partition_test.go
@@ -89,6 +89,9 @@
 			}
 			sendFirstTries(s, tt.cut, contact)
 			partitioned, others := sendFirstTries(s, tt.cut, observed)
+			if !strings.Contains(s.Nodes[0].Logs.String(), `"via":"127.0.0.`) && tt.fault != PathRefuse {
+				t.Error("no line names the node that carried a request")
+			}
 			t.Logf("partitioned nodes served %d of %d, the others %d of %d",
 				partitioned.served, partitioned.sent, others.served, others.sent)
 			if partitioned.share() < leastShare*others.share() || others.share() < leastShare {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -89,7 +89,9 @@
 
 // requestSummary holds values for the log line of a request.
 type requestSummary struct {
-	target    string
+	target string
+	// via is the node that carried the connection to the target, empty for none.
+	via       string
 	status    int
 	fetchFrom string
 	running   int
@@ -330,6 +332,9 @@
 	if x.hasFingerprint {
 		fields = append(fields, "fingerprint", x.cachedFingerprint)
 	}
+	if x.summary.via != "" {
+		fields = append(fields, "via", x.summary.via)
+	}
 	if x.summary.fetchFrom != "" {
 		fields = append(fields, "fetch_from", x.summary.fetchFrom)
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -188,6 +188,7 @@
 	x.sentAt = x.router.now()
 	x.summary.target, x.summary.running, x.summary.limit = a.target.ID, a.choice.Running, a.choice.Limit
 	x.summary.kept, x.summary.reason = a.choice.CachedTokens, a.choice.Reason
+	x.summary.via = ""
 	x.router.metrics.countPartTokens(a.choice, x.sharedTokens())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -196,6 +197,7 @@
 		return &failure{progress: retry.NotSent, reason: problem.Internal, cause: err}
 	}
 	w := x.watchReply(a, cancel)
+	req = req.WithContext(upstream.WithVia(ctx, func(node string) { x.summary.via = node }))
 	resp, progress, err := a.member.client().Do(req, func() bool { return x.router.pool.maySend(a.target) })
 	w.stop()
 	if progress >= retry.Sent {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -157,10 +157,20 @@
 	return false
 }
 
+// viaKey is the context key of the function of WithVia.
+type viaKey struct{}
+
+// WithVia returns a context for a request that Client.Do passes to f the ip:port of the node that carries
+// the request's connection. f is not called for a direct connection.
+func WithVia(ctx context.Context, f func(node string)) context.Context {
+	return context.WithValue(ctx, viaKey{}, f)
+}
+
 // Do sends req. gate is called right before the first byte is written and may forbid the
 // request. On failure, Do returns how far the request got; the connection is closed by then, so
 // NotSent is final.
 func (c *Client) Do(req *http.Request, gate func() bool) (*http.Response, retry.Progress, error) {
+	reportVia, _ := req.Context().Value(viaKey{}).(func(string))
 	var mu sync.Mutex
 	var conns []*sendConn
 	var ended func()
@@ -173,6 +183,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			ended = conn.begin(gate)
+			if conn.via != "" && reportVia != nil {
+				reportVia(conn.via)
+			}
 			conns = append(conns, conn)
 		},
 		PutIdleConn: func(error) {
