Retire connections without holding the pool's lock, and confirm refusals

What callers would have seen: a node that answers nobody, with its listener open. Cause: a connection that is about to send holds its lock while it asks the pool whether the request may still be sent; the pool held its own lock while it retired that connection. The pool now collects its members first. TestRestoredPathRetiresConnectionsInUse ends with a deadlock in the old order.

The target now has to refuse a connection after others have accepted one (TestRefusalBeforeThePathIsRestoredIsNoTermination).

--- a/router/ends.go
+++ b/router/ends.go
@@ -62,7 +62,7 @@
 	if refused {
 		p.observe(m, health.Unreachable)
 	}
-	terminated := refused && p.pathWorks(m)
+	terminated := refused && p.confirmRefusal(m, addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
--- a/router/ends_test.go
+++ b/router/ends_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// Guards against innocent requests being quarantined at the end of a partition: the target refused the
+// connection just before the path was restored, and the others accepted one just after it.
+func TestRefusalBeforeThePathIsRestoredIsNoTermination(t *testing.T) {
+	p := newTestPool(
+		roster.Target{ID: "a", Addr: "a:1", Service: service, Slots: 8},
+		roster.Target{ID: "b", Addr: "b:1", Service: service, Slots: 8},
+	)
+	p.observe(p.members["b"], health.Answered)
+	refused := errDialRefused
+	p.dial = func(addr string) error {
+		err := refused
+		if addr == "a:1" {
+			refused = nil // the path is restored after the first attempt
+		}
+		return err
+	}
+	s := closedRequest(p, 1)
+	<-p.connectionClosed(p.members["a"], s)
+	is.New(t).Equal(strikes(p, s), 0)
+}
+
 // If the probe gets no reply, a restart of the target soon after shows that it had terminated.
 // A target that accepted a connection since the failure has not terminated: a proxy in front of
 // it may keep listening while it is down, and then every connection to it is closed.
--- a/router/paths.go
+++ b/router/paths.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
 	"github.com/knapweedgw/knapweedgw/reachability"
+	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
 const (
@@ -61,36 +63,48 @@
 
 // pathChanged adapts the connections and the state of targets to a change of this node's paths.
 func (p *pool) pathChanged(c reachability.Change, addr string, hung bool) {
+	for _, m := range p.affectedBy(c, addr) {
+		switch {
+		case c == reachability.Rejoined || c == reachability.PathRestored:
+			m.retireTunnels("")
+		case hung:
+			m.closeIdle()
+		}
+	}
+}
+
+// affectedBy returns the members that a change of this node's paths concerns. If it concerns all paths, none
+// of them is unreachable any longer: it was this node's path, not the target, that failed.
+func (p *pool) affectedBy(c reachability.Change, addr string) []*member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	all := c == reachability.Partitioned || c == reachability.Rejoined
+	var out []*member
 	for _, m := range p.members {
-		all := c == reachability.Partitioned || c == reachability.Rejoined
 		if !all && m.target.Addr != addr {
 			continue
 		}
 		if all && m.state.Unreachable() {
-			// It was this node's path, not the target, that failed.
 			m.state.RecordReachable()
 		}
-		switch {
-		case c == reachability.Rejoined || c == reachability.PathRestored:
-			m.retireTunnels("")
-		case hung:
-			m.closeIdle()
-		}
+		out = append(out, m)
 	}
+	return out
 }
 
 // retireTunnels closes connections to all targets that the node at via carries, after the requests on
 // them have ended.
 func (p *pool) retireTunnels(via string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.members {
+	all := slices.Collect(maps.Values(p.members))
+	p.mu.Unlock()
+	for _, m := range all {
 		m.retireTunnels(via)
 	}
 }
 
+// retireTunnels must not be called with p.mu held: a connection that asks the pool whether a request may
+// still be sent holds its own lock meanwhile.
 func (m *member) retireTunnels(via string) {
 	if c := m.connections.Load(); c != nil {
 		c.RetireTunnels(via)
@@ -136,9 +150,10 @@
 	m.checking = false
 }
 
-// pathWorks reports whether this node's own network path works although the target m refuses its
-// connections: other targets accept them. A node whose path was reset is refused by all.
-func (p *pool) pathWorks(m *member) bool {
+// confirmRefusal reports whether the target m, which has just refused a connection, does so although this
+// node's own network path works: other targets accept connections, and m refuses one after that. A node whose
+// path was reset is refused by all, and its path may be restored at any moment.
+func (p *pool) confirmRefusal(m *member, addr string) bool {
 	controls := p.controls(m)
 	if len(controls) == 0 {
 		return !p.paths.MayBePartitioned()
@@ -149,7 +164,7 @@
 	}
 	for range controls {
 		if <-results == nil {
-			return true
+			return upstream.IsRefused(p.paths.ProbeDirect(addr))
 		}
 	}
 	return false
--- a/router/paths_test.go
+++ b/router/paths_test.go
@@ -1,7 +1,11 @@
 package router
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -127,3 +131,58 @@
 	p.update(p.registry.TakeChanges())
 	is.Equal(len(p.addresses), 0)
 }
+
+// carriedConn is a connection that another node carries.
+type carriedConn struct{ net.Conn }
+
+func (carriedConn) Via() string { return "10.0.0.9:2" }
+
+// Guards against a deadlock: a connection asked the pool whether its request may still be sent, while the
+// pool, holding its lock, retired that connection since the node's own path had been restored. The node then
+// served nobody and sent no report.
+func TestRestoredPathRetiresConnectionsInUse(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(server.Close)
+	p := newTestPool(roster.Target{ID: "a", Addr: server.Listener.Addr().String(), Service: service, Slots: 8})
+	m := p.members["a"]
+	m.dialTarget = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return carriedConn{conn}, err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+			if err != nil {
+				return
+			}
+			resp, _, err := m.client().Do(req, func() bool {
+				time.Sleep(100 * time.Microsecond)
+				return p.maySend(m.target)
+			})
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(50 * time.Microsecond):
+			changed := make(chan struct{})
+			go func() {
+				defer close(changed)
+				p.pathChanged(reachability.Rejoined, "", false)
+			}()
+			select {
+			case <-changed:
+			case <-time.After(10 * time.Second):
+				is.Fail() // deadlock
+				return
+			}
+		}
+	}
+}
