Log how an unframed answer ended

An answer that was broken off and delivered as complete logs the same line as a whole one: neither its framing, nor how its connection ended, nor where in an event its bytes end.

No logic changes.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
 // timeoutSlack is added to the deadline so that an answer that the target itself sends at the
@@ -90,8 +91,9 @@
 // requestSummary holds values for the log line of a request.
 type requestSummary struct {
 	target string
-	// via is the node that carried the connection to the target, empty for none.
-	via       string
+	// conn is the connection of the last attempt, transfer the answer's body on it; both may be nil.
+	conn      upstream.ConnInfo
+	transfer  *transfer
 	status    int
 	fetchFrom string
 	running   int
@@ -332,9 +334,10 @@
 	if x.hasFingerprint {
 		fields = append(fields, "fingerprint", x.cachedFingerprint)
 	}
-	if x.summary.via != "" {
-		fields = append(fields, "via", x.summary.via)
+	if c := x.summary.conn; c != nil && c.Via() != "" {
+		fields = append(fields, "via", c.Via())
 	}
+	fields = append(fields, x.transferFields()...)
 	if x.summary.fetchFrom != "" {
 		fields = append(fields, "fetch_from", x.summary.fetchFrom)
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -188,7 +188,7 @@
 	x.sentAt = x.router.now()
 	x.summary.target, x.summary.running, x.summary.limit = a.target.ID, a.choice.Running, a.choice.Limit
 	x.summary.kept, x.summary.reason = a.choice.CachedTokens, a.choice.Reason
-	x.summary.via = ""
+	x.summary.conn, x.summary.transfer = nil, nil
 	x.router.metrics.countPartTokens(a.choice, x.sharedTokens())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -197,7 +197,7 @@
 		return &failure{progress: retry.NotSent, reason: problem.Internal, cause: err}
 	}
 	w := x.watchReply(a, cancel)
-	req = req.WithContext(upstream.WithVia(ctx, func(node string) { x.summary.via = node }))
+	req = req.WithContext(upstream.WithConn(ctx, func(c upstream.ConnInfo) { x.summary.conn = c }))
 	resp, progress, err := a.member.client().Do(req, func() bool { return x.router.pool.maySend(a.target) })
 	w.stop()
 	if progress >= retry.Sent {
@@ -372,7 +372,9 @@
 // while other targets are tried.
 func (x *exchange) targetError(ctx context.Context, a assignment, resp *http.Response) *failure {
 	x.router.pool.observe(a.member, health.Failed)
+	x.summary.transfer = newTransfer(resp, false)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldFailure+1))
+	x.summary.transfer.record(body, err)
 	fail := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errOrStatus(err, resp)}
 	switch {
 	case err != nil || x.answerBegun || impliesNotRun(resp.StatusCode):
--- a/router/relay.go
+++ b/router/relay.go
@@ -25,7 +25,9 @@
 
 // relay relays an answer to the caller.
 func (x *exchange) relay(ctx context.Context, a assignment, resp *http.Response) *failure {
-	if x.route.Kind == catalog.Streaming && resp.StatusCode == http.StatusOK {
+	stream := x.route.Kind == catalog.Streaming && resp.StatusCode == http.StatusOK
+	x.summary.transfer = newTransfer(resp, stream)
+	if stream {
 		return x.relayStream(ctx, a, resp)
 	}
 	if x.answerBegun {
@@ -39,6 +41,7 @@
 // never takes a truncated answer for a complete one.
 func (x *exchange) relayBuffered(ctx context.Context, a assignment, resp *http.Response) *failure {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	x.summary.transfer.record(body, err)
 	if err != nil {
 		return x.answerBroken(ctx, a, err)
 	}
@@ -128,6 +131,7 @@
 	defer buffers.Put(buf)
 	for {
 		n, err := resp.Body.Read(*buf)
+		x.summary.transfer.record((*buf)[:n], err)
 		if n > 0 {
 			x.recordFirstEvent(a)
 			x.beginStream(resp)
@@ -156,6 +160,7 @@
 	var pending []byte
 	for {
 		n, err := resp.Body.Read(*buf)
+		x.summary.transfer.record((*buf)[:n], err)
 		gaps.event()
 		pending = append(pending, (*buf)[:n]...)
 		if end := completeEvents(pending); end > 0 {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -157,20 +157,27 @@
 	return false
 }
 
-// viaKey is the context key of the function of WithVia.
-type viaKey struct{}
+// ConnInfo describes the connection that a request is sent on.
+type ConnInfo interface {
+	// Via returns the ip:port of the node that carries the connection, empty for a direct one.
+	Via() string
+	// WriteError returns the error of the first write that failed, nil if none did.
+	WriteError() error
+}
+
+// connKey is the context key of the function of WithConn.
+type connKey struct{}
 
-// WithVia returns a context for a request that Client.Do passes to f the ip:port of the node that carries
-// the request's connection. f is not called for a direct connection.
-func WithVia(ctx context.Context, f func(node string)) context.Context {
-	return context.WithValue(ctx, viaKey{}, f)
+// WithConn returns a context for a request whose connection Client.Do passes to f.
+func WithConn(ctx context.Context, f func(ConnInfo)) context.Context {
+	return context.WithValue(ctx, connKey{}, f)
 }
 
 // Do sends req. gate is called right before the first byte is written and may forbid the
 // request. On failure, Do returns how far the request got; the connection is closed by then, so
 // NotSent is final.
 func (c *Client) Do(req *http.Request, gate func() bool) (*http.Response, retry.Progress, error) {
-	reportVia, _ := req.Context().Value(viaKey{}).(func(string))
+	reportConn, _ := req.Context().Value(connKey{}).(func(ConnInfo))
 	var mu sync.Mutex
 	var conns []*sendConn
 	var ended func()
@@ -183,8 +190,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			ended = conn.begin(gate)
-			if conn.via != "" && reportVia != nil {
-				reportVia(conn.via)
+			if reportConn != nil {
+				reportConn(conn)
 			}
 			conns = append(conns, conn)
 		},
@@ -223,6 +230,8 @@
 	gate   func() bool
 	wrote  bool
 	sealed bool
+	// writeErr is the error of the first write that failed.
+	writeErr error
 	// request counts the requests on the connection. inUse is set while one uses it, retired if it
 	// is to be closed after that.
 	request        int
@@ -291,7 +300,29 @@
 	if err := c.open(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.recordWriteError(err)
+	}
+	return n, err
+}
+
+func (c *sendConn) recordWriteError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// Via implements ConnInfo.
+func (c *sendConn) Via() string { return c.via }
+
+// WriteError implements ConnInfo.
+func (c *sendConn) WriteError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr
 }
 
 // ReadFrom sends a body through Write, so that its gate is checked.
