Add the failing test of answers that are delivered as complete though broken off

Stand-in engines answer with neither a length nor chunks and end the connection inside, between or before events, in order, by a reset or by a crash. Whole answers of targets that leave in order are delivered once (TestWholeUnframedAnswer- IsDeliveredOnce passes).

--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -44,8 +44,8 @@
 	WrongID
 	// Unsigned answers without the Engine-Signature header.
 	Unsigned
-	// Unframed answers without a Content-Length: the end of the connection ends the body.
-	Unframed
+	// NoLength answers whole with neither a length nor chunks: the end of the connection ends the body.
+	NoLength
 	// HeaderOnly sends the header of its answer and then nothing, with the connection open.
 	HeaderOnly
 	// Stall delays by the engine's StallFor: before the answer of a plain request, and between
@@ -57,7 +57,7 @@
 )
 
 // Faults lists faults from which tests and tools choose.
-var Faults = []Fault{Refuse, FakeRefuse, Fail, Hang, Drop, Cut, WrongID, Unsigned, Unframed}
+var Faults = []Fault{Refuse, FakeRefuse, Fail, Hang, Drop, Cut, WrongID, Unsigned, NoLength}
 
 // LargeFailure is a body length in bytes, larger than what a node buffers of an answer before
 // it forwards it.
@@ -117,6 +117,8 @@
 	rejections     []time.Time
 	// crashes counts the crashes for that reason.
 	crashes int
+	// unframed is how the engine answers unframed, nil if it doesn't.
+	unframed *Unframed
 	// coldArrivals are the times of the requests that came while the engine was cold.
 	coldArrivals []time.Time
 }
@@ -389,6 +391,10 @@
 	case Unsigned:
 		h.Del("Engine-Signature")
 	}
+	if u := e.unframedAnswer(); u != nil || fault == NoLength {
+		e.writeUnframed(w, r, run, cmp.Or(u, &Unframed{Events: -1}), id)
+		return
+	}
 	if r.Header.Get("Model") == "" {
 		e.writePlain(w, fault, id)
 		return
@@ -397,11 +403,7 @@
 }
 
 func (e *Engine) writePlain(w http.ResponseWriter, fault Fault, id string) {
-	body := "whole answer to " + id
-	if fault == Unframed {
-		writeUnframed(w, id, "sig-"+e.ID, body)
-		return
-	}
+	body := PlainBody(id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if fault == Cut {
 		_, _ = io.WriteString(w, body[:5])
@@ -410,16 +412,8 @@
 	_, _ = io.WriteString(w, body)
 }
 
-// writeUnframed writes an answer without a Content-Length.
-func writeUnframed(w http.ResponseWriter, id, signature, body string) {
-	conn, buf, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nEngine-Signature: %s\r\n\r\n%s", id, signature, body)
-	_ = buf.Flush()
-	_ = conn.Close()
-}
+// PlainBody is the body of the answer of a plain service to a request.
+func PlainBody(id string) string { return "whole answer to " + id }
 
 // Event returns the n-th event of the stream that answers a request, counted from 0.
 func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
--- a/lab/standin/path_test.go
+++ b/lab/standin/path_test.go
@@ -113,7 +113,7 @@
 		{"the engine's own failure", Fail, UnsafePath, http.StatusInternalServerError, 1},
 		{"idempotent, dropped twice", Drop, SafePath, http.StatusBadGateway, 2},
 		{"idempotent, failed twice", Fail, SafePath, http.StatusInternalServerError, 2},
-		{"unframed", Unframed, UnsafePath, http.StatusOK, 1},
+		{"without a length", NoLength, UnsafePath, http.StatusOK, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is, s := is.New(t), start(t, 1)
--- a/lab/standin/runs.go
+++ b/lab/standin/runs.go
@@ -21,6 +21,8 @@
 	Body   string
 	// Ended is the time at which the run ended, zero if it has not.
 	Ended time.Time
+	// Whole reports whether an unframed answer was sent to its end.
+	Whole bool
 	// Canceled reports whether the caller's connection ended before the run did.
 	Canceled bool
 }
@@ -136,6 +138,12 @@
 	r.Canceled = true
 }
 
+func (j *Journal) markWhole(r *Run, whole bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.Whole = whole
+}
+
 func (j *Journal) markEnded(r *Run) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- /dev/null
+++ b/lab/standin/unframed_test.go
@@ -0,0 +1,101 @@
+package standin_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	. "github.com/knapweedgw/knapweedgw/lab/standin"
+)
+
+// answerUnframed makes engines answer unframed.
+func answerUnframed(engines []*Engine, u Unframed) {
+	for _, e := range engines {
+		e.AnswerUnframed(&u)
+	}
+}
+
+// looksComplete reports whether a caller takes an answer for a complete one.
+func looksComplete(a Answer) bool { return a.Err == nil && a.Status == http.StatusOK }
+
+func (p pathKind) whole(id string) string {
+	if p.stream {
+		return WholeStream(id, DefaultEvents)
+	}
+	return PlainBody(id)
+}
+
+// pathKind is a route of the site and what its answers are.
+type pathKind struct {
+	path   string
+	stream bool
+}
+
+var (
+	plainStream = pathKind{StreamPath, true}
+	resumable   = pathKind{ResumePath, true}
+	unsafePlain = pathKind{UnsafePath, false}
+	safePlain   = pathKind{SafePath, false}
+)
+
+// Guards against an answer that its target broke off being delivered as a complete one: the answer has
+// neither a length nor chunks, and the end of its connection was taken for the end of the answer.
+func TestTruncatedAnswerIsNotDeliveredAsComplete(t *testing.T) {
+	for name, tt := range map[string]struct {
+		kinds []pathKind
+		end   Unframed
+	}{
+		"inside an event":                  {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Inside: true}},
+		"inside the first event":           {[]pathKind{plainStream, resumable}, Unframed{Inside: true}},
+		"inside the last event":            {[]pathKind{plainStream, resumable}, Unframed{Events: DefaultEvents - 1, Inside: true}},
+		"before the first event":           {[]pathKind{plainStream, resumable}, Unframed{}},
+		"by a reset inside an event":       {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Inside: true, Reset: true}},
+		"by a reset between events":        {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Reset: true}},
+		"by a reset before the first":      {[]pathKind{plainStream, resumable}, Unframed{Reset: true}},
+		"inside an event by a crash":       {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Inside: true, Crash: true}},
+		"between events by a crash":        {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Crash: true}},
+		"a plain answer by a reset":        {[]pathKind{unsafePlain, safePlain}, Unframed{Inside: true, Reset: true}},
+		"a plain answer by a crash":        {[]pathKind{unsafePlain, safePlain}, Unframed{Inside: true, Crash: true}},
+		"inside an event while it leaves":  {[]pathKind{plainStream, resumable}, Unframed{Events: 2, Inside: true, Leave: true}},
+		"before the first while it leaves": {[]pathKind{plainStream, resumable}, Unframed{Leave: true}},
+	} {
+		for _, kind := range tt.kinds {
+			t.Run(name+" "+strings.Trim(kind.path, "/"), func(t *testing.T) {
+				s := start(t, 1)
+				answerUnframed(s.Engines(), tt.end)
+				for range 3 {
+					a := s.Nodes[0].Do(Request{Path: kind.path, Body: "x"})
+					if looksComplete(a) {
+						t.Errorf("delivered as complete: %q", a.Body)
+					}
+					if runs := len(s.Journal.Runs(a.ID)); runs > 1 && (kind == plainStream || kind == unsafePlain) {
+						t.Errorf("%d runs", runs)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a whole answer being aborted or run again because its target, which framed it by the end
+// of its connection, accepts no connections afterwards in order: it had announced that it leaves.
+func TestWholeUnframedAnswerIsDeliveredOnce(t *testing.T) {
+	for name, end := range map[string]Unframed{
+		"":                         {Events: -1},
+		"of a target that leaves":  {Events: -1, Leave: true},
+		"of one that is then gone": {Events: -1, Leave: true, Crash: true},
+	} {
+		for _, kind := range []pathKind{plainStream, resumable, unsafePlain, safePlain} {
+			t.Run(strings.Trim(kind.path, "/")+" "+name, func(t *testing.T) {
+				is, s := is.New(t), start(t, 1)
+				answerUnframed(s.Engines(), end)
+				a := s.Nodes[0].Do(Request{Path: kind.path, Body: "x"})
+				is.NoErr(a.Err)
+				is.Equal(a.Body, kind.whole(a.ID))
+				is.Equal(len(s.Journal.Runs(a.ID)), 1)
+			})
+		}
+	}
+}
