Don't take the end of a connection for the end of an answer

Streams that may be resumed were looked at for the end of the last event; the others weren't, nor was any stream without events.

Whether an answer is complete is a pure decision now (package completion): framing, failed read, position in the stream of events, and where the bytes can't tell, whether the target had announced that it leaves and whether it still accepts connections. Framed answers are decided without a probe.

--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -99,3 +100,27 @@
 		}
 	}
 }
+
+// Guards against a resumable stream that one target breaks off being given up, although another one
+// could continue it.
+func TestTruncatedStreamIsResumedElsewhere(t *testing.T) {
+	for name, end := range map[string]Unframed{
+		"inside an event": {Events: 2, Inside: true}, "before the first event": {},
+		"between events by a crash": {Events: 2, Crash: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.New(t), start(t, 1)
+			answerUnframed(s.Model[:1], end)
+			resumed := 0
+			for i := range 30 {
+				a := s.Nodes[0].Do(Request{Path: ResumePath + fmt.Sprint(i), Body: "x"})
+				is.NoErr(a.Err)
+				is.Equal(a.Body, WholeStream(a.ID, DefaultEvents))
+				if len(s.Journal.Runs(a.ID)) > 1 {
+					resumed++
+				}
+			}
+			is.True(resumed > 0)
+		})
+	}
+}
--- a/router/ends.go
+++ b/router/ends.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -32,6 +33,13 @@
 	probeTimeout = 50 * time.Millisecond
 )
 
+// probe is an attempt to connect to a target, to see whether it has terminated.
+type probe struct {
+	// done is closed at its end, after which result is valid.
+	done   chan struct{}
+	result completion.Target
+}
+
 // connectionClosed records a request whose target closed the connection. The returned channel
 // is closed when the target has been probed.
 func (p *pool) connectionClosed(m *member, s quarantine.Suspect) <-chan struct{} {
@@ -43,16 +51,36 @@
 		s.Closed = now
 		m.suspects = append(m.suspects, s)
 	}
-	p.startProbe(m)
-	return m.probe
+	return p.startProbe(m).done
+}
+
+// afterConnectionEnd returns what is known of a target that has ended a connection, or a probe whose
+// result shows it.
+func (p *pool) afterConnectionEnd(m *member) (completion.Target, *probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case m.target.Draining || m.target.Evacuated || m.notices.Leaving():
+		return completion.TargetLeaves, nil
+	case p.isReplaced(m):
+		return completion.TargetTerminated, nil
+	}
+	return completion.TargetNotProbed, p.startProbe(m)
+}
+
+// isReplaced reports whether a later run has taken the place of a run. The caller must hold p.mu.
+func (p *pool) isReplaced(m *member) bool {
+	later, ok := p.members[m.target.ID]
+	return ok && later != m
 }
 
 // startProbe starts a probe of a target unless one is in progress. The caller must hold p.mu.
-func (p *pool) startProbe(m *member) {
+func (p *pool) startProbe(m *member) *probe {
 	if m.probe == nil {
-		m.probe = make(chan struct{})
+		m.probe = &probe{done: make(chan struct{})}
 		go p.probeTarget(m, m.target.Addr)
 	}
+	return m.probe
 }
 
 // probeTarget finds out whether a target accepts connections.
@@ -65,16 +93,30 @@
 	terminated := refused && p.confirmRefusal(m, addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	m.probe.result = targetAfter(err)
 	switch {
 	case err == nil:
 		m.suspects = nil // the target is alive, so the answers were lost
 	case terminated:
 		p.reportSuspects(m)
 	}
-	close(m.probe)
+	close(m.probe.done)
 	m.probe = nil
 }
 
+// targetAfter returns what the error of opening a connection to a target says about it. Unlike a strike
+// against a request, this needs no other target's confirmation: an answer that is aborted in vain costs
+// less than a truncated one that its caller takes for complete.
+func targetAfter(err error) completion.Target {
+	switch {
+	case err == nil:
+		return completion.TargetAccepts
+	case upstream.IsRefused(err):
+		return completion.TargetTerminated
+	}
+	return completion.TargetUnclear
+}
+
 // connectionRefused handles a target that refuses connections. It has terminated, unless this node has
 // lost its path to all targets.
 func (p *pool) connectionRefused(m *member) {
@@ -82,7 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(m.suspects) > 0 {
-		p.startProbe(m)
+		_ = p.startProbe(m) // its result is for the suspects
 	}
 }
 
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/catalog"
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/problem"
@@ -73,6 +74,8 @@
 	overdue string
 	// tries counts the targets tried, executions those that may have run the request.
 	tries, executions int
+	// received is the body of the last attempt's answer.
+	received completion.Body
 	// held is the answer of a target that failed the request, delivered if no later attempt
 	// succeeds; nil for none.
 	held *bufferedAnswer
@@ -91,9 +94,11 @@
 // requestSummary holds values for the log line of a request.
 type requestSummary struct {
 	target string
-	// conn is the connection of the last attempt, transfer the answer's body on it; both may be nil.
+	// conn is the connection of the last attempt, nil for none; ending why the answer on it counts as
+	// complete or truncated, empty before that is decided; probed how long the target was probed for it.
 	conn      upstream.ConnInfo
-	transfer  *transfer
+	ending    completion.Reason
+	probed    time.Duration
 	status    int
 	fetchFrom string
 	running   int
--- a/router/forward.go
+++ b/router/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedgw/knapweedgw/affinity"
 	"github.com/knapweedgw/knapweedgw/catalog"
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/overload"
@@ -188,7 +189,8 @@
 	x.sentAt = x.router.now()
 	x.summary.target, x.summary.running, x.summary.limit = a.target.ID, a.choice.Running, a.choice.Limit
 	x.summary.kept, x.summary.reason = a.choice.CachedTokens, a.choice.Reason
-	x.summary.conn, x.summary.transfer = nil, nil
+	x.summary.conn, x.summary.ending, x.summary.probed = nil, "", 0
+	x.received = completion.Body{}
 	x.router.metrics.countPartTokens(a.choice, x.sharedTokens())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -372,19 +374,20 @@
 // while other targets are tried.
 func (x *exchange) targetError(ctx context.Context, a assignment, resp *http.Response) *failure {
 	x.router.pool.observe(a.member, health.Failed)
-	x.summary.transfer = newTransfer(resp, false)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldFailure+1))
-	x.summary.transfer.record(body, err)
+	x.received.Start(resp, false)
+	body, err := io.ReadAll(io.LimitReader(&x.received, maxHeldFailure+1))
 	fail := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errOrStatus(err, resp)}
 	switch {
 	case err != nil || x.answerBegun || impliesNotRun(resp.StatusCode):
+		return fail
 	case len(body) > maxHeldFailure:
 		return x.relayUnbuffered(ctx, a, resp, body)
-	default:
-		x.releasePlace(fail) // before markCompleted, which reports an answer
-		x.markCompleted(resp)
-		x.held = &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	}
+	x.releasePlace(fail) // before endAnswer, which reports an answer
+	if broken := x.endAnswer(ctx, a); broken != nil {
+		return broken
+	}
+	x.held = &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	return fail
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -18,6 +18,8 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	cuts     *prometheus.CounterVec
+	// unframed counts answers that only the end of their connection delimits.
+	unframed *prometheus.CounterVec
 	// unanswered counts requests whose connection ended before a byte of the answer was
 	// delivered.
 	unanswered *prometheus.CounterVec
@@ -44,6 +46,8 @@
 		refusals: f.CounterVec("refusals_total", "Requests that this node refused or gave up, by reason.", "reason"),
 		retries:  f.CounterVec("retries_total", "Requests sent to another target, by the reason.", "reason"),
 		cuts:     f.CounterVec("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
+		unframed: f.CounterVec("unframed_answers_total",
+			"Answers with neither a length nor chunks, by the reason why they count as complete or truncated.", "reason"),
 		unanswered: f.CounterVec("unanswered_total",
 			"Requests whose connection was closed with no byte of an answer, by the cause.", "cause"),
 		overdue: f.CounterVec("overdue_total",
--- a/router/pool.go
+++ b/router/pool.go
@@ -122,9 +122,9 @@
 	share rejectlimit.Share
 	quota quota
 	// suspects are the requests whose connection the target closed since it last accepted one,
-	// oldest first. probe is closed when the current probe ends, nil if there is none.
+	// oldest first. probe is the one in progress, nil if there is none.
 	suspects []quarantine.Suspect
-	probe    chan struct{}
+	probe    *probe
 }
 
 // pool holds the members of all services.
--- a/router/relay.go
+++ b/router/relay.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/catalog"
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
@@ -25,9 +25,7 @@
 
 // relay relays an answer to the caller.
 func (x *exchange) relay(ctx context.Context, a assignment, resp *http.Response) *failure {
-	stream := x.route.Kind == catalog.Streaming && resp.StatusCode == http.StatusOK
-	x.summary.transfer = newTransfer(resp, stream)
-	if stream {
+	if x.route.Kind == catalog.Streaming && resp.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, a, resp)
 	}
 	if x.answerBegun {
@@ -40,31 +38,21 @@
 // relayBuffered reads the complete answer before it delivers any of it, so that the caller
 // never takes a truncated answer for a complete one.
 func (x *exchange) relayBuffered(ctx context.Context, a assignment, resp *http.Response) *failure {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
-	x.summary.transfer.record(body, err)
-	if err != nil {
-		return x.answerBroken(ctx, a, err)
-	}
-	if len(body) > maxBufferedAnswer {
+	x.received.Start(resp, false)
+	body, err := io.ReadAll(io.LimitReader(&x.received, maxBufferedAnswer+1))
+	if err == nil && len(body) > maxBufferedAnswer {
 		return x.relayUnbuffered(ctx, a, resp, body)
 	}
-	if resp.StatusCode == http.StatusOK {
+	if err == nil && resp.StatusCode == http.StatusOK {
 		x.recordFirstEvent(a)
 	}
-	x.markCompleted(resp)
+	if fail := x.endAnswer(ctx, a); fail != nil {
+		return fail
+	}
 	x.deliver(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body})
 	return nil
 }
 
-// markCompleted records that the answer was read to its end. An answer that is delimited only
-// by the end of its connection may have been truncated by the target's termination and doesn't
-// count.
-func (x *exchange) markCompleted(resp *http.Response) {
-	x.completed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	// The target is free, although the caller may read the answer slowly.
-	x.releasePlace(nil)
-}
-
 // deliver writes an answer that was completely read.
 func (x *exchange) deliver(a *bufferedAnswer) {
 	x.beginAnswer(a.status, a.header)
@@ -111,8 +99,10 @@
 // targets send up to 0.6 s after the header in a load surge. Until then, a request that fails
 // gets a refusal or another target's stream instead of a closed connection.
 func (x *exchange) relayStream(ctx context.Context, a assignment, resp *http.Response) *failure {
-	if x.route.Resumable {
-		return x.copyEvents(ctx, a, resp)
+	events := completion.IsEventStream(resp, true)
+	x.received.Start(resp, events)
+	if events {
+		return x.relayEvents(ctx, a, resp)
 	}
 	return x.copyRest(ctx, a, resp)
 }
@@ -130,8 +120,7 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	for {
-		n, err := resp.Body.Read(*buf)
-		x.summary.transfer.record((*buf)[:n], err)
+		n, err := x.received.Read(*buf)
 		if n > 0 {
 			x.recordFirstEvent(a)
 			x.beginStream(resp)
@@ -139,92 +128,23 @@
 				return x.callerWriteFailed(werr)
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			x.markCompleted(resp)
-			x.beginStream(resp)
-			return nil
-		}
 		if err != nil {
-			return x.answerBroken(ctx, a, err)
+			return x.endStream(ctx, a, resp)
 		}
 	}
 }
 
-// copyEvents relays only complete events, so that a stream that breaks within an event can be
-// resumed after the last complete one.
-func (x *exchange) copyEvents(ctx context.Context, a assignment, resp *http.Response) *failure {
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	gaps := x.watchGaps(a)
-	defer gaps.stop()
-	var pending []byte
-	for {
-		n, err := resp.Body.Read(*buf)
-		x.summary.transfer.record((*buf)[:n], err)
-		gaps.event()
-		pending = append(pending, (*buf)[:n]...)
-		if end := completeEvents(pending); end > 0 {
-			x.recordFirstEvent(a)
-			x.beginStream(resp)
-			if werr := x.writeAndFlush(pending[:end]); werr != nil {
-				return x.callerWriteFailed(werr)
-			}
-			if id := lastEventID(pending[:end]); id != "" {
-				x.lastEvent = id
-			}
-			pending = append(pending[:0], pending[end:]...)
-		}
-		if errors.Is(err, io.EOF) {
-			return x.endEvents(a, resp, pending)
-		}
-		if gaps.ended() {
-			return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errGap, overdue: true}
-		}
-		if err != nil {
-			return x.answerBroken(ctx, a, err)
-		}
+// endStream handles the end of the body of a stream.
+func (x *exchange) endStream(ctx context.Context, a assignment, resp *http.Response) *failure {
+	if fail := x.endAnswer(ctx, a); fail != nil {
+		return fail
 	}
+	x.beginStream(resp)
+	return nil
 }
 
 var errGap = errors.New("the stream paused for too long")
 
-var errCutEvent = errors.New("the stream ended within an event")
-
-func (x *exchange) endEvents(a assignment, resp *http.Response, pending []byte) *failure {
-	if len(pending) == 0 {
-		x.markCompleted(resp)
-		x.beginStream(resp)
-		return nil
-	}
-	x.router.pool.observe(a.member, health.Failed)
-	return &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errCutEvent}
-}
-
-var eventEnd = []byte("\n\n")
-
-// completeEvents returns the length of the complete events at the start of b.
-func completeEvents(b []byte) int {
-	i := bytes.LastIndex(b, eventEnd)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventEnd)
-}
-
-var fieldID = []byte("id:")
-
-// lastEventID returns the last ID in complete events, empty if there is none.
-func lastEventID(events []byte) string {
-	for end := len(events); end > 0; {
-		start := bytes.LastIndexByte(events[:end-1], '\n') + 1
-		if line := events[start:end]; bytes.HasPrefix(line, fieldID) {
-			return string(bytes.TrimSpace(line[len(fieldID):]))
-		}
-		end = start
-	}
-	return ""
-}
-
 // answerBroken handles an answer whose transfer from the target failed.
 func (x *exchange) answerBroken(ctx context.Context, a assignment, err error) *failure {
 	f := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: err}
@@ -234,7 +154,9 @@
 		x.router.pool.connectionTimedOut(a.member)
 	default:
 		x.router.pool.observe(a.member, health.Failed)
-		x.closedByTarget(a, f)
+		if x.received.EndsConnection() {
+			x.closedByTarget(a, f)
+		}
 	}
 	return f
 }
--- a/router/slow_test.go
+++ b/router/slow_test.go
@@ -50,9 +50,11 @@
 		w := &slowCaller{header: make(http.Header), released: make(chan struct{})}
 		x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: &http.Request{}}
 		body := &endlessBody{}
+		resp := &http.Response{StatusCode: http.StatusOK, Body: body}
+		x.received.Start(resp, false)
 		done := make(chan *failure)
 		go func() {
-			done <- x.copyRest(context.Background(), p.take(t), &http.Response{StatusCode: http.StatusOK, Body: body})
+			done <- x.copyRest(context.Background(), p.take(t), resp)
 		}()
 		synctest.Wait()
 		is.Equal(body.read.Load(), int64(streamBuffer))
--- a/router/transfer.go
+++ b/router/transfer.go
@@ -1,61 +1,75 @@
 package router
 
 import (
-	"net/http"
+	"context"
+	"time"
 
-	"github.com/knapweedgw/knapweedgw/sse"
-)
-
-// transfer is what is known of the body of an answer.
-type transfer struct {
-	framing string
-	// events follows the events of a stream, nil for a plain answer.
-	events *sse.Scanner
-	bytes  int
-	err    error
-}
+	"github.com/cockroachdb/errors"
 
-// Framings of a body: what tells its end.
-const (
-	framedByLength = "length"
-	framedByChunks = "chunked"
-	framedByClose  = "close"
+	"github.com/knapweedgw/knapweedgw/completion"
 )
 
-func newTransfer(resp *http.Response, stream bool) *transfer {
-	t := &transfer{framing: framedByClose}
-	if stream {
-		t.events = &sse.Scanner{}
+// endAnswer decides whether the answer whose body was read to its end, or until an error, is complete,
+// and returns a failure if it isn't.
+func (x *exchange) endAnswer(ctx context.Context, a assignment) *failure {
+	ending := x.received.Ending()
+	ending.Resumed = x.lastEvent != "" || x.call.LastEventID != ""
+	verdict, reason := completion.Decide(ending)
+	if verdict == completion.ProbeTarget {
+		x.releasePlace(nil) // the target is free
+		ending.Target = x.probeTarget(ctx, a)
+		verdict, reason = completion.Decide(ending)
+	}
+	x.summary.ending = reason
+	if ending.Framing == completion.ByClose {
+		x.router.metrics.unframed.WithLabelValues(string(reason)).Inc()
 	}
-	switch {
-	case len(resp.TransferEncoding) > 0:
-		t.framing = framedByChunks
-	case resp.ContentLength >= 0:
-		t.framing = framedByLength
+	if verdict == completion.Truncated {
+		return x.answerBroken(ctx, a, x.truncationError(reason))
+	}
+	// An answer that only the end of its connection delimits may have been truncated by the target's
+	// termination, and doesn't count for the quarantine.
+	x.completed = ending.Framing != completion.ByClose
+	// The target is free, although the caller may read the answer slowly.
+	x.releasePlace(nil)
+	return nil
+}
+
+func (x *exchange) truncationError(reason completion.Reason) error {
+	if reason == completion.ReadFailed {
+		return x.received.Err()
 	}
-	return t
+	return errors.Newf("the answer was broken off: %s", reason)
 }
 
-// record records a part of the body and the error of reading it.
-func (t *transfer) record(p []byte, err error) {
-	if t.events != nil {
-		t.events.Scan(p)
+// probeTarget finds out what has become of a target that ended the connection of an answer.
+func (x *exchange) probeTarget(ctx context.Context, a assignment) completion.Target {
+	state, probe := x.router.pool.afterConnectionEnd(a.member)
+	if probe == nil {
+		return state
 	}
-	t.bytes += len(p)
-	if err != nil {
-		t.err = err
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	began := x.router.now()
+	select {
+	case <-ctx.Done():
+		state = completion.TargetUnclear
+	case <-probe.done:
+		state = probe.result
 	}
+	x.summary.probed = x.router.now().Sub(began)
+	return state
 }
 
-// transferFields returns the log fields of an answer whose end only the connection tells.
+// transferFields returns the log fields of an answer that only the end of its connection delimits, or
+// that isn't complete.
 func (x *exchange) transferFields() []any {
-	t := x.summary.transfer
-	if t == nil || t.framing != framedByClose {
+	if x.summary.ending == "" || x.summary.ending == completion.Framed {
 		return nil
 	}
-	fields := []any{"framing", t.framing, "received", t.bytes, "ended", t.err}
-	if t.events != nil {
-		fields = append(fields, "position", t.events.Position(), "last_event", t.events.LastID())
+	fields := append(x.received.LogFields(), "ending", x.summary.ending)
+	if x.summary.probed > 0 {
+		fields = append(fields, "probe_us", x.summary.probed/time.Microsecond)
 	}
 	if c := x.summary.conn; c != nil && c.WriteError() != nil {
 		fields = append(fields, "write_error", c.WriteError())
--- a/sse/scanner.go
+++ b/sse/scanner.go
@@ -25,7 +25,6 @@
 
 var (
 	byteOrderMark = []byte("\xEF\xBB\xBF")
-	lineEnds      = "\r\n"
 	idPrefix      = []byte("id:")
 )
 
@@ -55,8 +54,10 @@
 	// mark is the number of bytes of a byte order mark read, markDone that none can follow.
 	mark     int
 	markDone bool
-	// id is the ID of the last complete event that had one, next that of the event in progress.
-	id, next eventID
+	// ids holds the ID of the last complete event that had one, at index last, and that of the event in
+	// progress.
+	ids  [2]eventID
+	last int
 }
 
 // eventID is an event ID of up to maxID bytes; a longer one counts as none.
@@ -66,6 +67,9 @@
 	bytes  [maxID]byte
 }
 
+// next returns the ID of the event in progress.
+func (s *Scanner) next() *eventID { return &s.ids[1-s.last] }
+
 func (e *eventID) add(p []byte) {
 	if e.length <= maxID {
 		copy(e.bytes[min(e.length, maxID):], p)
@@ -123,8 +127,8 @@
 			return p[1:]
 		}
 	}
-	end := bytes.IndexAny(p, lineEnds)
-	if end < 0 {
+	end := lineEnd(p)
+	if end == len(p) {
 		s.scanText(p)
 		return nil
 	}
@@ -134,6 +138,17 @@
 	return p[end+1:]
 }
 
+// lineEnd returns the index of the first byte of a line end in p, len(p) if there is none.
+func lineEnd(p []byte) int {
+	if i := bytes.IndexByte(p, '\n'); i >= 0 {
+		p = p[:i]
+	}
+	if i := bytes.IndexByte(p, '\r'); i >= 0 {
+		return i
+	}
+	return len(p)
+}
+
 // scanText scans bytes of one line.
 func (s *Scanner) scanText(p []byte) {
 	if len(p) == 0 {
@@ -153,11 +168,12 @@
 		p = p[1:]
 		if s.begun++; s.begun == len(idPrefix) {
 			s.kind = lineID
-			s.next = eventID{set: true}
+			next := s.next()
+			next.set, next.length = true, 0
 		}
 	}
 	if s.kind == lineID {
-		s.next.add(p)
+		s.next().add(p)
 	}
 }
 
@@ -178,8 +194,9 @@
 	}
 	s.inEvent = false
 	s.events++
-	if s.next.set {
-		s.id, s.next = s.next, eventID{}
+	if s.next().set {
+		s.last = 1 - s.last
+		s.next().set = false
 	}
 }
 
@@ -196,4 +213,4 @@
 
 // LastID returns the ID of the last complete event that has one; empty if there is none, or if it has
 // over 128 bytes.
-func (s *Scanner) LastID() string { return s.id.value() }
+func (s *Scanner) LastID() string { return s.ids[s.last].value() }
