Decide in the callers' own interface as well whether a response is complete

The gateway had the same fault as the router: event streams of services, and plain responses, that have neither a length nor chunks were copied to the end of their connection and ended as complete. A truncated one was kept under its Idempotency-Key, and every repetition got it as the whole answer. A truncated failure was held and delivered. Chats need their end marker and had no fault.

The decision is the router's (package completion), with what the gateway knows: notices, the registry, and a connection over any path that requests use. Before, the eight cases of TestTruncatedUnframedResponses and TestTruncatedFailureIsNotHeld failed; whole responses pass before and after (TestWholeUnframedResponses).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -215,7 +215,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	g.processNotices(c, t, resp)
-	if fail := classifyResponse(f, t, resp); fail != nil {
+	if fail := g.classifyResponse(ctx, c, f, t, resp); fail != nil {
 		return fail
 	}
 	return g.relay(ctx, c, f, t, gen, resp)
@@ -244,7 +244,9 @@
 // after a partial effect, so its refusal counts as "not run" only if the response is a problem
 // document with "ran": "no". A failed attempt of a repeatable request is retried on another
 // target. Any other response is delivered to the caller as the target's own.
-func classifyResponse(f forwardRequest, t targets.Target, resp *http.Response) *attemptError {
+func (g *Gateway) classifyResponse(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, resp *http.Response,
+) *attemptError {
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		if f.chat || declaresNotRun(resp) {
@@ -255,7 +257,7 @@
 		}
 	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
 		if f.repeatable {
-			return holdFailure(t, resp)
+			return g.holdFailure(ctx, c, t, resp)
 		}
 	}
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
+	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
 // ServiceID is the kernel name of the Gateway.
@@ -74,6 +75,7 @@
 	registry *prometheus.Registry
 	metrics  *metrics
 	clients  clients
+	dial     upstream.DialFunc
 	// paths is the state of this node's network paths to targets, nil if it isn't known.
 	paths        Paths
 	budget       *retry.Budget
@@ -103,6 +105,7 @@
 	return &Gateway{
 		cfg: cfg, log: l, registry: reg, metrics: newMetrics(reg),
 		clients:      newClients(NetworkDial()),
+		dial:         NetworkDial(),
 		budget:       retry.NewBudget(budget, time.Now()),
 		backoff:      retry.Backoff{Base: retryBaseBackoff, Max: retryMaxBackoff},
 		writeTimeout: callerWriteTimeout,
@@ -132,7 +135,7 @@
 	g.loads = lookupOptional[LoadObserver](k, admission.ServiceID)
 	g.leaving = lookupOptional[LeavingObserver](k, targets.ServiceID)
 	if d := lookupOptional[*reachability.Dialer](k, reachability.ServiceID); d != nil {
-		g.clients, g.paths = newClients(d.DialContext), d
+		g.clients, g.dial, g.paths = newClients(d.DialContext), d.DialContext, d
 		d.OnChange(func(c reachability.Change, _ string, hung bool) { g.clients.pathChanged(c, hung) })
 	}
 	return nil
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -108,7 +108,19 @@
 
 func (f *fakeTargets) ID() kernel.ID { return targets.ServiceID }
 
+// setLeaving marks all targets as leaving.
+func (f *fakeTargets) setLeaving() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool = slices.Clone(f.pool)
+	for i := range f.pool {
+		f.pool[i].Leaving = true
+	}
+}
+
 func (f *fakeTargets) Snapshot() *targets.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return &targets.Snapshot{Pools: map[string][]targets.Target{"m": f.pool, "s": f.pool}}
 }
 
@@ -131,8 +143,12 @@
 	admitter *fakeAdmitter
 	targets  *fakeTargets
 	metrics  *prometheus.Registry
+	servers  []*httptest.Server
 }
 
+// stopTarget makes a target refuse connections; requests in progress continue.
+func (n *node) stopTarget(i int) { _ = n.servers[i].Listener.Close() }
+
 type option func(*config.Node, *[]kernel.Service)
 
 func withClaimer(c claims.Claimer) option {
@@ -155,9 +171,11 @@
 		RetryShare: 0.1, ResumeHold: 10 * time.Second, StreamHold: time.Minute,
 	}
 	var pool []targets.Target
+	var servers []*httptest.Server
 	for i, h := range handlers {
 		srv := httptest.NewServer(h)
 		t.Cleanup(srv.Close)
+		servers = append(servers, srv)
 		pool = append(pool, targets.Target{ID: "t" + string(rune('1'+i)), Addr: srv.Listener.Addr().String()})
 	}
 	n := &node{
@@ -165,6 +183,7 @@
 		admitter: &fakeAdmitter{targets: pool, loads: make(map[string]int)},
 		targets:  &fakeTargets{pool: pool},
 		metrics:  prometheus.NewRegistry(),
+		servers:  servers,
 	}
 	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Monotonic, log.New(io.Discard), prometheus.NewRegistry())
 	services := []kernel.Service{n.settings, n.admitter, n.targets, fakeGuard{guard}}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -26,16 +28,18 @@
 // holdFailure handles a failure response to a repeatable request. It returns an attempt error
 // that holds the response, or nil if the response is too large to hold and must be delivered
 // now; its body can then be read again.
-func holdFailure(t targets.Target, resp *http.Response) *attemptError {
+func (g *Gateway) holdFailure(ctx context.Context, c *call, t targets.Target, resp *http.Response) *attemptError {
 	fail := statusError(retry.Sent, problem.TargetFailed, resp)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldFailure+1))
-	if err != nil {
-		return fail // truncated: there is no complete response to hold
-	}
-	if len(body) > maxHeldFailure {
+	var received completion.Body
+	received.Start(resp, false)
+	body, err := io.ReadAll(io.LimitReader(&received, maxHeldFailure+1))
+	if err == nil && len(body) > maxHeldFailure {
 		resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
 		return nil
 	}
+	if g.endResponse(ctx, c, t, &received) != nil {
+		return fail // truncated: there is no complete response to hold
+	}
 	fail.response = &heldResponse{target: t, resp: resp, body: body}
 	return fail
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,6 +28,7 @@
 	retries  *prometheus.CounterVec
 	resumes  *prometheus.CounterVec
 	notices  *prometheus.CounterVec
+	unframed *prometheus.CounterVec
 	cancels  prometheus.Counter
 	replays  prometheus.Counter
 	panics   prometheus.Counter
@@ -45,6 +46,8 @@
 			"Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.", "by"),
 		notices: f.CounterVec("notices_total",
 			notice.Help, notice.Label),
+		unframed: f.CounterVec("unframed_responses_total",
+			"Responses with neither a length nor chunks, by the reason why they count as complete or truncated.", "reason"),
 		cancels: f.Counter("streams_canceled_total",
 			"Generations canceled because their caller went away."),
 		replays: f.Counter("replayed_answers_total",
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -47,6 +47,12 @@
 	return n.book.State(runOf(t)).MaySend(now)
 }
 
+func (n *notices) isLeaving(t targets.Target) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.book.State(runOf(t)).Leaving()
+}
+
 func (n *notices) cooldownFor(t targets.Target, now time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -23,27 +24,30 @@
 func (g *Gateway) relay(
 	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, resp *http.Response,
 ) *attemptError {
-	events := strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
-	switch {
-	case events && f.chat:
+	events := completion.IsEventStream(resp, false)
+	if events && f.chat {
 		return g.relayStream(ctx, c, f, t, gen, resp)
-	case events:
-		return g.relayUnbuffered(c, t, resp, nil)
-	default:
-		return g.relayBuffered(c, f, t, resp)
 	}
+	var body completion.Body
+	body.Start(resp, events)
+	if events {
+		return g.relayUnbuffered(ctx, c, t, resp, &body, nil)
+	}
+	return g.relayBuffered(ctx, c, f, t, resp, &body)
 }
 
 // relayBuffered reads the complete response before it delivers any of it, so that a response
 // truncated by the target is never delivered as a complete one. Responses over
 // maxBufferedResponse are streamed.
-func (g *Gateway) relayBuffered(c *call, f forwardRequest, t targets.Target, resp *http.Response) *attemptError {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	if err != nil {
-		return &attemptError{progress: retry.Sent, reason: problem.TargetFailed, cause: err}
+func (g *Gateway) relayBuffered(
+	ctx context.Context, c *call, f forwardRequest, t targets.Target, resp *http.Response, received *completion.Body,
+) *attemptError {
+	body, err := io.ReadAll(io.LimitReader(received, maxBufferedResponse+1))
+	if err == nil && len(body) > maxBufferedResponse {
+		return g.relayUnbuffered(ctx, c, t, resp, received, body)
 	}
-	if len(body) > maxBufferedResponse {
-		return g.relayUnbuffered(c, t, resp, body)
+	if fail := g.endResponse(ctx, c, t, received); fail != nil {
+		return fail
 	}
 	if f.chat && resp.StatusCode == http.StatusOK && !json.Valid(body) {
 		return &attemptError{progress: retry.Sent, reason: problem.TargetFailed, cause: errors.New("the answer is not JSON")}
@@ -63,7 +67,9 @@
 // relayUnbuffered delivers head and then streams the rest of the response. If the target
 // truncates it, the caller's connection is closed so that the caller doesn't take the response
 // for a complete one.
-func (g *Gateway) relayUnbuffered(c *call, t targets.Target, resp *http.Response, head []byte) *attemptError {
+func (g *Gateway) relayUnbuffered(
+	ctx context.Context, c *call, t targets.Target, resp *http.Response, received *completion.Body, head []byte,
+) *attemptError {
 	copyHeader(c.w, t, resp)
 	if resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
@@ -73,22 +79,24 @@
 	out := io.MultiWriter(&flushWriter{c.w, http.NewResponseController(c.w)}, captureWriter{c.captured})
 	_, err := out.Write(head)
 	if err == nil {
-		_, err = io.Copy(out, readerOnly{resp.Body})
+		_, err = io.Copy(out, received)
 	}
-	if err != nil && c.req.Context().Err() == nil {
-		g.metrics.refusals.WithLabelValues(string(problem.TargetFailed)).Inc()
-		c.log().Warn("response truncated by target", "target", t.ID, "err", err)
-		c.guarded.recordDisconnect()
-		panic(http.ErrAbortHandler)
+	var fail *attemptError
+	if err == nil || received.Ending().Failed {
+		fail = g.endResponse(ctx, c, t, received)
 	}
-	if err == nil {
+	switch {
+	case c.req.Context().Err() != nil:
+	case fail != nil:
+		g.abortTruncated(c, t, fail)
+	case err != nil:
+		g.abortTruncated(c, t, &attemptError{cause: err})
+	default:
 		c.captured.end()
 	}
 	return nil
 }
 
-type readerOnly struct{ io.Reader }
-
 type captureWriter struct{ *capture }
 
 func (w captureWriter) Write(p []byte) (int, error) {
