Don't take the end of a connection after a failed write for an orderly one

An operating system reports the failure of a connection once: if a write gets the reset, or the timeout, the read after it returns a plain end. A target may answer before it has read a long request, so the rest of the body is written while the answer is read; an answer without a length that was reset then ended in order, at the node and at a node that carries the connection for it, which wrote its last chunk before it aborted.

Connections to targets return the write's error instead of io.EOF (socket EndConn), also for a write that is in progress.

--- /dev/null
+++ b/socket/reset.go
@@ -0,0 +1,15 @@
+package socket
+
+import "net"
+
+// Reset closes a connection with a TCP reset.
+func Reset(conn net.Conn) {
+	raw := conn
+	if end, ok := conn.(*EndConn); ok {
+		raw = end.Conn
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -135,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		abort(c)
+		socket.Reset(c)
 	}
 	return errors.Wrap(err, "tunnel: close")
 }
@@ -208,7 +208,7 @@
 	conn, err := s.cfg.Dial(ctx, "tcp", addr)
 	switch {
 	case err == nil:
-		return conn, nil
+		return socket.NewEndConn(conn), nil
 	case upstream.IsLocal(err):
 		return nil, ErrBusy
 	case !s.directory.HasPath():
@@ -255,7 +255,7 @@
 		// The end of the peer's side means that its caller gave up, or that it was lost: the
 		// target must not go on working.
 		_ = s.copyBytes(target, buffered, "to_target")
-		abort(target)
+		socket.Reset(target)
 		// Closing a connection with unread bytes would reset it before the peer has read the
 		// target's last ones.
 		_, _ = io.Copy(io.Discard, buffered)
@@ -272,7 +272,7 @@
 		err = errors.CombineErrors(chunked.Close(), w.Flush())
 	}
 	if err != nil {
-		abort(peer)
+		socket.Reset(peer)
 		return
 	}
 	if tcp, ok := peer.(*net.TCPConn); ok {
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -75,11 +75,3 @@
 
 // keepAlive detects that the other node of an idle tunnel is gone.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
-
-// abort closes a connection with a TCP reset, so that its peer doesn't take the end for an orderly one.
-func abort(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/socket"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
@@ -110,7 +111,7 @@
 		orderly bool
 	}{
 		{"target closes", func(target net.Conn, _ *Server) { _ = target.Close() }, true},
-		{"target resets", func(target net.Conn, _ *Server) { abort(target) }, false},
+		{"target resets", func(target net.Conn, _ *Server) { socket.Reset(target) }, false},
 		{"server stops", func(_ net.Conn, s *Server) { stopNow(s) }, false},
 		{"server process ends", func(_ net.Conn, s *Server) { closeAll(s) }, false},
 	} {
@@ -197,3 +198,37 @@
 		is.New(t).True(errors.Is(err, ErrUnavailable))
 	})
 }
+
+// resetConn is a connection whose reset a write gets, so that the read after it returns io.EOF.
+type resetConn struct {
+	net.Conn
+	wrote chan struct{}
+}
+
+func (c resetConn) Write([]byte) (int, error) {
+	defer close(c.wrote)
+	return 0, syscall.ECONNRESET
+}
+
+func (c resetConn) Read([]byte) (int, error) {
+	<-c.wrote
+	return 0, io.EOF
+}
+
+// Guards against the reset of a target's connection being passed on as an orderly end, since a write to
+// the target got its error.
+func TestResetAfterFailedWriteIsNoOrderlyEnd(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		return resetConn{near, make(chan struct{})}, nil
+	}
+	_, node := startServer(t, ServerConfig{Dial: dial}, &directory{})
+	conn := open(t, node, "127.0.0.1:1")
+	_, err := conn.Write([]byte("rest of a request"))
+	is.NoErr(err)
+	_, err = conn.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(!errors.Is(err, io.EOF))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -95,7 +95,7 @@
 
 // track wraps a new connection.
 func (c *Client) track(conn net.Conn) *sendConn {
-	out := &sendConn{Conn: conn}
+	out := &sendConn{EndConn: socket.NewEndConn(conn)}
 	if t, ok := conn.(tunneled); ok {
 		out.via = t.Via()
 		out.onClose = func() {
@@ -221,7 +221,7 @@
 // sendConn is a connection that records whether any byte of the current request was handed to
 // the network.
 type sendConn struct {
-	net.Conn
+	*socket.EndConn
 	// via is the node that carries the connection, empty for a direct one; onClose may be nil.
 	via     string
 	onClose func()
@@ -230,8 +230,6 @@
 	gate   func() bool
 	wrote  bool
 	sealed bool
-	// writeErr is the error of the first write that failed.
-	writeErr error
 	// request counts the requests on the connection. inUse is set while one uses it, retired if it
 	// is to be closed after that.
 	request        int
@@ -292,7 +290,7 @@
 	if c.onClose != nil {
 		c.onClose()
 	}
-	return c.Conn.Close()
+	return c.EndConn.Close()
 }
 
 // Write implements net.Conn.
@@ -300,31 +298,12 @@
 	if err := c.open(); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.recordWriteError(err)
-	}
-	return n, err
-}
-
-func (c *sendConn) recordWriteError(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writeErr == nil {
-		c.writeErr = err
-	}
+	return c.EndConn.Write(p)
 }
 
 // Via implements ConnInfo.
 func (c *sendConn) Via() string { return c.via }
 
-// WriteError implements ConnInfo.
-func (c *sendConn) WriteError() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writeErr
-}
-
 // ReadFrom sends a body through Write, so that its gate is checked.
 func (c *sendConn) ReadFrom(r io.Reader) (int64, error) {
 	return io.Copy(writerOnly{c}, r)
