Reset the connection of a caller of HTTP/1.0 whose answer is aborted

A caller of HTTP/1.0 gets no chunks: its stream ends with its connection. An answer that a node aborted was closed in order, which such a caller takes for its end. Both fronts reset the connection now.

Without it TestTruncatedResponseToHTTP10IsReset (gateway) and TestTruncated- StreamToHTTP10IsReset (router on stand-ins) fail.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/socket"
 	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
@@ -87,5 +87,5 @@
 	g.metrics.refusals.WithLabelValues(string(problem.TargetFailed)).Inc()
 	c.log().Warn("response truncated by target", "target", t.ID, "err", fail.cause)
 	c.guarded.recordDisconnect()
-	panic(http.ErrAbortHandler)
+	socket.AbortResponse(c.w, c.req)
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -106,3 +109,17 @@
 	a := n.send(t, "POST", "/services/s/search", keyA, "")
 	is.Equal(a.problem.Execution, problem.MayHaveRun) // a refusal
 }
+
+// Guards against a caller of HTTP/1.0 taking a truncated response for a complete one: it has no chunks, so
+// only a reset of its connection shows it.
+func TestTruncatedResponseToHTTP10IsReset(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, handlers(unframedTarget(200, eventsType, "data: a\n\ndata", nil)))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST "+lettersPath+" HTTP/1.0\r\nAuthorization: Bearer "+keyA+"\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, conn)
+	is.True(err != nil)
+}
--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -1,7 +1,10 @@
 package standin_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -124,3 +127,29 @@
 		})
 	}
 }
+
+// Guards against a caller of HTTP/1.0 taking a broken stream for a complete one: it gets no chunks, so only
+// a reset of its connection shows it.
+func TestTruncatedStreamToHTTP10IsReset(t *testing.T) {
+	for name, end := range map[string]Unframed{"truncated": {Events: 2, Inside: true}, "whole": {Events: -1}} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.New(t), start(t, 1)
+			answerUnframed(s.Model, end)
+			conn, err := net.Dial("tcp", s.Nodes[0].Config.Listen)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			req := Front(s.Nodes[0].Config.Listen).NewRequest(t.Context(), Request{Path: StreamPath, ID: NewID()})
+			is.NoErr(req.Write(http10Writer{conn}))
+			_, err = io.Copy(io.Discard, conn)
+			is.Equal(err == nil, name == "whole")
+		})
+	}
+}
+
+// http10Writer writes a request of HTTP/1.1 as one of HTTP/1.0.
+type http10Writer struct{ net.Conn }
+
+func (w http10Writer) Write(p []byte) (int, error) {
+	_, err := w.Conn.Write(bytes.Replace(p, []byte(" HTTP/1.1\r\n"), []byte(" HTTP/1.0\r\n"), 1))
+	return len(p), err
+}
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/socket"
 )
 
 // callerWriteTimeout is how long a write may wait for the caller to read: the minimum time that
@@ -96,7 +97,7 @@
 // abort closes the caller's connection, which signals that the answer is incomplete.
 func (x *exchange) abort(reason problem.Reason) {
 	x.recordUnanswered(reason)
-	panic(http.ErrAbortHandler)
+	socket.AbortResponse(x.w, x.req)
 }
 
 // recordUnanswered counts a request that was completely read and whose connection ends before a
