Soak targets whose answers end with their connections

The profile unframed has targets answer with neither a length nor chunks, whole or broken off inside an event, before the first one or by a reset, while nodes and targets restart, freeze and are cut off. Callers' answers are checked against what targets sent. The function that resets a connection stands once, in package socket.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -144,7 +144,7 @@
 	if c.services[x.path] == standin.ModelPool {
 		return standin.WholeStream(x.id, c.events)
 	}
-	return "whole answer to " + x.id
+	return standin.PlainBody(x.id)
 }
 
 func (c *checker) checkSuccess(x *exchange) {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -43,6 +43,8 @@
 	Shed Kind = "shed"
 	// PartitionNodes partitions some nodes from all targets.
 	PartitionNodes Kind = "partition_nodes"
+	// AnswerUnframed makes a target answer with neither a length nor chunks, whole or broken off.
+	AnswerUnframed Kind = "unframed"
 )
 
 // Profile selects the kinds of steps in a plan.
@@ -72,6 +74,9 @@
 	// Partitioned partitions nodes from all targets, while they and those that carry their
 	// connections restart and freeze. Its nodes run with lab/soaknode.
 	Partitioned Profile = "partitioned"
+	// Unframed has targets that answer with neither a length nor chunks and break some answers off,
+	// while nodes and targets restart.
+	Unframed Profile = "unframed"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, ChangeTimeout}
@@ -92,6 +97,8 @@
 
 var partitioned = []Kind{PartitionNodes, PartitionNodes, PartitionNodes, PartitionNodes, Kill, Freeze, Term, CutTarget, RestartTarget}
 
+var unframed = []Kind{AnswerUnframed, AnswerUnframed, AnswerUnframed, AnswerUnframed, Term, Kill, Freeze, Hup, Drain, CutTarget, RestartTarget, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -108,6 +115,8 @@
 		return owners
 	case Partitioned:
 		return partitioned
+	case Unframed:
+		return unframed
 	default:
 		return mixed
 	}
@@ -128,8 +137,8 @@
 	// Which selects the node or target, modulo their number.
 	Which    int
 	NetFault NetFault // used by CutStore and CutTarget
-	// Variant is a random number that selects the fault of TargetFault, the timeout of
-	// ChangeTimeout, how Drain, AnnounceLeave and Shed proceed, and the IDs of new targets.
+	// Variant is a random number that selects the fault of TargetFault, the ending of
+	// AnswerUnframed, the timeout of ChangeTimeout, how Drain, AnnounceLeave and Shed proceed, and the IDs of new targets.
 	Variant int
 }
 
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/socket"
 )
 
 // NetFault is the fault that a proxy applies to its connections.
@@ -86,7 +88,7 @@
 		return
 	}
 	for c := range p.conns {
-		reset(c)
+		socket.Reset(c)
 	}
 }
 
@@ -110,13 +112,6 @@
 	p.SetFault(Reset)
 }
 
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // Close then sends a reset
-	}
-	_ = c.Close()
-}
-
 func (p *Proxy) accept(ln net.Listener) {
 	for {
 		in, err := ln.Accept()
@@ -130,12 +125,12 @@
 func (p *Proxy) serve(in net.Conn) {
 	defer func() { _ = in.Close() }()
 	if f, _ := p.currentFault(); f == Reset {
-		reset(in)
+		socket.Reset(in)
 		return
 	}
 	out, err := p.dial()
 	if err != nil {
-		reset(in)
+		socket.Reset(in)
 		return
 	}
 	defer func() { _ = out.Close() }()
@@ -193,8 +188,8 @@
 			break
 		}
 	}
-	reset(dst)
-	reset(src)
+	socket.Reset(dst)
+	socket.Reset(src)
 }
 
 // applyFault delays or blocks according to the current fault of this direction.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -63,6 +63,9 @@
 	"nodes are partitioned from all engines, and those that carry their connections end": {
 		Seed: 1, Profile: Partitioned, Nodes: 5, Callers: 20, Length: evacuateLength,
 	},
+	"answers without a length, delimited by their connections, are broken off": {
+		Seed: 1, Profile: Unframed, Nodes: 4, Callers: 24, Length: mixLength,
+	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -124,6 +124,8 @@
 		r.shed(s)
 	case PartitionNodes:
 		r.partitionNodes(s)
+	case AnswerUnframed:
+		r.answerUnframed(s)
 	case Configure:
 		r.configure(func() { r.laterRoute = s.Which%2 == 0 })
 	case ChangeTimeout:
--- a/lab/standin/partition.go
+++ b/lab/standin/partition.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/router"
+	"github.com/knapweedgw/knapweedgw/socket"
 )
 
 // PathFault is a fault of the network path between a node and all engines.
@@ -161,15 +162,7 @@
 	}
 	c.mu.Unlock()
 	c.once.Do(func() { close(c.closed) })
-	reset(c.Conn)
-}
-
-// reset closes a connection with a TCP reset.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
+	socket.Reset(c.Conn)
 }
 
 // failUnless fails the connection after d, unless the path changes before.
