Test streams that a node itself ends, and callers that go on after a broken one

Unframed streams at a deadline, at the end of a shutdown, when the node that carries the connection ends or loses its path, and when the own path is lost: none is delivered as complete. A caller gets whole events only and goes on at another node; a resumed stream that has no event left is whole.

--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -153,3 +155,65 @@
 	_, err := w.Conn.Write(bytes.Replace(p, []byte(" HTTP/1.1\r\n"), []byte(" HTTP/1.0\r\n"), 1))
 	return len(p), err
 }
+
+// Guards against a stream that the node itself stops reading being delivered as complete: at the deadline,
+// at the end of a shutdown, or since the node that carries its connection ends.
+func TestStreamThatANodeEndsIsNotComplete(t *testing.T) {
+	const running = 150 * time.Millisecond
+	slow := http.Header{PaceHeader: {"400"}}
+	killed := func(n *Node) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.Stop(ctx)
+	}
+	for name, tt := range map[string]struct {
+		deadline time.Duration
+		// carried means that another node carries the connection.
+		carried bool
+		end     func(s *Site)
+	}{
+		"deadline":               {deadline: 600 * time.Millisecond, end: func(*Site) {}},
+		"end of the grace time":  {end: func(s *Site) { killed(s.Nodes[0]) }},
+		"carrying node ends":     {carried: true, end: func(s *Site) { killed(s.Nodes[1]) }},
+		"carrying node loses it": {carried: true, end: func(s *Site) { s.Nodes[1].Engines.SetFault(PathReset) }},
+		"path is lost":           {end: func(s *Site) { s.Nodes[0].Engines.SetFault(PathReset) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 2)
+			answerUnframed(s.Model, Unframed{Events: -1})
+			if tt.carried {
+				s.Nodes[0].Engines.SetFault(PathReset)
+				s.Eventually("another node carries connections", func() bool {
+					return looksComplete(s.Nodes[0].Do(Request{Path: StreamPath, Body: "x"}))
+				})
+			}
+			answered := make(chan Answer)
+			go func() {
+				answered <- s.Nodes[0].Do(Request{Path: StreamPath, Body: "x", Header: slow, Deadline: tt.deadline})
+			}()
+			time.Sleep(running)
+			tt.end(s)
+			if a := <-answered; looksComplete(a) && a.Body != WholeStream(a.ID, DefaultEvents) {
+				t.Errorf("delivered as complete: %q", a.Body)
+			}
+		})
+	}
+}
+
+// Guards against a caller that can't go on after a broken stream: it got a part of an event, or an event
+// twice. It asks another node for the events after the last whole one.
+func TestCallerResumesABrokenStreamAtAnotherNode(t *testing.T) {
+	is, s := is.New(t), start(t, 2)
+	answerUnframed(s.Model, Unframed{Events: 2, Inside: true})
+	first := s.Nodes[0].Do(Request{Path: ResumePath, Body: "x"})
+	is.True(!looksComplete(first))
+	events := strings.Count(first.Body, "\n\n")
+	is.Equal(first.Body, WholeStream(first.ID, events))
+	answerUnframed(s.Model, Unframed{Events: -1})
+	rest := s.Nodes[1].Do(Request{Path: ResumePath, Body: "x", ID: first.ID, Header: http.Header{"Last-Event-Id": {fmt.Sprint(events - 1)}}})
+	is.NoErr(rest.Err)
+	is.Equal(first.Body+rest.Body, WholeStream(first.ID, DefaultEvents))
+	end := s.Nodes[1].Do(Request{Path: ResumePath, Body: "x", ID: first.ID, Header: http.Header{"Last-Event-Id": {fmt.Sprint(DefaultEvents - 1)}}})
+	is.NoErr(end.Err)
+	is.Equal(end.Status, http.StatusOK) // whole, although it has no event
+}
