Don't send bytes without events twice, and keep what outlives its caller

Read again as a newcomer: a stream of another media type that broke after a part was delivered counted as one that may be sent on, at a route that may be resumed; it counts as delivered (TestStreamOfAnotherTypeIsNotResumed, which failed before).

--- a/completion/completion.go
+++ b/completion/completion.go
@@ -81,15 +81,15 @@
 
 // The reasons.
 const (
-	ReadFailed       Reason = "read_failed"
-	InsideEvent      Reason = "inside_event"
-	Framed           Reason = "framed"
-	NoEvent          Reason = "no_event"
-	Leaves           Reason = "target_leaves"
-	NotProbed        Reason = "target_not_probed"
-	Terminated       Reason = "target_terminated"
-	Accepts          Reason = "target_accepts"
-	UnclearAfterward Reason = "target_unclear"
+	ReadFailed  Reason = "read_failed"
+	InsideEvent Reason = "inside_event"
+	Framed      Reason = "framed"
+	NoEvent     Reason = "no_event"
+	Leaves      Reason = "target_leaves"
+	NotProbed   Reason = "target_not_probed"
+	Terminated  Reason = "target_terminated"
+	Accepts     Reason = "target_accepts"
+	Unclear     Reason = "target_unclear"
 )
 
 // Decide decides whether a response is complete. A body that ends with its connection is taken for
@@ -116,5 +116,5 @@
 	case TargetAccepts:
 		return Complete, Accepts
 	}
-	return Complete, UnclearAfterward
+	return Complete, Unclear
 }
--- a/completion/completion_test.go
+++ b/completion/completion_test.go
@@ -35,10 +35,10 @@
 		"between events, leaves":       {ending{Framing: completion.ByClose, Events: true, Position: sse.Between, Target: completion.TargetLeaves}, completion.Complete, completion.Leaves},
 		"between events, accepts":      {ending{Framing: completion.ByClose, Events: true, Position: sse.Between, Target: completion.TargetAccepts}, completion.Complete, completion.Accepts},
 		"between events, terminated":   {ending{Framing: completion.ByClose, Events: true, Position: sse.Between, Target: completion.TargetTerminated}, completion.Truncated, completion.Terminated},
-		"between events, not clear":    {ending{Framing: completion.ByClose, Events: true, Position: sse.Between, Target: completion.TargetUnclear}, completion.Complete, completion.UnclearAfterward},
+		"between events, not clear":    {ending{Framing: completion.ByClose, Events: true, Position: sse.Between, Target: completion.TargetUnclear}, completion.Complete, completion.Unclear},
 		"a plain body":                 {ending{Framing: completion.ByClose}, completion.ProbeTarget, completion.NotProbed},
 		"a plain body and terminated":  {ending{Framing: completion.ByClose, Target: completion.TargetTerminated}, completion.Truncated, completion.Terminated},
-		"a plain body, not clear":      {ending{Framing: completion.ByClose, Target: completion.TargetUnclear}, completion.Complete, completion.UnclearAfterward},
+		"a plain body, not clear":      {ending{Framing: completion.ByClose, Target: completion.TargetUnclear}, completion.Complete, completion.Unclear},
 		"a framed body and terminated": {ending{Framing: completion.ByLength, Target: completion.TargetTerminated}, completion.Complete, completion.Framed},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,13 +86,13 @@
 		fail = g.endResponse(ctx, c, t, received)
 	}
 	switch {
+	case err == nil && fail == nil:
+		c.captured.end()
 	case c.req.Context().Err() != nil:
 	case fail != nil:
 		g.abortTruncated(c, t, fail)
-	case err != nil:
-		g.abortTruncated(c, t, &attemptError{cause: err})
 	default:
-		c.captured.end()
+		g.abortTruncated(c, t, &attemptError{cause: err})
 	}
 	return nil
 }
--- a/router/events_test.go
+++ b/router/events_test.go
@@ -28,11 +28,11 @@
 }
 
 // relayBody relays an unframed stream of a target that accepts connections afterwards.
-func relayBody(p *testPool, a assignment, body io.Reader, w http.ResponseWriter) relayed {
+func relayBody(p *testPool, a assignment, body io.Reader, w http.ResponseWriter, contentType string) relayed {
 	m := newMetrics(prometheus.NewRegistry())
 	r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: newConnTracker(0, m), metrics: m, log: log.New(io.Discard)}
 	x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: &http.Request{Method: http.MethodPost}, route: &catalog.Route{}}
-	resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(body)}
+	resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(body), Header: http.Header{"Content-Type": {contentType}}}
 	fail := x.relayStream(context.Background(), a, resp)
 	return relayed{fail: fail, x: x}
 }
@@ -42,7 +42,7 @@
 	p := newTestPool(run("a", 10))
 	p.dial = func(string) error { return nil }
 	w := httptest.NewRecorder()
-	out := relayBody(p, p.take(t), body, w)
+	out := relayBody(p, p.take(t), body, w, "text/event-stream")
 	out.body = w.Body.String()
 	return out
 }
@@ -115,6 +115,29 @@
 	is.Equal(got.fail.progress, retry.Delivered)
 }
 
+// Guards against an answer that isn't a stream of events being sent once more after the part that was
+// delivered, or being judged by events.
+func TestStreamOfAnotherTypeIsNotResumed(t *testing.T) {
+	for name, tt := range map[string]struct {
+		body io.Reader
+		ok   bool
+	}{
+		"whole":  {strings.NewReader(`{"a":1}`), true},
+		"broken": {io.MultiReader(strings.NewReader(`{"a"`), iotest.ErrReader(io.ErrUnexpectedEOF)), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPool(run("a", 10))
+			p.dial = func(string) error { return nil }
+			got := relayBody(p, p.take(t), tt.body, httptest.NewRecorder(), "application/json")
+			is.Equal(got.fail == nil, tt.ok)
+			if !tt.ok {
+				is.Equal(got.fail.progress, retry.Delivered)
+			}
+		})
+	}
+}
+
 // Guards against a whole answer being aborted since its target is replaced in order, or a truncated one
 // being delivered since another run has taken the place of a target that terminated.
 func TestTargetAfterTheEndOfItsConnection(t *testing.T) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -129,12 +129,16 @@
 			}
 		}
 		if err != nil {
-			return x.endStream(ctx, a, resp)
+			fail := x.endStream(ctx, a, resp)
+			if fail != nil && x.answerBegun {
+				fail.progress = retry.Delivered // bytes without events can't be continued
+			}
+			return fail
 		}
 	}
 }
 
-// endStream handles the end of the body of a stream.
+// endStream handles the end of the body of an answer that is delivered as it arrives.
 func (x *exchange) endStream(ctx context.Context, a assignment, resp *http.Response) *failure {
 	if fail := x.endAnswer(ctx, a); fail != nil {
 		return fail
