Forget what other nodes were asked for once they are gone

Pick forgets all but the live nodes once it knows more than there are. TestHelpersForgetNodesThatAreGone failed before, with 100 known nodes for 2.

--- a/reachability/dialer_test.go
+++ b/reachability/dialer_test.go
@@ -223,6 +223,19 @@
 	}
 }
 
+// Guards against memory that grows with each node that ever existed: nothing was forgotten of nodes that
+// are gone.
+func TestHelpersForgetNodesThatAreGone(t *testing.T) {
+	is := is.New(t)
+	h := NewHelpers("self:1", "zone-a", rand.New(rand.NewPCG(1, 2)))
+	for i := range 100 {
+		node := target(i)
+		h.Record(tunnel.Info{Node: node, Domain: "zone-a", Left: 10}, nil, start)
+		_, _ = h.Pick([]string{node, "stays:1"}, nil, start)
+	}
+	is.True(len(h.known) <= 2)
+}
+
 func TestHelperOfTheSameDomainIsPreferred(t *testing.T) {
 	is := is.New(t)
 	h := NewHelpers("self:1", "zone-a", rand.New(rand.NewPCG(1, 2)))
--- a/reachability/helpers.go
+++ b/reachability/helpers.go
@@ -59,6 +59,9 @@
 // Pick returns one of the nodes, without those in tried and those that lately could not carry a
 // connection, at random in proportion to their room; ok is false if none is left.
 func (h *Helpers) Pick(nodes, tried []string, now time.Time) (node string, ok bool) {
+	if len(h.known) > len(nodes) {
+		h.retain(nodes)
+	}
 	type ranked struct {
 		node string
 		rank uint64
@@ -132,8 +135,8 @@
 	h.known[node].excludeUntil = now.Add(silentPause)
 }
 
-// Retain forgets all nodes but the given ones.
-func (h *Helpers) Retain(nodes []string) {
+// retain forgets all nodes but the given ones.
+func (h *Helpers) retain(nodes []string) {
 	for n := range h.known {
 		if !slices.Contains(nodes, n) {
 			delete(h.known, n)
