Let a stream go on elsewhere after nothing but comments

Read again: a stream that broke before its first event couldn't be continued if a comment had been delivered, since any delivered byte without an event ID counted. Events count now (TestStreamWithoutIDsIsNotResumed has the case, which failed before).

--- a/completion/body.go
+++ b/completion/body.go
@@ -66,6 +66,9 @@
 	return b.framing == ByClose || b.Ending().Failed
 }
 
+// Events returns the number of complete events that were read.
+func (b *Body) Events() int { return b.events.Events() }
+
 // LastEventID returns the ID of the last complete event, empty for none.
 func (b *Body) LastEventID() string {
 	return b.events.LastID()
--- a/router/events.go
+++ b/router/events.go
@@ -71,7 +71,7 @@
 	if id := x.received.LastEventID(); id != "" {
 		x.lastEvent = id
 	}
-	if insideEvent || x.answerBegun && x.lastEvent == "" {
+	if insideEvent || x.lastEvent == "" && x.received.Events() > 0 {
 		fail.progress = retry.Delivered
 	}
 	return fail
--- a/router/events_test.go
+++ b/router/events_test.go
@@ -113,6 +113,8 @@
 	is := is.New(t)
 	got := relayString(t, strings.NewReader("data: a\n\ndata: b"))
 	is.Equal(got.fail.progress, retry.Delivered)
+	got = relayString(t, strings.NewReader(": ping\n\ndata: a"))
+	is.Equal(got.fail.progress, retry.Sent) // nothing but a comment was delivered
 }
 
 // Guards against an answer that isn't a stream of events being sent once more after the part that was
--- a/sse/scanner.go
+++ b/sse/scanner.go
@@ -211,6 +211,9 @@
 	return BeforeFirst
 }
 
+// Events returns the number of complete events.
+func (s *Scanner) Events() int { return s.events }
+
 // LastID returns the ID of the last complete event that has one; empty if there is none, or if it has
 // over 128 bytes.
 func (s *Scanner) LastID() string { return s.ids[s.last].value() }
