Don't take a stream that was continued in vain for a complete one

Only a caller that asks so may have them all; a stream that the node itself continues broke off before.

TestStreamResumedInVainIsNotComplete failed before, in both cases; a caller that asks for the events after the last one still gets a whole, empty stream (TestCallerResumesABrokenStreamAtAnotherNode).

--- a/completion/completion.go
+++ b/completion/completion.go
@@ -60,7 +60,7 @@
 	// Events means that the body is a stream of events, which ended at Position.
 	Events   bool
 	Position sse.Position
-	// Resumed means that the request asked for the events after a certain one, of which there may be none.
+	// Resumed means that the caller asked for the events after a certain one, of which there may be none.
 	Resumed bool
 	Target  Target
 }
--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -217,3 +217,23 @@
 	is.NoErr(end.Err)
 	is.Equal(end.Status, http.StatusOK) // whole, although it has no event
 }
+
+// Guards against a stream that one target broke off being delivered as complete since the next target,
+// asked for the rest, ended its connection before the first event: an end without events is whole only
+// for a caller that may have them all.
+func TestStreamResumedInVainIsNotComplete(t *testing.T) {
+	for name, first := range map[string]Unframed{
+		"inside an event": {Events: 2, Inside: true}, "between events by a reset": {Events: 2, Reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 1)
+			answerUnframed(s.Model, Unframed{})
+			answerUnframed(s.Model[:1], first)
+			for i := range 30 {
+				if a := s.Nodes[0].Do(Request{Path: ResumePath + fmt.Sprint(i), Body: "x"}); looksComplete(a) {
+					t.Errorf("delivered as complete: %q", a.Body)
+				}
+			}
+		})
+	}
+}
--- a/router/transfer.go
+++ b/router/transfer.go
@@ -13,7 +13,9 @@
 // and returns a failure if it isn't.
 func (x *exchange) endAnswer(ctx context.Context, a assignment) *failure {
 	ending := x.received.Ending()
-	ending.Resumed = x.lastEvent != "" || x.call.LastEventID != ""
+	// A caller may have all events already. A stream that this node itself continues broke off, so that
+	// an end without events shows nothing.
+	ending.Resumed = x.call.LastEventID != "" && x.lastEvent == ""
 	verdict, reason := completion.Decide(ending)
 	if verdict == completion.ProbeTarget {
 		x.releasePlace(nil) // the target is free
