--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -173,6 +173,7 @@
 		end     func(s *Site)
 	}{
 		"deadline":               {deadline: 600 * time.Millisecond, end: func(*Site) {}},
+		"drain":                  {end: func(s *Site) { go s.Nodes[0].Stop(context.Background()) }},
 		"end of the grace time":  {end: func(s *Site) { killed(s.Nodes[0]) }},
 		"carrying node ends":     {carried: true, end: func(s *Site) { killed(s.Nodes[1]) }},
 		"carrying node loses it": {carried: true, end: func(s *Site) { s.Nodes[1].Engines.SetFault(PathReset) }},
