Log the software version of each run, and which streams callers take up

The router read a target's version and dropped it, so no line could tell a false belief about a target from none. Lines of answers, refusals, retries and changed targets now have the version; those of requests that take up a stream have its Resumes and Last-Event-Id. No decision changes.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -331,7 +331,7 @@
 	if len(changed) <= maxTargetLines {
 		for _, d := range changed {
 			r.log.Info("target changed", "target", d.Target.ID, "service", d.Target.Service, "addr", d.Target.Addr,
-				"change", d.Change, "revision", r.state.revision, "source", source)
+				"change", d.Change, "version", d.Target.Version, "revision", r.state.revision, "source", source)
 		}
 		return
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -23,8 +23,10 @@
 	Addr          string
 	FailureDomain string
 	Service       string
-	Slots         int
-	Draining      bool
+	// Version is the version of the target's software.
+	Version  Version
+	Slots    int
+	Draining bool
 	// Fallback means that the target's entry vanished a moment ago. It is used only if its
 	// service has no other target left.
 	Fallback bool
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -27,6 +27,9 @@
 	// LastEventID is the ID of the event after which a stream is to be resumed, empty for the
 	// complete stream.
 	LastEventID string
+	// Resumes is the ID of the request that got the first event of the stream to be resumed, empty
+	// if the caller names none.
+	Resumes string
 }
 
 // TargetHeader holds the values that the node adds to the header of a request to a target.
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
+	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
@@ -94,6 +95,8 @@
 // requestSummary holds values for the log line of a request.
 type requestSummary struct {
 	target string
+	// version is that of the target's software.
+	version roster.Version
 	// conn is the connection of the last attempt, nil for none; ending why the answer on it counts as
 	// complete or truncated, empty before that is decided; probed how long the target was probed for it.
 	conn      upstream.ConnInfo
@@ -324,7 +327,7 @@
 		"request", x.call.ID, "ms", x.router.now().Sub(x.start).Milliseconds(),
 		"deadline_ms", x.call.Deadline.Milliseconds(), "service", x.service, "workspace", x.workspace,
 		"revision", x.revision,
-		"tries", x.tries, "runs", x.executions, "target", x.summary.target,
+		"tries", x.tries, "runs", x.executions, "target", x.summary.target, "version", x.summary.version,
 		"running", x.summary.running, "limit", x.summary.limit, "kept", x.summary.kept, "placed", x.summary.reason,
 	}
 	if x.catalog != nil {
@@ -333,6 +336,9 @@
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name)
 	}
+	if x.call.LastEventID != "" {
+		fields = append(fields, "resumes", x.call.Resumes, "after", x.call.LastEventID)
+	}
 	if n := len(x.call.PromptParts); n > 0 {
 		fields = append(fields, "key", uint32(x.call.PromptParts[n-1].Hash), "shared", x.sharedTokens())
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -148,7 +148,7 @@
 
 func (x *exchange) logRetry(a assignment, f *failure) {
 	x.router.metrics.retries.WithLabelValues(string(f.reason)).Inc()
-	x.router.log.Info("retry", "request", x.call.ID, "target", a.target.ID, "reason", f.reason,
+	x.router.log.Info("retry", "request", x.call.ID, "target", a.target.ID, "version", a.target.Version, "reason", f.reason,
 		"progress", int(f.progress), "cause", f.cause, "tries", x.tries, "runs", x.executions, "begun", x.answerBegun)
 }
 
@@ -187,7 +187,8 @@
 	x.tries++
 	x.completed = false
 	x.sentAt = x.router.now()
-	x.summary.target, x.summary.running, x.summary.limit = a.target.ID, a.choice.Running, a.choice.Limit
+	x.summary.target, x.summary.version = a.target.ID, a.target.Version
+	x.summary.running, x.summary.limit = a.choice.Running, a.choice.Limit
 	x.summary.kept, x.summary.reason = a.choice.CachedTokens, a.choice.Reason
 	x.summary.conn, x.summary.ending, x.summary.probed = nil, "", 0
 	x.received = completion.Body{}
