Add the failing test of streams that go on at another software version

Stand-in engines of two versions of one service break off their streams, and callers take them up at the same node, at others, after a kill, a drain, a replacement of one version and a restart of all nodes.

--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -76,6 +76,8 @@
 // Engine is a stand-in for a model engine or for the server of a plain service.
 type Engine struct {
 	ID, Service, Zone string
+	// version is that of the engine's software.
+	version string
 	// Events is the number of events of a stream, Pace the time between two.
 	Events int
 	Pace   time.Duration
@@ -130,7 +132,7 @@
 		address = e.Addr()
 	}
 	return map[string]any{
-		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1",
+		"service": e.Service, "address": address, "zone": e.Zone, "version": e.Version(),
 		"slots": e.slots(), "state": state, "cold_remaining_ms": e.coldRemaining().Milliseconds(), "sequence": 1,
 		"born": e.Born(),
 	}
@@ -329,7 +331,7 @@
 	}
 	body, _ := io.ReadAll(r.Body) // the journal shows a truncated body
 	run := &Run{
-		Engine: e.ID, Service: e.Service, Began: time.Now(), Born: e.Born(),
+		Engine: e.ID, Service: e.Service, Version: e.Version(), Began: time.Now(), Born: e.Born(),
 		Method: r.Method, Path: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 	}
 	e.journal.recordRun(run, id)
@@ -418,6 +420,14 @@
 // Event returns the n-th event of the stream that answers a request, counted from 0.
 func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
 
+// event is Event, with the engine's version as its type if the request asks for that.
+func (e *Engine) event(r *http.Request, id string, n int) string {
+	if r.Header.Get(VersionHeader) == "" {
+		return Event(id, n)
+	}
+	return fmt.Sprintf("event: %s\n", e.Version()) + Event(id, n)
+}
+
 func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, run *Run, fault Fault, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 0
@@ -432,7 +442,7 @@
 		}
 	}
 	for n := first; n < e.Events; n++ {
-		event := Event(id, n)
+		event := e.event(r, id, n)
 		if fault == Cut && n == first+2 {
 			_, _ = io.WriteString(w, event[:8])
 			w.(http.Flusher).Flush()
--- a/lab/standin/lifecycle.go
+++ b/lab/standin/lifecycle.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -35,6 +36,25 @@
 	go func() { _ = server.Serve(ln) }() // returns when the server is closed
 }
 
+// DefaultVersion is the software version of an engine unless it is upgraded.
+const DefaultVersion = "v1"
+
+// Version returns the version of the engine's software.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return cmp.Or(e.version, DefaultVersion)
+}
+
+// Upgrade crashes the engine and starts it again with the same ID and address and other software.
+func (e *Engine) Upgrade(version string) {
+	e.Crash()
+	e.mu.Lock()
+	e.version = version
+	e.mu.Unlock()
+	e.start(e.Addr())
+}
+
 // Addr returns the ip:port on which the engine listens.
 func (e *Engine) Addr() string {
 	e.mu.Lock()
--- a/lab/standin/runs.go
+++ b/lab/standin/runs.go
@@ -11,6 +11,8 @@
 // Run is one execution of a request, as recorded by the engine.
 type Run struct {
 	Engine, Service string
+	// Version is that of the engine's software.
+	Version string
 	// Began is the time at which the engine started the run.
 	Began time.Time
 	// Born is the start time of that engine process, in Unix milliseconds.
--- a/lab/standin/timing.go
+++ b/lab/standin/timing.go
@@ -19,6 +19,9 @@
 	PaceHeader = "Lab-Pace-Ms"
 )
 
+// VersionHeader makes an engine write its software version into each event, as the event's type.
+const VersionHeader = "Lab-Version"
+
 // headerTime returns the duration set by a header of the request, or fallback if it has none.
 func headerTime(r *http.Request, name string, fallback time.Duration) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(name))
--- /dev/null
+++ b/lab/standin/versions_test.go
@@ -0,0 +1,179 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	. "github.com/knapweedgw/knapweedgw/lab/standin"
+)
+
+// newVersion is the software version of engines that are not of DefaultVersion.
+const newVersion = "v1.1"
+
+// startVersions starts nodes in front of as many engines of each of two versions.
+func startVersions(t *testing.T, nodes, ofEach int) *Site {
+	s := NewSite(t)
+	for i := len(s.Model); i < 2*ofEach; i++ {
+		s.Model = append(s.Model, NewEngine(t, fmt.Sprint("i-model-", i), ModelPool, fmt.Sprint("zone-", i%3), s.Journal))
+	}
+	for i, e := range s.Model {
+		e.Events, e.Pace = 20, 5*time.Millisecond
+		if i < ofEach {
+			e.Upgrade(newVersion)
+		}
+		s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+	}
+	s.Start(nodes)
+	return s
+}
+
+// cutAll makes all engines break off their streams after two events, or no longer.
+func cutAll(s *Site, cut bool) {
+	fault := None
+	if cut {
+		fault = Cut
+	}
+	for _, e := range s.Model {
+		e.SetFault(fault, -1)
+	}
+}
+
+// begin begins n streams at a node, all of which break.
+func begin(s *Site, n int, at *Node) []*HeldStream {
+	s.T.Helper()
+	cutAll(s, true)
+	defer cutAll(s, false)
+	var out []*HeldStream
+	for i := range n {
+		h := &HeldStream{Path: ResumePath + fmt.Sprint(i)}
+		if h.Take(at.Do(h.Try())) {
+			s.T.Fatalf("stream %d didn't break", i)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// crossed returns how many streams hold events of several versions.
+func crossed(all []*HeldStream) int {
+	n := 0
+	for _, h := range all {
+		if h.Crossed() {
+			n++
+		}
+	}
+	return n
+}
+
+// takeUp has the callers take up all streams at a node, and returns how many were completed.
+func takeUp(s *Site, all []*HeldStream, at *Node) int {
+	s.T.Helper()
+	completed := 0
+	for _, h := range all {
+		if h.Take(at.Do(h.Try())) {
+			completed++
+		}
+		if h.Fault != "" {
+			s.T.Fatal(h.Fault)
+		}
+	}
+	return completed
+}
+
+// stopAtOnce stops a node without a grace period.
+func stopAtOnce(n *Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n.Stop(ctx)
+}
+
+func drainNode(n *Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), Grace)
+	defer cancel()
+	n.Stop(ctx)
+}
+
+// Guards against a stream holding events of two software versions: it was continued at any target of
+// its service, as if it were a new one.
+func TestStreamGoesOnOnlyAtItsVersion(t *testing.T) {
+	const streams = 16
+	for name, tt := range map[string]struct {
+		// between happens after the streams have broken; it returns the node at which their callers
+		// take them up.
+		between func(s *Site, all []*HeldStream) *Node
+		// completed is the least number of streams to be completed.
+		completed int
+	}{
+		"at the same node":    {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[0] }, streams},
+		"at another node":     {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[1] }, streams},
+		"by a third try":      {thirdTry, streams},
+		"after a kill":        {func(s *Site, _ []*HeldStream) *Node { stopAtOnce(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
+		"after a drain":       {func(s *Site, _ []*HeldStream) *Node { drainNode(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
+		"at the last node":    {lastNode, streams / 2},
+		"after a replacement": {replaceDefault, 0},
+		"after all restarted": {restartAll, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.NewRelaxed(t), startVersions(t, 3, 2)
+			all := begin(s, streams, s.Nodes[0])
+			within := crossed(all)
+			is.Equal(within, 0)
+			at := tt.between(s, all)
+			is.True(takeUp(s, all, at) >= tt.completed)
+			is.Equal(crossed(all)-within, 0)
+		})
+	}
+}
+
+// thirdTry has the second tries broken as well, at another node.
+func thirdTry(s *Site, all []*HeldStream) *Node {
+	cutAll(s, true)
+	_ = takeUp(s, all, s.Nodes[1])
+	cutAll(s, false)
+	return s.Nodes[2]
+}
+
+func lastNode(s *Site, _ []*HeldStream) *Node {
+	stopAtOnce(s.Nodes[0])
+	stopAtOnce(s.Nodes[1])
+	return s.Nodes[2]
+}
+
+// replaceDefault upgrades all engines of DefaultVersion.
+func replaceDefault(s *Site, _ []*HeldStream) *Node {
+	for _, e := range s.Model {
+		if e.Version() != newVersion {
+			e.Upgrade(newVersion)
+			s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+		}
+	}
+	mark(s, "i-marker")
+	awaitMarker(s, s.Nodes[1], "i-marker")
+	return s.Nodes[1]
+}
+
+func restartAll(s *Site, _ []*HeldStream) *Node {
+	s.StopAll()
+	s.Start(3)
+	return s.Nodes[1]
+}
+
+// Guards against streams being refused for want of what is known of them, although their service has had
+// one version only.
+func TestStreamGoesOnWithoutRecordWhileThereIsOneVersion(t *testing.T) {
+	const streams = 8
+	for name, between := range map[string]func(s *Site, all []*HeldStream) *Node{
+		"after a kill":        func(s *Site, _ []*HeldStream) *Node { stopAtOnce(s.Nodes[0]); return s.Nodes[1] },
+		"after all restarted": restartAll,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.New(t), start(t, 3)
+			all := begin(s, streams, s.Nodes[0])
+			is.Equal(takeUp(s, all, between(s, all)), streams)
+		})
+	}
+}
