Don't continue a stream of the own interface at a later run of its target

On the callers' own interface a stream is continued only at the engine that holds it, found by its ID. An engine that starts again with other software under the same ID and address, and has kept what it held, would have continued it: a caller's event ID named the target and not its run. Event IDs now have the incarnation of the VM list, in the part that earlier releases take as a whole for the nonce, so nodes of both releases read each other's; an event ID without it is treated as before.

--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/knapweedgw/knapweedgw/problem"
+	"github.com/knapweedgw/knapweedgw/resumption"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/settings"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -34,11 +35,30 @@
 type generation struct {
 	id     string // X-Request-Id sent to the engine
 	target string
-	nonce  string
+	// nonce is a random string, a dot and the origin of the target. Releases without origins take all of it
+	// for the random part.
+	nonce string
 }
 
 func newGeneration(c *call, t targets.Target) generation {
-	return generationOf(c, t.ID, strings.ReplaceAll(uuid.NewString(), "-", ""))
+	return generationOf(c, t.ID, strings.ReplaceAll(uuid.NewString(), "-", "")+originSeparator+string(originOf(t)))
+}
+
+const originSeparator = "."
+
+// originOf returns the origin of what a target writes: its run, empty if the VM list doesn't tell it.
+func originOf(t targets.Target) resumption.Origin {
+	if t.Incarnation == 0 {
+		return ""
+	}
+	return resumption.Origin(strconv.FormatInt(t.Incarnation, 10))
+}
+
+// origin returns the origin of the target that began the generation, empty if that isn't known: an earlier
+// release began it.
+func (gen generation) origin() resumption.Origin {
+	_, o, _ := strings.Cut(gen.nonce, originSeparator)
+	return resumption.Origin(o)
 }
 
 func generationOf(c *call, target, nonce string) generation {
@@ -118,10 +138,15 @@
 }
 
 // resume requests the events of a generation after the one with ID last. It returns errNotHeld
-// if the engine no longer holds the stream.
+// if the engine no longer holds the stream, or a later run of it serves, which may have other software.
 func (g *Gateway) resume(
 	ctx context.Context, c *call, f forwardRequest, t targets.Target, gen generation, last int,
 ) (*http.Response, error) {
+	if now, ok := g.findTarget(f.admission.Pool.Pool, t.ID); ok && !gen.origin().Allows(originOf(now)) {
+		c.log().Info("stream not resumed: a later run of its target serves", "target", t.ID,
+			"began_at", gen.origin(), "present", originOf(now))
+		return nil, errors.Wrap(errNotHeld, "by the run that began the stream")
+	}
 	req, err := g.targetRequest(ctx, c, f, t, gen)
 	if err != nil {
 		return nil, err
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -159,6 +159,22 @@
 	return func(c *config.Node, _ *[]kernel.Service) { f(c) }
 }
 
+// withIncarnation gives all targets an incarnation.
+func withIncarnation(i int64) option {
+	return func(_ *config.Node, services *[]kernel.Service) {
+		for _, s := range *services {
+			switch s := s.(type) {
+			case *fakeAdmitter:
+				for k := range s.targets {
+					s.targets[k].Incarnation = i
+				}
+			case *fakeTargets:
+				s.setIncarnation(i)
+			}
+		}
+	}
+}
+
 type claimService struct{ claims.Claimer }
 
 func (claimService) ID() kernel.ID { return claims.ServiceID }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -335,6 +336,46 @@
 	is.Equal(e.ran(), 1)
 }
 
+// setIncarnation gives all targets an incarnation.
+func (f *fakeTargets) setIncarnation(i int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool = slices.Clone(f.pool)
+	for k := range f.pool {
+		f.pool[k].Incarnation = i
+	}
+}
+
+// Guards against a stream being continued by a later run of its target, which may have other software, since
+// that has the ID, the address and the generation of the one that began it.
+func TestStreamIsNotContinuedByALaterRun(t *testing.T) {
+	t.Run("by the caller", func(t *testing.T) {
+		is := is.New(t)
+		e := newSSEEngine(5, fault{interruptAfter: 2, hang: true})
+		n := newNode(t, []http.Handler{e}, withIncarnation(1))
+		last, _ := n.firstEvents(t, 2, HeaderRequestID, "r1", HeaderResumeHold, "5")
+		<-e.waiting
+		n.targets.setIncarnation(2)
+		rest := n.send(t, "POST", chatPath, keyA, streamReq, HeaderRequestID, "r1", HeaderLastEventID, last)
+		is.True(rest.isRefusal(problem.StreamNotResumable, problem.MayHaveRun))
+		n.targets.setIncarnation(1)
+		rest = n.send(t, "POST", chatPath, keyA, streamReq, HeaderRequestID, "r1", HeaderLastEventID, last)
+		got, complete := tokens(rest.body)
+		is.True(got == "345" && complete)
+	})
+	t.Run("by the node", func(t *testing.T) {
+		is := is.New(t)
+		e := newSSEEngine(5, fault{interruptAfter: 2})
+		var n *node
+		n = newNode(t, []http.Handler{http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer n.targets.setIncarnation(2)
+			e.ServeHTTP(w, r)
+		})}, withIncarnation(1))
+		got, complete := tokens(n.chat(t, streamReq).body)
+		is.True(got == "12" && !complete)
+	})
+}
+
 func TestCallerGoneCancels(t *testing.T) {
 	is := is.New(t)
 	e := newSSEEngine(5, fault{interruptAfter: 2, hang: true})
