--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -28,6 +28,8 @@
 	Cut, Unanswered, Late int
 	// Owned has the figures of requests to a service whose places an owner grants, nil without one.
 	Owned *OwnedRuns
+	// Resumed has the streams that callers took up, nil if they took up none.
+	Resumed *ResumedStreams
 	// Partitions has the requests of each time in which nodes were partitioned from all engines.
 	Partitions []PartitionServed
 	// Stalled is how long the machine didn't run this process.
@@ -56,6 +58,9 @@
 	if r.Owned != nil {
 		line += fmt.Sprintf(" owned=%+v", *r.Owned)
 	}
+	if r.Resumed != nil {
+		line += fmt.Sprintf(" resumed=%+v", *r.Resumed)
+	}
 	for _, p := range r.Partitions {
 		line += fmt.Sprintf(" partition=%+v", p)
 	}
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -45,6 +45,10 @@
 	PartitionNodes Kind = "partition_nodes"
 	// AnswerUnframed makes a target answer with neither a length nor chunks, whole or broken off.
 	AnswerUnframed Kind = "unframed"
+	// ReleaseTarget replaces a target by one of another software version. BreakStreams makes targets break
+	// off streams.
+	ReleaseTarget Kind = "release"
+	BreakStreams  Kind = "break"
 )
 
 // Profile selects the kinds of steps in a plan.
@@ -77,6 +81,9 @@
 	// Unframed has targets that answer with neither a length nor chunks and break some answers off,
 	// while nodes and targets restart.
 	Unframed Profile = "unframed"
+	// Versions has targets of several software versions, whose callers take up broken streams at any node,
+	// while targets are replaced by ones of other versions and nodes restart and are cut off from the store.
+	Versions Profile = "versions"
 )
 
 var planned = []Kind{Term, Term, Hup, Drain, Configure, ChangeTimeout}
@@ -99,6 +106,8 @@
 
 var unframed = []Kind{AnswerUnframed, AnswerUnframed, AnswerUnframed, AnswerUnframed, Term, Kill, Freeze, Hup, Drain, CutTarget, RestartTarget, Configure}
 
+var versions = []Kind{ReleaseTarget, ReleaseTarget, ReleaseTarget, ReleaseTarget, BreakStreams, BreakStreams, BreakStreams, Term, Kill, KillAll, Freeze, Hup, CutStore, StoreBusy, StoreWatchStall, TargetFault, RestartTarget, Configure}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -117,6 +126,8 @@
 		return partitioned
 	case Unframed:
 		return unframed
+	case Versions:
+		return versions
 	default:
 		return mixed
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -42,6 +42,7 @@
 	domains       *domainCheck
 	announcements *announcementCheck
 	partitions    *partitionCheck
+	versions      *versionCheck
 	// configMu serializes writes of the configuration, so that versions are stored in order.
 	configMu   sync.Mutex
 	version    int
@@ -84,6 +85,11 @@
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
 	}
+	if o.Profile == Versions {
+		for i := range o.Callers {
+			work.Go(func() { r.resumeStreams(ctx, uint64(o.Callers+i)) })
+		}
+	}
 	if o.Profile == Ending {
 		work.Go(func() { r.sendEnding(ctx) })
 	}
@@ -96,6 +102,7 @@
 	r.checkAnnouncements()
 	r.checkOwners()
 	r.checkPartitions()
+	r.checkVersions()
 	if ended, limit := r.ends.count(); ended > limit {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, limit)
 	}
@@ -113,6 +120,7 @@
 	r.partitions = &partitionCheck{}
 	r.announcements = &announcementCheck{nodes: make(map[string]*process)}
 	r.lost = &lossCheck{journal: r.journal, targetFaults: r.targetFaultsOf}
+	r.versions = newVersionCheck(&r.lost.storeFaults)
 	r.checker = newChecker(r.journal, o.Seed, r.lost)
 	r.configure(func() {})
 	for i := range 3 {
@@ -122,6 +130,11 @@
 			}
 		}
 	}
+	for i := 3; o.Profile == Versions && i < versionTargets; i++ {
+		if err := r.addTarget(fmt.Sprintf("i-%s-%d", standin.ModelPool, i), standin.ModelPool, i); err != nil {
+			return nil, err
+		}
+	}
 	port := peerPort(host)
 	for i := range o.Nodes {
 		program, verb := o.Program, "route"
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -66,6 +66,9 @@
 	"answers without a length, delimited by their connections, are broken off": {
 		Seed: 1, Profile: Unframed, Nodes: 4, Callers: 24, Length: mixLength,
 	},
+	"streams are taken up while targets of several versions serve": {
+		Seed: 1, Profile: Versions, Nodes: 4, Callers: 12, Length: seedLength,
+	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -17,6 +17,8 @@
 
 	mu     sync.Mutex
 	engine *standin.Engine
+	// stopServing is called when the target no longer serves its version.
+	stopServing func()
 }
 
 func (t *target) current() *standin.Engine {
@@ -36,6 +38,11 @@
 	if r.domains.cold() {
 		e.ColdFor, e.ColdPerSecond = coldFor, coldBound
 	}
+	t.stopServing = func() {}
+	if r.Profile == Versions && service == standin.ModelPool {
+		e.Upgrade(r.versions.version())
+		t.stopServing = r.versions.serves(e.Version())
+	}
 	r.domains.add(e)
 	t.proxy.Redirect(e.Addr())
 	t.mu.Lock()
@@ -102,6 +109,10 @@
 		r.owner(s).freeze(s.For)
 	case TermOwner:
 		r.must(r.owner(s).restart(syscall.SIGTERM))
+	case ReleaseTarget:
+		r.releaseTarget(s)
+	case BreakStreams:
+		r.breakStreams(s)
 	case Hup:
 		n.signal(syscall.SIGHUP)
 	case CutStore, StoreBusy, StoreWatchStall:
--- a/lab/soak/timeline.go
+++ b/lab/soak/timeline.go
@@ -60,6 +60,18 @@
 	return false
 }
 
+// covers reports whether one span covers the closed interval from from to to.
+func (t *timeline) covers(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.spans {
+		if !s.from.After(from) && (s.to.IsZero() || !s.to.Before(to)) {
+			return true
+		}
+	}
+	return false
+}
+
 // last returns the start of the latest span that started no later than at. ok is false if there is
 // none.
 func (t *timeline) last(at time.Time) (from time.Time, ok bool) {
