Begin streams at a version that has just appeared rather than refuse them

While a version settles, streams that may be resumed begin at other versions. If only few targets of these are left, as in a release that replaces nearly all at once, they were refused though the new targets were idle. They begin at the new version then. And a record is sent at once to two nodes that take records, also where the first in its order are of an earlier release.

--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -401,16 +401,20 @@
 	return e.machine.view.Groups(key, e.now())
 }
 
-// SendStreams sends packed records of streams to a node at once, unless it doesn't take them.
+// StreamHolders returns up to limit other live nodes of this node's group that take records of streams and
+// aren't leaving, in the rendezvous order of key.
+func (e *Exchange) StreamHolders(key uint64, limit int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.view.StreamHolders(key, limit, e.now())
+}
+
+// SendStreams sends packed records of streams to a node at once, which must be one of StreamHolders.
 func (e *Exchange) SendStreams(node string, packed []byte) {
 	now := e.now()
 	own := e.report(now, true)
 	own.Streams = packed
 	e.mu.Lock()
-	if !e.machine.view.takesStreams(node) {
-		e.mu.Unlock()
-		return
-	}
 	out, err := e.machine.Brief(own, []string{node}, now)
 	e.mu.Unlock()
 	e.send(out, err)
--- a/heartbeat/fleet_streams_test.go
+++ b/heartbeat/fleet_streams_test.go
@@ -63,11 +63,7 @@
 	single := resumption.NewLedger(f.now)
 	single.Update(time.Time{}, f.now)
 	single.Begin(k, "v1.1", f.now)
-	own, _ := n.view.Groups(uint64(k), f.now)
-	for _, to := range own[:min(f.holders, len(own))] {
-		if !n.view.takesStreams(to) {
-			continue
-		}
+	for _, to := range n.view.StreamHolders(uint64(k), f.holders, f.now) {
 		out, err := n.Brief(Report{ConfirmedAge: -1, Streams: single.Pending(time.Second, f.now)}, []string{to}, f.now)
 		if err != nil {
 			f.t.Fatal(err)
--- a/heartbeat/owners.go
+++ b/heartbeat/owners.go
@@ -95,3 +95,11 @@
 	}
 	return own, others
 }
+
+// StreamHolders returns up to limit live nodes of this node's group that take records of streams and aren't
+// leaving, in the rendezvous order of key.
+func (v *View) StreamHolders(key uint64, limit int, now time.Time) []string {
+	own, _ := v.Groups(key, now)
+	own = slices.DeleteFunc(own, func(node string) bool { return !v.takesStreams(node) })
+	return own[:min(limit, len(own))]
+}
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -59,7 +59,9 @@
 	// Groups returns the other live nodes by their groups, this node's group first, each in the
 	// rendezvous order of key. The nodes of its group get its reports.
 	Groups(key uint64) (own []string, others [][]string)
-	// SendStreams sends packed records to a node of its group at once, if that takes them.
+	// StreamHolders returns up to limit of the nodes of its group that take records, in the rendezvous order
+	// of key; SendStreams sends one of them packed records at once.
+	StreamHolders(key uint64, limit int) []string
 	SendStreams(node string, packed []byte)
 }
 
@@ -175,8 +177,7 @@
 func (s *Service) byHolder(entries []Entry) map[string][]Entry {
 	out := make(map[string][]Entry)
 	for _, e := range entries {
-		own, _ := s.fleet.Groups(uint64(e.Key))
-		for _, node := range own[:min(firstHolders, len(own))] {
+		for _, node := range s.fleet.StreamHolders(uint64(e.Key), firstHolders) {
 			out[node] = append(out[node], e)
 		}
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -124,7 +124,12 @@
 func (x *exchange) acquireByCounts() (a assignment, d overload.Decision, ok bool) {
 	crit := x.criteria()
 	if x.overdue == "" || x.tries < maxTries-1 {
-		if a, d, ok = x.router.pool.acquire(crit); ok || x.overdue == "" {
+		a, d, ok = x.router.pool.acquire(crit)
+		if !ok && len(crit.avoided) > 0 { // better a version that has just appeared than none
+			crit.avoided = nil
+			a, d, ok = x.router.pool.acquire(crit)
+		}
+		if ok || x.overdue == "" {
 			return a, d, ok
 		}
 	}
