--- a/lab/standin/unframed.go
+++ b/lab/standin/unframed.go
@@ -82,10 +82,10 @@
 		end = min(first+u.Events, e.Events)
 	}
 	for n := first; n < end; n++ {
-		parts = append(parts, Event(id, n))
+		parts = append(parts, e.event(r, id, n))
 	}
 	if u.Inside {
-		next := Event(id, end)
+		next := e.event(r, id, end)
 		parts = append(parts, next[:len(next)/2])
 	}
 	return parts
--- a/resumption/history.go
+++ b/resumption/history.go
@@ -12,6 +12,9 @@
 	origins map[string]map[Origin]*presence
 	// from is the time since which no origin can be missing.
 	from time.Time
+	// starting means that the first list of targets is being read of a site where no node has run before,
+	// so that its origins are settled.
+	starting bool
 }
 
 type targetOrigin struct {
@@ -79,13 +82,17 @@
 	p, ok := all[o]
 	if !ok {
 		p = &presence{since: now}
+		if h.starting {
+			p.since = time.Time{}
+		}
 		all[o] = p
 	}
 	return p
 }
 
-// settle records that all origins known are settled.
+// settle records that all origins known, and those that the first list adds, are settled.
 func (h *history) settle() {
+	h.starting = true
 	for _, all := range h.origins {
 		for _, p := range all {
 			p.since = time.Time{}
--- a/resumption/ledger.go
+++ b/resumption/ledger.go
@@ -72,6 +72,7 @@
 		l.history.unsettle(now)
 	}
 	l.confirmed = confirmed
+	l.history.starting = l.history.starting && confirmed.IsZero()
 	l.history.expire(now)
 	sharing = !l.history.isComplete(now) || l.history.severalAnywhere(now)
 	changed = sharing != l.sharing
@@ -224,7 +225,8 @@
 	return nil
 }
 
-// ReadNoNote records that the store has no note: no node has ever run here.
+// ReadNoNote records that the store has no note: no node has ever run here. The first list of targets may
+// follow.
 func (l *Ledger) ReadNoNote() { l.history.settle() }
 
 // CompletePast records that the note in the store, or its absence, has shown all origins of the past.
--- a/resumption/ledger_test.go
+++ b/resumption/ledger_test.go
@@ -204,3 +204,17 @@
 		}
 	})
 }
+
+// Guards against streams avoiding the versions that were there before the first node.
+func TestVersionsOfANewSiteAreSettled(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(start)
+	l.Update(time.Time{}, start)
+	l.ReadNoNote()
+	l.PutTarget("i-1", "s", "v1", start) // the first list follows its notes
+	is.Equal(len(l.Settling("s", start)), 0)
+	l.Update(start, start)
+	l.PutTarget("i-2", "s", "v1.1", start)
+	is.Equal(l.Settling("s", start), []Origin{"v1.1"})
+	is.Equal(len(l.Settling("s", start.Add(SettleTime))), 0)
+}
