Notice a gap in the view before a decision rests on it

The past of a service was checked for gaps five times a second, so that a node which had stood still could decide by it once before the next check.

--- a/resumption/lookup.go
+++ b/resumption/lookup.go
@@ -47,10 +47,12 @@
 
 // decideAlone decides by what this node knows.
 func (s *Service) decideAlone(k Key, service string) Decision {
-	current := s.view.isCurrent()
+	current, confirmed := s.view.isCurrent(), s.view.confirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Decide(k, service, current, s.now())
+	now := s.now()
+	s.updateLedger(confirmed, now) // it may be the first use since the process stood still
+	return s.ledger.Decide(k, service, current, now)
 }
 
 // Resolve decides at which origin a stream may go on, and asks other nodes if this one doesn't know. It
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -221,15 +221,10 @@
 	confirmed := s.view.confirmed()
 	s.mu.Lock()
 	now := s.now()
-	sharing, changed := s.ledger.Update(confirmed, now)
+	s.updateLedger(confirmed, now)
 	complete := s.ledger.IsComplete(now)
 	s.metrics.records.Set(float64(s.ledger.Records()))
 	s.mu.Unlock()
-	if changed {
-		s.log.Info("sharing of stream records changed", "sharing", sharing, "past_complete", complete,
-			"confirmed_ms_ago", now.Sub(confirmed).Milliseconds())
-	}
-	s.metrics.setSharing(sharing)
 	switch {
 	case complete:
 		s.copied, s.nextCopy = false, time.Time{}
@@ -238,6 +233,17 @@
 	}
 }
 
+// updateLedger updates the ledger. Callers must hold s.mu.
+func (s *Service) updateLedger(confirmed, now time.Time) {
+	sharing, changed := s.ledger.Update(confirmed, now)
+	if !changed {
+		return
+	}
+	s.metrics.setSharing(sharing)
+	s.log.Info("sharing of stream records changed", "sharing", sharing, "past_complete", s.ledger.IsComplete(now),
+		"confirmed_ms_ago", now.Sub(confirmed).Milliseconds())
+}
+
 // copyRequest asks a node for its ledger.
 type copyRequest struct {
 	// PastOnly leaves out the records of streams, and all if that node doesn't know the past.
