Test a split route's streams, and Resumes that names no stream of the caller

TestStreamOfASplitRouteGoesOnAtItsService fails where the service is picked by the ID of each try, as it was. A missing, empty, repeated, very long Resumes, one's own ID or that of another route names no version: while several count, the stream is refused and runs nowhere.

--- a/lab/standin/versions_test.go
+++ b/lab/standin/versions_test.go
@@ -190,3 +190,74 @@
 		})
 	}
 }
+
+// Guards against a header that names no stream of the caller being taken for the beginning of one: its stream
+// would go on anywhere, or tell of another workspace's streams.
+func TestResumesThatNamesNoStreamOfTheCaller(t *testing.T) {
+	s := startVersions(t, 3, 2)
+	other := begin(s, 1, s.Nodes[0])[0]
+	for name, tt := range map[string]struct {
+		key, path string
+		resumes   []string
+	}{
+		"missing":                {Key, ResumePath, nil},
+		"empty":                  {Key, ResumePath, []string{""}},
+		"very long":              {Key, ResumePath, []string{strings.Repeat("x", 8<<10)}},
+		"its own ID":             {Key, ResumePath, []string{"0000own"}},
+		"a stream that isn't":    {Key, ResumePath, []string{"ffffffffffffffff"}},
+		"repeated, unknown":      {Key, ResumePath, []string{"ffffffffffffffff", other.Resumes}},
+		"of another route":       {Key, StreamPath, []string{other.Resumes}},
+		"of a case of its own":   {Key, ResumePath, []string{strings.ToUpper(other.Resumes) + "x"}},
+		"with spaces in between": {Key, ResumePath, []string{"a " + other.Resumes}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := Request{Path: tt.path, Key: tt.key, ID: "0000own", Body: "x", Header: make(map[string][]string)}
+			r.Header.Set("Last-Event-Id", "1")
+			if tt.resumes != nil {
+				r.Header["Resumes"] = tt.resumes
+			}
+			for _, n := range s.Nodes {
+				a := n.Do(r)
+				is.Equal(a.Status, 503)
+				is.True(strings.Contains(a.Body, `"error":"stream_version_unknown"`))
+				is.True(strings.Contains(a.Body, `"ran":"no"`))
+			}
+			is.Equal(len(s.Journal.Runs("0000own")), 0)
+		})
+	}
+	is.New(t).True(other.Take(s.Nodes[1].Do(other.Try())))
+}
+
+// Guards against a stream of a route that is split between services going on at another service than the one
+// that began it: the service was picked by the ID of each try.
+func TestStreamOfASplitRouteGoesOnAtItsService(t *testing.T) {
+	const streams = 12
+	is, s := is.New(t), start(t, 2)
+	twin := NewEngine(t, "i-twin", "twin-pool", "zone-0", s.Journal)
+	s.Model = append(s.Model, twin)
+	s.Store.Put("servers/"+twin.ID, twin.Entry("ready"))
+	for _, e := range s.Model {
+		e.Events = 20
+	}
+	s.Configure(AddRoute, func(cfg map[string]any) {
+		cfg["services"] = append(cfg["services"].([]any), map[string]any{
+			"name": "twin-pool", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 8},
+		})
+		route := cfg["routes"].([]any)[1].(map[string]any)
+		delete(route, "service")
+		route["traffic_split"] = []any{map[string]any{"service": ModelPool, "weight": 50}, map[string]any{"service": "twin-pool", "weight": 50}}
+	})
+	for _, n := range s.Nodes {
+		s.Eventually("the split is in force", func() bool { return testNode{n}.serves(LaterPath) })
+	}
+	services := make(map[string]bool)
+	for _, h := range begin(s, streams, s.Nodes[0]) {
+		began := s.Journal.Runs(h.Resumes)[0].Service
+		services[began] = true
+		try := h.Try()
+		is.True(h.Take(s.Nodes[1].Do(try)))
+		is.Equal(s.Journal.Runs(try.ID)[0].Service, began)
+	}
+	is.Equal(len(services), 2)
+}
