Let streams of a node that ended before a second version appeared go on

A version settles before resumable streams begin at it. A node that saw it appear, its list confirmed without it just before, now knows for 2 s that no stream has begun there, and lets streams without a record go on at the other one. The version settles for 5 s instead of 3 for that: MaxViewAge, the error of its measurement, and those 2 s. Known no longer after a gap in the view, or by another node's word.

TestVersionThatHasJustAppearedBeganNoStream fails without it.

--- a/resumption/decide.go
+++ b/resumption/decide.go
@@ -27,14 +27,18 @@
 	MaxViewAge = 2 * time.Second
 	// SettleTime is how long after a version appears in a service no stream that may be resumed begins at
 	// it, while there are other versions: until then, a node that is cut off may take its list of targets,
-	// without that version, for a current one. It is MaxViewAge and the error of its measurement, the
-	// timeouts of the calls that confirm a list.
-	SettleTime = MaxViewAge + time.Second
+	// without that version, for a current one. It is MaxViewAge, the error of its measurement (the timeouts
+	// of the calls that confirm a list), and NewTime.
+	SettleTime = MaxViewAge + time.Second + NewTime
+	// NewTime is how long after a node first sees a version it knows that no stream can have begun there:
+	// callers take up within it streams of nodes that ended before the version appeared, and that told no
+	// other node of their streams.
+	NewTime = 2 * time.Second
 )
 
 // Past is what a node knows of the origins that the targets of a service have had.
 type Past struct {
-	// Origins are those within Retention, in ascending order.
+	// Origins are those within Retention at which a stream may have begun, in ascending order.
 	Origins []Origin
 	// Complete means that no origin within Retention can be missing from Origins, except one that has
 	// appeared since the node's list of targets was last confirmed.
--- a/resumption/ledger.go
+++ b/resumption/ledger.go
@@ -58,7 +58,7 @@
 // Decide decides at which origin a stream may go on by what this node knows. current is whether its list
 // of targets is, see Past.
 func (l *Ledger) Decide(k Key, service string, current bool, now time.Time) Decision {
-	past := Past{Origins: l.history.of(service, now), Complete: l.history.isComplete(now), Current: current}
+	past := Past{Origins: l.history.begunAt(service, now), Complete: l.history.isComplete(now), Current: current}
 	return Decide(l.records.get(k, now), past)
 }
 
