Ask further nodes for a stream that the first ones don't know

What callers saw: a stream refused as unknown although a node knew its version. A node that doesn't know asks three of its group and one of each other group, and asked others only if one of these didn't answer. A node whose list of targets is behind for a moment proves nothing and says so: three of them ended the search. Ruled out as needed: asking all at once, 37 calls a stream at 370 nodes, where two rounds make 18 and 21 and the second comes only after no.

TestLookupFindsTheNodeThatKnows failed before in three of seven cases (the fourth node knows; the last of eight, the others gone; the second of another group) and passes now.

--- a/resumption/lookup.go
+++ b/resumption/lookup.go
@@ -55,8 +55,8 @@
 	return s.ledger.Decide(k, service, current, now)
 }
 
-// Resolve decides at which origin a stream may go on, and asks other nodes if this one doesn't know. It
-// returns within lookupRounds times lookupTimeout.
+// Resolve decides at which origin a stream may go on, and asks other nodes if this one doesn't know. Each
+// round of questions takes lookupTimeout at most.
 func (s *Service) Resolve(ctx context.Context, k Key, service string) Decision {
 	d := s.decideAlone(k, service)
 	if d.Source == Unknown {
@@ -66,30 +66,33 @@
 	return d
 }
 
+// askedOfOwnGroup is the number of nodes of its own group that a node asks in each round, and the number
+// of rounds: a fleet of up to ten nodes is asked completely.
+var askedOfOwnGroup = [...]int{3, 6}
+
 // ask asks nodes of all groups: the nodes of a group have the records of the streams that one of them began,
-// the first in the stream's rendezvous order before the others.
+// the first in the stream's rendezvous order before the others. Nodes that don't know are no reason to stop:
+// their lists of targets may be behind for a moment.
 func (s *Service) ask(ctx context.Context, k Key, service string) Decision {
-	best := Decision{Source: Unknown}
-	for round := range lookupRounds {
-		nodes := nodesToAsk(s.fleet, k, round)
-		if len(nodes) == 0 { // a node that has just started hears the others soon
+	d, asked := Decision{Source: Unknown}, 0
+	for round, ofOwnGroup := range askedOfOwnGroup {
+		own, others := s.fleet.Groups(uint64(k))
+		nodes := nodesToAsk(own[min(asked, len(own)):], others, ofOwnGroup, round)
+		asked += ofOwnGroup
+		if len(own)+len(others) == 0 { // a node that has just started hears the others soon
 			pause.Sleep(ctx, lookupTimeout)
-			continue
 		}
-		d, allAnswered := s.askAll(ctx, nodes, lookupRequest{Key: k, Service: service})
-		best = better(best, d)
-		if best.Source == FromPeer || best.Source == Conflicting || allAnswered || ctx.Err() != nil {
+		d = better(d, s.askAll(ctx, nodes, lookupRequest{Key: k, Service: service}))
+		if d.Source != Unknown || ctx.Err() != nil {
 			break
 		}
 	}
-	return best
+	return d
 }
 
-// nodesToAsk returns the nodes asked in a round, in each other ones: more of this node's group, whose
-// streams mostly come back to it.
-func nodesToAsk(f Fleet, k Key, round int) []string {
-	own, others := f.Groups(uint64(k))
-	out := slices.Clone(own[min(round*askedOfOwnGroup, len(own)):min((round+1)*askedOfOwnGroup, len(own))])
+// nodesToAsk returns the first of the nodes of the own group and, in each round, another of each other group.
+func nodesToAsk(own []string, others [][]string, ofOwnGroup, round int) []string {
+	out := slices.Clone(own[:min(ofOwnGroup, len(own))])
 	for _, group := range others {
 		if round < len(group) {
 			out = append(out, group[round])
@@ -98,9 +101,6 @@
 	return out
 }
 
-// askedOfOwnGroup is the number of nodes of its own group that a node asks in a round.
-const askedOfOwnGroup = 3
-
 // better returns the decision that rests on more: a record rather than a past. Two that contradict each
 // other decide nothing.
 func better(a, b Decision) Decision {
@@ -117,7 +117,7 @@
 }
 
 // askAll asks nodes at once, and returns as soon as one has a record.
-func (s *Service) askAll(ctx context.Context, nodes []string, req lookupRequest) (best Decision, allAnswered bool) {
+func (s *Service) askAll(ctx context.Context, nodes []string, req lookupRequest) Decision {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	type result struct {
@@ -132,19 +132,18 @@
 			results <- result{reply.decision(), err}
 		}()
 	}
-	best, allAnswered = Decision{Source: Unknown}, true
+	best := Decision{Source: Unknown}
 	for range nodes {
 		r := <-results
 		s.metrics.lookups.WithLabelValues(lookupResult(r.err, r.decision)).Inc()
 		if r.err != nil {
-			allAnswered = false
 			continue
 		}
 		if best = better(best, r.decision); best.Source == FromPeer {
-			return best, allAnswered
+			break
 		}
 	}
-	return best, allAnswered
+	return best
 }
 
 func lookupResult(err error, d Decision) string {
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -33,8 +33,6 @@
 	// lookupTimeout bounds one round of lookups: many round trips within a region. A node that answers
 	// later is overloaded or gone.
 	lookupTimeout = 120 * time.Millisecond
-	// lookupRounds is the number of rounds, each with other nodes where the one before got no answer.
-	lookupRounds = 2
 	// copyTimeout bounds the copy of another node's ledger, of 500 kB at most.
 	copyTimeout = 700 * time.Millisecond
 	// copyPause is the time between two copies: no other node may know the past either.
