Copy the records of streams after each start

What callers saw: streams refused after all nodes had been restarted one after the other, though never all at once, while several versions served. A node copied another one's ledger only if it didn't know the past. The note in the store tells it that at once after most starts, and then it copied no records: each restart lost one copy of them, the last restart the last one.

Now a node copies after its start, and after a gap, while records are shared: from up to three nodes, until one has missed none itself. It tries every 20 ms for the first 2 s, then once a second. Ruled out: waiting with readiness for it, which would hold back a whole fleet that starts at once.

Also tested, no fault found: a release and its taking back, a target that starts again under its ID with other software, a node without the store, and one that is cut off from the others (one version: serves on; several: refuses).

--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -224,6 +224,15 @@
 // nodeIP returns the IP of the i-th node of a site.
 func nodeIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+2) }
 
+// Restart stops a node without a grace period and starts it again, at new addresses for callers.
+func (s *Site) Restart(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Nodes[i].Stop(ctx)
+	s.Nodes[i] = s.startNode(i, len(s.Nodes))
+	s.Eventually("node is ready again", s.Nodes[i].Ready)
+}
+
 // StopAll stops all nodes at once, without a grace period.
 func (s *Site) StopAll() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/lab/standin/versions_test.go
+++ b/lab/standin/versions_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedgw/knapweedgw/config"
 	. "github.com/knapweedgw/knapweedgw/lab/standin"
 )
 
@@ -121,14 +123,18 @@
 		// completed is the least number of streams to be completed.
 		completed int
 	}{
-		"at the same node":    {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[0] }, streams},
-		"at another node":     {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[1] }, streams},
-		"by a third try":      {thirdTry, streams},
-		"after a kill":        {func(s *Site, _ []*HeldStream) *Node { stopAtOnce(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
-		"after a drain":       {func(s *Site, _ []*HeldStream) *Node { drainNode(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
-		"at the last node":    {lastNode, streams / 2},
-		"after a replacement": {replaceDefault, 0},
-		"after all restarted": {restartAll, 0},
+		"at the same node":                    {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[0] }, streams},
+		"at another node":                     {func(s *Site, _ []*HeldStream) *Node { return s.Nodes[1] }, streams},
+		"by a third try":                      {thirdTry, streams},
+		"after a kill":                        {func(s *Site, _ []*HeldStream) *Node { stopAtOnce(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
+		"after a drain":                       {func(s *Site, _ []*HeldStream) *Node { drainNode(s.Nodes[0]); return s.Nodes[1] }, streams / 2},
+		"at the last node":                    {lastNode, streams / 2},
+		"after the version is gone":           {replaceDefault, 0},
+		"after a release and back":            {replaceAndBack, streams},
+		"after one target has other software": {upgradeOne, streams},
+		"after all restarted in turn":         {restartInTurn, streams / 2},
+		"after all restarted at once":         {restartAll, 0},
+		"at a node without the store":         {withoutStore, streams / 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, s := is.NewRelaxed(t), startVersions(t, 3, 2)
@@ -156,19 +162,76 @@
 	return s.Nodes[2]
 }
 
-// replaceDefault upgrades all engines of DefaultVersion.
-func replaceDefault(s *Site, _ []*HeldStream) *Node {
+// upgrade starts engines again under their IDs, with software of a version.
+func upgrade(s *Site, version string, engines ...*Engine) {
+	for _, e := range engines {
+		e.Upgrade(version)
+		s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+	}
+	marker := NewID()
+	mark(s, marker)
+	for _, n := range s.Nodes {
+		awaitMarker(s, n, marker)
+	}
+}
+
+// ofVersion returns the engines of a version.
+func ofVersion(s *Site, version string) []*Engine {
+	var out []*Engine
 	for _, e := range s.Model {
-		if e.Version() != newVersion {
-			e.Upgrade(newVersion)
-			s.Store.Put("servers/"+e.ID, e.Entry("ready"))
+		if e.Version() == version {
+			out = append(out, e)
 		}
 	}
-	mark(s, "i-marker")
-	awaitMarker(s, s.Nodes[1], "i-marker")
+	return out
+}
+
+// replaceDefault upgrades all engines of DefaultVersion.
+func replaceDefault(s *Site, _ []*HeldStream) *Node {
+	upgrade(s, newVersion, ofVersion(s, DefaultVersion)...)
+	return s.Nodes[1]
+}
+
+// replaceAndBack upgrades all engines of DefaultVersion and takes that back.
+func replaceAndBack(s *Site, _ []*HeldStream) *Node {
+	engines := ofVersion(s, DefaultVersion)
+	upgrade(s, newVersion, engines...)
+	upgrade(s, DefaultVersion, engines...)
 	return s.Nodes[1]
 }
 
+// upgradeOne upgrades one of the engines of DefaultVersion.
+func upgradeOne(s *Site, _ []*HeldStream) *Node {
+	upgrade(s, newVersion, ofVersion(s, DefaultVersion)[0])
+	return s.Nodes[1]
+}
+
+// restartInTurn restarts all nodes one after the other.
+func restartInTurn(s *Site, _ []*HeldStream) *Node {
+	for i := range s.Nodes {
+		s.Restart(i)
+		s.Eventually("the node has the others' records", func() bool {
+			return strings.Contains(s.Nodes[i].Logs.String(), "copied the records of streams")
+		})
+	}
+	return s.Nodes[1]
+}
+
+// withoutStore cuts a node off from the store.
+func withoutStore(s *Site, _ []*HeldStream) *Node {
+	s.Store.SetModeFor(nodeHost(s.Nodes[2]), Silent)
+	return s.Nodes[2]
+}
+
+// nodeHost returns the IP of a node.
+func nodeHost(n *Node) string {
+	host, _, err := net.SplitHostPort(n.Config.PeerListen)
+	if err != nil {
+		panic(err) // the site's own address
+	}
+	return host
+}
+
 func restartAll(s *Site, _ []*HeldStream) *Node {
 	s.StopAll()
 	s.Start(3)
@@ -261,3 +324,34 @@
 	}
 	is.Equal(len(services), 2)
 }
+
+// isolate makes the last of n nodes unknown to the others, and the others to it.
+func isolate(n int) func(*config.RouterNode) {
+	return func(c *config.RouterNode) {
+		others, last := c.Seeds[:n-1], c.Seeds[n-1:]
+		if c.Seeds = others; c.PeerListen == last[0] {
+			c.Seeds = last
+		}
+	}
+}
+
+// Guards against a node that is cut off from the others letting a stream go on at another version: it has
+// no records of theirs. While it knows that there has been one version, it serves on.
+func TestNodeCutOffFromTheOthersNeverMixesVersions(t *testing.T) {
+	const streams, nodes = 8, 3
+	for _, several := range []bool{false, true} {
+		t.Run(fmt.Sprint("several versions ", several), func(t *testing.T) {
+			is, s := is.New(t), NewSite(t)
+			s.AdjustConfig = isolate(nodes)
+			if several {
+				s.Model[0].Upgrade(newVersion)
+				s.Store.Put("servers/"+s.Model[0].ID, s.Model[0].Entry("ready"))
+			}
+			s.Start(nodes)
+			all := begin(s, streams, s.Nodes[0])
+			completed := takeUp(s, all, s.Nodes[nodes-1])
+			is.Equal(crossed(all), 0)
+			is.Equal(completed == streams, !several)
+		})
+	}
+}
--- a/resumption/fleet_test.go
+++ b/resumption/fleet_test.go
@@ -118,7 +118,7 @@
 		if _, err := o.ledger.Receive(n.ledger.Pending(time.Second, s.now), s.now); err != nil {
 			s.t.Fatal(err)
 		}
-		if !n.ledger.IsComplete(s.now) && s.current(n) {
+		if n.ledger.NeedsCopy(s.now) && s.current(n) {
 			s.copyLedger(o, n)
 		}
 	}
@@ -139,6 +139,7 @@
 	if err := to.ledger.Adopt(snapshot, s.now); err != nil {
 		s.t.Fatal(err)
 	}
+	to.ledger.EndCopy()
 }
 
 func (s *site) current(n *siteNode) bool { return s.now.Sub(n.confirmed) <= MaxViewAge }
@@ -258,8 +259,8 @@
 	})
 }
 
-// Guards against streams being refused that other nodes could tell of: after kills of all nodes but one,
-// each after the other.
+// Guards against streams being refused that other nodes could tell of: after kills of all nodes but one at
+// once, or of all, one after the other.
 func TestStreamsGoOnAfterKills(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSite(t, 8)
@@ -274,7 +275,7 @@
 		last := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "last")
 		rolling := rapid.Bool().Draw(t, "rolling")
 		for i, n := range s.nodes {
-			if i == last {
+			if i == last && !rolling {
 				continue
 			}
 			if n.up = false; rolling {
--- a/resumption/ledger.go
+++ b/resumption/ledger.go
@@ -23,6 +23,9 @@
 	sharing bool
 	// queue holds the records to be sent, oldest first.
 	queue []queued
+	// missing means that other nodes may have records that this node missed: before it started, or while it
+	// was cut off or stood still.
+	missing bool
 }
 
 type queued struct {
@@ -32,7 +35,7 @@
 
 // NewLedger returns the ledger of a node that has just started: it knows nothing of the past.
 func NewLedger(now time.Time) *Ledger {
-	return &Ledger{history: newHistory(now), records: newRecords()}
+	return &Ledger{history: newHistory(now), records: newRecords(), missing: true}
 }
 
 // PutTarget records that a target of a service has the origin; RemoveTarget that it is gone.
@@ -70,11 +73,13 @@
 	if now.Sub(confirmed) > MaxViewAge || confirmed.Sub(l.confirmed) > MaxViewAge && !l.confirmed.IsZero() {
 		l.history.from = now
 		l.history.unsettle(now)
+		l.missing = true
 	}
 	l.confirmed = confirmed
 	l.history.starting = l.history.starting && confirmed.IsZero()
 	l.history.expire(now)
 	sharing = !l.history.isComplete(now) || l.history.severalAnywhere(now)
+	l.missing = l.missing && sharing // the others share nothing either
 	changed = sharing != l.sharing
 	l.sharing = sharing
 	if changed {
@@ -115,11 +120,16 @@
 // IsComplete reports whether the node knows all origins within Retention.
 func (l *Ledger) IsComplete(now time.Time) bool { return l.history.isComplete(now) }
 
+// NeedsCopy reports whether the node needs the ledger of another one.
+func (l *Ledger) NeedsCopy(now time.Time) bool { return l.missing || !l.history.isComplete(now) }
+
 // Snapshot is what a node passes on to one that has just started.
 type Snapshot struct {
 	Records  []byte        `json:"records,omitempty"` // packed
 	Origins  []SeenVersion `json:"origins,omitempty"`
 	Complete bool          `json:"complete,omitempty"`
+	// Missing means that the sender itself may have missed records.
+	Missing bool `json:"missing,omitempty"`
 }
 
 // SeenVersion is an origin that targets of a service have had.
@@ -134,7 +144,7 @@
 
 // Snapshot returns all that this node knows.
 func (l *Ledger) Snapshot(now time.Time) Snapshot {
-	s := Snapshot{Records: pack(l.records.newest(maxEntries, false, now)), Complete: l.history.isComplete(now)}
+	s := Snapshot{Records: pack(l.records.newest(maxEntries, false, now)), Complete: l.history.isComplete(now), Missing: l.missing}
 	for service, all := range l.history.origins {
 		for o, p := range all {
 			seen := SeenVersion{Service: service, Origin: o, Settled: p.isSettled(now)}
@@ -167,6 +177,9 @@
 	return nil
 }
 
+// EndCopy records that the ledgers of other nodes were copied.
+func (l *Ledger) EndCopy() { l.missing = false }
+
 // note is the value in the store: the origins by service, for the case that all nodes end.
 type note map[string]noted
 
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -35,8 +35,13 @@
 	lookupTimeout = 120 * time.Millisecond
 	// copyTimeout bounds the copy of another node's ledger, of 500 kB at most.
 	copyTimeout = 700 * time.Millisecond
-	// copyPause is the time between two copies: no other node may know the past either.
+	// copyPause is the time between two attempts to copy, from maxCopies nodes each: no other node may know
+	// the past either.
 	copyPause = time.Second
+	maxCopies = 3
+	// startUpTime is for how long after its start a node tries to copy every startUpInterval.
+	startUpTime     = 2 * time.Second
+	startUpInterval = 20 * time.Millisecond
 	// maxConcurrentCopies bounds the copies that a node serves at once.
 	maxConcurrentCopies = 8
 	// noteTimeout bounds one write of the note, notePause is the least time between two.
@@ -91,8 +96,8 @@
 	// storedNote is the note in the store as far as this node knows.
 	storedNote []byte
 
-	// copied means that the records of another node were copied since the past became incomplete, nextCopy
-	// is when the next copy is due; only update uses them.
+	// copied means that the records of other nodes were copied since a copy became due, nextCopy is when the
+	// next attempt is due; only update uses them.
 	copied   bool
 	nextCopy time.Time
 }
@@ -117,7 +122,10 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
-	go pause.RunPeriodically(ctx, updateInterval, s.update)
+	go func() {
+		s.startUp(ctx)
+		pause.RunPeriodically(ctx, updateInterval, func(ctx context.Context) { s.update(ctx) })
+	}()
 	go s.keepNote(ctx)
 	go s.sendBegun(ctx)
 	return nil
@@ -214,21 +222,33 @@
 	}
 }
 
-// update checks the past. If it is incomplete, it copies the ledger of another node.
-func (s *Service) update(ctx context.Context) {
+// update checks the past and copies the ledgers of other nodes if this node needs that. It reports whether
+// it still does.
+func (s *Service) update(ctx context.Context) (needsCopy bool) {
 	confirmed := s.view.confirmed()
 	s.mu.Lock()
 	now := s.now()
 	s.updateLedger(confirmed, now)
-	complete := s.ledger.IsComplete(now)
+	needsCopy = s.ledger.NeedsCopy(now)
 	s.metrics.records.Set(float64(s.ledger.Records()))
 	s.mu.Unlock()
 	switch {
-	case complete:
+	case !needsCopy:
 		s.copied, s.nextCopy = false, time.Time{}
 	case s.view.isCurrent() && !now.Before(s.nextCopy):
 		s.copyLedger(ctx)
 	}
+	return needsCopy
+}
+
+// startUp updates the ledger often until it is copied, so that nodes that are restarted one after the other
+// pass on the records of streams.
+func (s *Service) startUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startUpTime)
+	defer cancel()
+	for ctx.Err() == nil && s.update(ctx) {
+		pause.Sleep(ctx, startUpInterval)
+	}
 }
 
 // updateLedger updates the ledger. Callers must hold s.mu.
@@ -248,19 +268,28 @@
 	PastOnly bool `json:"past_only,omitempty"`
 }
 
-// copyLedger copies the ledger of another node of the group.
+// copyLedger copies the ledgers of other nodes of the group, until one of them has missed nothing itself. If
+// none has, what they know together is all there is.
 func (s *Service) copyLedger(ctx context.Context) {
 	own, _ := s.fleet.Groups(rand.Uint64())
-	for _, node := range own[:min(1, len(own))] {
+	for _, node := range own[:min(maxCopies, len(own))] {
 		s.nextCopy = s.now().Add(copyPause)
 		got, err := s.copyFrom(ctx, node)
 		if err != nil {
 			s.log.Debug("copying the records of streams failed", "peer", node, "err", err)
-			return
+			continue
 		}
 		s.copied = true
 		s.log.Info("copied the records of streams", "peer", node, "origins", len(got.Origins),
-			"bytes", len(got.Records), "past_complete", got.Complete)
+			"bytes", len(got.Records), "past_complete", got.Complete, "missing", got.Missing)
+		if !got.Missing {
+			break
+		}
+	}
+	if s.copied {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ledger.EndCopy()
 	}
 }
 
@@ -288,7 +317,7 @@
 	out.Complete = out.Complete && current
 	switch {
 	case req.PastOnly && !out.Complete:
-		return Snapshot{}, nil
+		return Snapshot{Missing: out.Missing}, nil
 	case req.PastOnly:
 		out.Records = nil
 	}
