Replace targets in the soak in one place

A release repeated what a drain does to a target: add another, announce or not, wait, remove. It calls the same function now and ends the old target afterwards, in both cases after another drainTime.

--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -205,9 +205,10 @@
 
 // drain removes a target from the store while another joins. For an even Variant the target drains
 // first; otherwise it is removed without notice.
-func (r *run) drain(s Step) {
-	t := r.target(s)
-	e := t.current()
+func (r *run) drain(s Step) { r.replace(r.target(s).current(), s) }
+
+// replace is drain for the given target.
+func (r *run) replace(e *standin.Engine, s Step) {
 	r.must(r.addTarget(replacementID(e, s), e.Service, s.Which))
 	if s.Variant%2 == 0 {
 		r.store.Put("servers/"+e.ID, e.Entry("draining"))
--- a/lab/soak/versions.go
+++ b/lab/soak/versions.go
@@ -208,7 +208,7 @@
 }
 
 // releaseTarget replaces a target of the model service by one of the version of the present release. It
-// drains, or is removed without notice, and ends with the streams that it still has.
+// ends with the streams that it still has.
 func (r *run) releaseTarget(s Step) {
 	if s.Variant%4 == 0 {
 		r.versions.nextVersion()
@@ -218,16 +218,10 @@
 	defer t.replaceMu.Unlock()
 	e := t.current()
 	defer r.targetFaultsOf(e.ID).begin()()
-	r.must(r.addTarget(replacementID(e, s), e.Service, s.Which))
 	t.stopServing()
-	if s.Variant%2 == 0 {
-		r.store.Put("servers/"+e.ID, e.Entry("draining"))
-	} else {
-		r.store.Remove("servers/" + e.ID)
-	}
+	r.replace(e, s)
 	time.Sleep(drainTime)
 	e.Crash()
-	r.store.Remove("servers/" + e.ID)
 	r.removeTarget(t)
 }
 
