--- a/resumption/decide.go
+++ b/resumption/decide.go
@@ -16,24 +16,22 @@
 func (o Origin) Allows(present Origin) bool { return o == "" || o == present }
 
 const (
-	// Retention is how long after its last event a stream may be taken up by its caller: several times
-	// the longest deadline of callers in known deployments. Records of streams, and of versions that
-	// no target runs any longer, are kept for this time.
+	// Retention is how long after its last event a stream may be taken up by its caller. Records of streams,
+	// and of versions that no target runs any longer, are kept for this time.
 	Retention = time.Minute
 	// RefreshInterval is the time between two records of the same stream while it is in progress.
 	RefreshInterval = Retention / 3
-	// MaxViewAge is how old a node's list of targets may be for it to conclude that there has been no
-	// other version: the time within which a change is in force on all nodes that are in contact.
+	// MaxViewAge is the age up to which a node's list of targets counts as current.
 	MaxViewAge = 2 * time.Second
-	// SettleTime is how long after a version appears in a service no stream that may be resumed begins at
-	// it, while there are other versions: until then, a node that is cut off may take its list of targets,
-	// without that version, for a current one. It is MaxViewAge, the error of its measurement (the timeouts
-	// of the calls that confirm a list), and NewTime.
-	SettleTime = MaxViewAge + time.Second + NewTime
-	// NewTime is how long after a node first sees a version it knows that no stream can have begun there:
-	// callers take up within it streams of nodes that ended before the version appeared, and that told no
-	// other node of their streams.
+	// viewAgeError is the largest error of that age: the time that a call which confirms the list takes.
+	viewAgeError = time.Second
+	// NewTime is how long after a node first sees a version it knows that no stream can have begun there.
+	// Streams of nodes that ended before the version appeared, and so had shared no records, go on meanwhile.
 	NewTime = 2 * time.Second
+	// SettleTime is how long after a version appears in a service no stream that may be resumed begins at
+	// it, while targets of other versions are left. A node that is cut off may for MaxViewAge take a list
+	// without that version for a current one.
+	SettleTime = MaxViewAge + viewAgeError + NewTime
 )
 
 // Past is what a node knows of the origins that the targets of a service have had.
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -30,8 +30,7 @@
 const (
 	// updateInterval is the time between two checks of the past and of the note in the store.
 	updateInterval = 200 * time.Millisecond
-	// lookupTimeout bounds one round of lookups: many round trips within a region. A node that answers
-	// later is overloaded or gone.
+	// lookupTimeout bounds one round of lookups.
 	lookupTimeout = 120 * time.Millisecond
 	// copyTimeout bounds the copy of another node's ledger, of 500 kB at most.
 	copyTimeout = 700 * time.Millisecond
