Check the past once a second, and when a version appears

Each node woke ten times a second to check the past and the note, beside some 120 other wake-ups, and read two clocks by system calls each time.

The loops are one, which runs once a second and when a version appears. A gap in the view is noticed before each decision in any case, so the check needn't be frequent; a view that isn't confirmed any longer begins the sharing of records up to a second later than before. Ruled out: reading the clock of suspensions less often than the past, as its use is that a suspension is noticed first.

--- a/resumption/history.go
+++ b/resumption/history.go
@@ -40,11 +40,12 @@
 	return history{targets: make(map[string]targetOrigin), origins: make(map[string]map[Origin]*presence), from: now}
 }
 
-// put records that a target of a service has the origin.
-func (h *history) put(id, service string, o Origin, now time.Time) {
+// put records that a target of a service has the origin, and reports whether that is a new one for the
+// service.
+func (h *history) put(id, service string, o Origin, now time.Time) (isNew bool) {
 	next := targetOrigin{service, o}
 	if h.targets[id] == next {
-		return
+		return false
 	}
 	h.remove(id, now)
 	h.targets[id] = next
@@ -53,6 +54,7 @@
 	if isNew && h.isComplete(now) && !h.starting {
 		p.appeared = now
 	}
+	return isNew
 }
 
 // remove records that a target is gone.
--- a/resumption/ledger.go
+++ b/resumption/ledger.go
@@ -38,9 +38,10 @@
 	return &Ledger{history: newHistory(now), records: newRecords(), missing: true}
 }
 
-// PutTarget records that a target of a service has the origin; RemoveTarget that it is gone.
-func (l *Ledger) PutTarget(id, service string, o Origin, now time.Time) {
-	l.history.put(id, service, o, now)
+// PutTarget records that a target of a service has the origin, and reports whether that is a new one for
+// the service.
+func (l *Ledger) PutTarget(id, service string, o Origin, now time.Time) (isNew bool) {
+	return l.history.put(id, service, o, now)
 }
 
 // RemoveTarget records that a target is gone.
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,8 +29,9 @@
 )
 
 const (
-	// updateInterval is the time between two checks of the past and of the note in the store.
-	updateInterval = 200 * time.Millisecond
+	// updateInterval is the time between two checks of the past and of the note in the store, besides those
+	// when a version appears.
+	updateInterval = time.Second
 	// lookupTimeout bounds one round of lookups.
 	lookupTimeout = 120 * time.Millisecond
 	// copyTimeout bounds the copy of another node's ledger, of 500 kB at most.
@@ -43,9 +45,8 @@
 	startUpInterval = 20 * time.Millisecond
 	// maxConcurrentCopies bounds the copies that a node serves at once.
 	maxConcurrentCopies = 8
-	// noteTimeout bounds one write of the note, notePause is the least time between two.
+	// noteTimeout bounds one write of the note.
 	noteTimeout = time.Second
-	notePause   = time.Second
 	// firstHolders is the number of nodes that are sent a record at once, batchDelay the time in which
 	// records for the same node are collected.
 	firstHolders = 2
@@ -92,9 +93,14 @@
 	// there are any.
 	unsent []Entry
 	begun  chan struct{}
+	// appeared has capacity 1 and contains a value after a version has appeared.
+	appeared chan struct{}
 	// storedNote is the note in the store as far as this node knows.
 	storedNote []byte
 
+	// writing is true while the note is written.
+	writing atomic.Bool
+
 	// copied means that the records of other nodes were copied since a copy became due, nextCopy is when the
 	// next attempt is due; only update uses them.
 	copied   bool
@@ -107,7 +113,7 @@
 ) *Service {
 	s := &Service{
 		fleet: f, network: n, now: clock.Monotonic, log: l, saveNote: saveNote, metrics: newMetrics(reg),
-		begun: make(chan struct{}, 1), ledger: NewLedger(clock.Monotonic()),
+		begun: make(chan struct{}, 1), appeared: make(chan struct{}, 1), ledger: NewLedger(clock.Monotonic()),
 	}
 	s.view = &view{targets: t, now: s.now, suspended: clock.Suspended, lastSuspended: clock.Suspended()}
 	n.Handle(methodLookup, s.serveLookup)
@@ -121,20 +127,43 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
-	go func() {
-		s.startUp(ctx)
-		pause.RunPeriodically(ctx, updateInterval, func(ctx context.Context) { s.update(ctx) })
-	}()
-	go s.keepNote(ctx)
+	go s.run(ctx)
 	go s.sendBegun(ctx)
 	return nil
 }
 
+// run updates the ledger and keeps the note.
+func (s *Service) run(ctx context.Context) {
+	s.startUp(ctx)
+	tick := time.NewTicker(updateInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-s.appeared:
+		}
+		s.update(ctx)
+		s.keepNote(ctx)
+	}
+}
+
 // PutTarget records that a target of a service has the origin. It doesn't call the list of targets.
 func (s *Service) PutTarget(id, service string, o Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.PutTarget(id, service, o, s.now())
+	if s.ledger.PutTarget(id, service, o, s.now()) {
+		signal(s.appeared)
+	}
+}
+
+// signal puts a value into a channel of capacity 1 that may contain one already.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // RemoveTarget records that a target is gone. It doesn't call the list of targets.
@@ -151,10 +180,7 @@
 	defer s.mu.Unlock()
 	if s.ledger.Begin(k, o, s.now()) {
 		s.unsent = append(s.unsent, Entry{k, o})
-		select {
-		case s.begun <- struct{}{}:
-		default: // sendBegun takes all
-		}
+		signal(s.begun)
 	}
 }
 
@@ -341,18 +367,19 @@
 	}
 }
 
-// keepNote writes the note when it has changed, if this node is the one that does.
+// keepNote begins to write the note when it has changed, if this node is the one that does.
 func (s *Service) keepNote(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.Sleep(ctx, updateInterval)
-		if !s.view.targets.WritesNote() || !s.view.isCurrent() {
-			continue
-		}
-		if note := s.dueNote(); note != nil {
-			s.writeNote(ctx, note)
-			pause.Sleep(ctx, notePause)
-		}
+	if !s.view.targets.WritesNote() || !s.view.isCurrent() {
+		return
+	}
+	note := s.dueNote()
+	if note == nil || !s.writing.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer s.writing.Store(false)
+		s.writeNote(ctx, note)
+	}()
 }
 
 // dueNote returns the note to be written, nil for none.
