Log and count the decisions on the retry budget

The lines retry and retry not in the budget have what a node had charged, what its requests had earned, its part of the slack and among how many nodes it was dealt out; two metrics say the same by service. No decision changes.

--- a/retry/window.go
+++ b/retry/window.go
@@ -48,9 +48,28 @@
 	w.requests[w.slot%windowBuckets]++
 }
 
-// Take uses one retry. It returns false if there is none. nodes is the number of live nodes,
-// this one included.
-func (w *Window) Take(now time.Time, nodes int) bool {
+// BudgetDecision is the decision on one retry, with what it rests on.
+type BudgetDecision struct {
+	Allowed bool
+	// Charged is the number of retries charged before this one, in the window that decides.
+	Charged int
+	// Earned is what the requests of that window have credited, Slack this node's part of the
+	// fleet's slack, dealt out among Nodes; both in retries.
+	Earned, Slack float64
+	Nodes         int
+}
+
+// Left returns how many retries remain after the decision.
+func (d BudgetDecision) Left() float64 {
+	left := d.Earned + d.Slack - float64(d.Charged)
+	if d.Allowed {
+		left--
+	}
+	return max(left, 0)
+}
+
+// Take uses one retry if there is one. nodes is the number of live nodes, this one included.
+func (w *Window) Take(now time.Time, nodes int) BudgetDecision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.roll(now)
@@ -65,12 +84,15 @@
 		retries += w.retries[i]
 		maxNodes = max(maxNodes, w.nodes[i])
 	}
-	bound := (w.cfg.Share*float64(requests) + w.cfg.Slack/float64(maxNodes)) * (1 - w.cfg.Reserve)
-	if float64(retries+1) > bound {
-		return false
+	d := BudgetDecision{
+		Charged: retries, Nodes: maxNodes,
+		Earned: w.cfg.Share * float64(requests) * (1 - w.cfg.Reserve),
+		Slack:  w.cfg.Slack / float64(maxNodes) * (1 - w.cfg.Reserve),
+	}
+	if d.Allowed = float64(retries+1) <= d.Earned+d.Slack; d.Allowed {
+		w.retries[at]++
 	}
-	w.retries[at]++
-	return true
+	return d
 }
 
 func (w *Window) roll(now time.Time) {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -30,7 +30,7 @@
 				w.Request(start.Add(at))
 				requests = append(requests, at)
 			}
-			if w.Take(start.Add(at), nodes) {
+			if w.Take(start.Add(at), nodes).Allowed {
 				retries = append(retries, at)
 			}
 		}
@@ -61,7 +61,7 @@
 	start := time.Unix(1000, 0)
 	w := NewWindow(fleetBound, start)
 	granted := 0
-	for w.Take(start, 1) {
+	for w.Take(start, 1).Allowed {
 		granted++
 	}
 	is.Equal(granted, 5) // 0.8 * 54 / 8
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/resumption"
+	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
 	"github.com/knapweedgw/knapweedgw/upstream"
@@ -66,6 +67,8 @@
 
 	// retryReserved means that the next attempt was already charged to the retry budget.
 	retryReserved atomic.Bool
+	// budget is the last decision on the retry budget, nil for none.
+	budget atomic.Pointer[retry.BudgetDecision]
 
 	// place is what the attempt in progress occupies by the count of a dispatch owner, nil for
 	// nothing.
--- a/router/forward.go
+++ b/router/forward.go
@@ -159,8 +159,10 @@
 
 func (x *exchange) logRetry(a assignment, f *failure) {
 	x.router.metrics.retries.WithLabelValues(string(f.reason)).Inc()
-	x.router.log.Info("retry", "request", x.call.ID, "target", a.target.ID, "version", a.target.Version, "reason", f.reason,
-		"progress", int(f.progress), "cause", f.cause, "tries", x.tries, "runs", x.executions, "begun", x.answerBegun)
+	x.router.log.Info("retry", append([]any{
+		"request", x.call.ID, "target", a.target.ID, "version", a.target.Version, "reason", f.reason,
+		"progress", int(f.progress), "cause", f.cause, "tries", x.tries, "runs", x.executions, "begun", x.answerBegun,
+	}, x.budgetFields()...)...)
 }
 
 // decide decides whether another attempt is allowed after fail.
@@ -179,8 +181,7 @@
 		retry.Attempt{Number: x.executions, Progress: fail.progress, Repeatable: x.route.Repeatable(), Remaining: left},
 		retry.Limits{MaxAttempts: max(x.route.MaxAttempts, 1), MinRemaining: minRemaining},
 	)
-	if verdict == retry.Allow && retry.DrawsOnBudget(fail.progress) && !x.retryReserved.Swap(false) &&
-		!x.router.window(x.service).Take(x.router.now(), x.router.fleet.LiveNodes()) {
+	if verdict == retry.Allow && retry.DrawsOnBudget(fail.progress) && !x.retryReserved.Swap(false) && !x.takeRetry() {
 		return retry.BudgetEmpty
 	}
 	return verdict
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -18,6 +18,9 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	cuts     *prometheus.CounterVec
+	// budget counts decisions on the retry budget, budgetLeft is what the last one left.
+	budget     *prometheus.CounterVec
+	budgetLeft *prometheus.GaugeVec
 	// unframed counts answers that only the end of their connection delimits.
 	unframed *prometheus.CounterVec
 	// unanswered counts requests whose connection ended before a byte of the answer was
@@ -45,7 +48,11 @@
 		answers:  f.CounterVec("answers_total", "Answers of targets relayed whole, by service and class of status.", "service", "status"),
 		refusals: f.CounterVec("refusals_total", "Requests that this node refused or gave up, by reason.", "reason"),
 		retries:  f.CounterVec("retries_total", "Requests sent to another target, by the reason.", "reason"),
-		cuts:     f.CounterVec("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
+		budget: f.CounterVec("retry_budget_total",
+			"Retries that the retry budget of a service granted or refused, by outcome.", "service", "outcome"),
+		budgetLeft: f.GaugeVec("retry_budget_left",
+			"Retries that this node's part of a service's budget held after the last decision.", "service"),
+		cuts: f.CounterVec("cuts_total", "Answers that were cut off after they had begun, by the reason.", "reason"),
 		unframed: f.CounterVec("unframed_answers_total",
 			"Answers with neither a length nor chunks, by the reason why they count as complete or truncated.", "reason"),
 		unanswered: f.CounterVec("unanswered_total",
--- a/router/overdue.go
+++ b/router/overdue.go
@@ -252,7 +252,7 @@
 		return overdueNoTime
 	case !x.router.pool.hasOther(criteria{service: x.service, tried: tried, regions: x.regions, began: x.began}):
 		return overdueNoTarget
-	case !x.router.window(x.service).Take(x.router.now(), x.router.fleet.LiveNodes()):
+	case !x.takeRetry():
 		return overdueNoBudget
 	}
 	x.retryReserved.Store(true)
