Keep the fleet's retries within their budget in every window

Cause: four, independent of each other. The window forgot a retry 9.0 to 10.0 s after it; a process that started had its slack and share whole again; the slack was divided by the live nodes, so that a node which lost the others took it whole; and retries were charged when they were decided on, but sent after a wait.

The fix: each window that contains a retry is checked, in slots of a hundredth. A request credits two thirds of the share to the windows that begin within 10 s after it and one third to those that contain it: sums, the same on all nodes, that add up to no more than the fleet's largest window, however many processes count them. A process uses slack once it has run for a window; a new fleet at once, once its nodes see its first note in the store. The slack is divided by the largest fleet known within two hours, and none is used by a node that hears no majority. A send after one that may have arrived is charged as its first byte is written. The reserve falls from a quarter to a twentieth.

Nine stand-in tests that expect a retry right after their site's first start wait until its nodes know that the fleet is new; their checks are unchanged.

--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -47,6 +47,7 @@
 	groups, liveNodes int
 	checkedAt         time.Time
 	started           time.Time
+	shares            fleetShares
 	// leaving is set when this node drains.
 	leaving bool
 }
@@ -119,6 +120,7 @@
 	if now.Sub(e.checkedAt) >= e.cfg.Interval {
 		e.checkedAt = now
 		e.updateLiveness(now)
+		e.updateShares(now)
 		e.updateGroups()
 	}
 	e.mu.Unlock()
--- a/lab/standin/answered_test.go
+++ b/lab/standin/answered_test.go
@@ -284,6 +284,7 @@
 	// retry.
 	s.AdjustConfig = func(c *config.RouterNode) { c.RetryShare, c.RetryAllowance = 1e-9, 1.5*8/0.75 }
 	s.Start(1)
+	s.AwaitRetrySlack()
 	for _, e := range s.Plain {
 		e.StallFor = 2 * time.Second
 		e.SetFault(Stall, -1)
@@ -354,6 +355,7 @@
 // A node that stops while it retries a request delivers the failure that it has received.
 func TestStopDeliversReceivedFailure(t *testing.T) {
 	is, s := is.New(t), start(t, 1)
+	s.AwaitRetrySlack()
 	for _, e := range s.Engines() {
 		e.SetFault(FailThenHang, -1)
 	}
--- a/lab/standin/evacuation_test.go
+++ b/lab/standin/evacuation_test.go
@@ -63,6 +63,7 @@
 
 func TestRetryAvoidsAnEvacuatedDomain(t *testing.T) {
 	is, s := is.New(t), start(t, 1)
+	s.AwaitRetrySlack()
 	evacuate(s, evacuateZone0)
 	s.Plain[1].SetFault(Fail, -1)
 	s.Plain[2].SetFault(Fail, -1)
--- a/lab/standin/path_test.go
+++ b/lab/standin/path_test.go
@@ -117,6 +117,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is, s := is.New(t), start(t, 1)
+			s.AwaitRetrySlack()
 			for _, e := range s.Engines() {
 				e.SetFault(tt.fault, -1)
 			}
@@ -149,6 +150,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is, s := is.New(t), start(t, 1)
+			s.AwaitRetrySlack()
 			for range 6 {
 				for _, e := range s.Engines() {
 					e.SetFault(None, 0)
@@ -178,6 +180,7 @@
 // A resumable stream is resumed on another engine: each event once, in order.
 func TestTruncatedStreamIsResumed(t *testing.T) {
 	is, s := is.New(t), start(t, 1)
+	s.AwaitRetrySlack()
 	for _, e := range s.Model {
 		e.SetFault(Cut, 1)
 	}
--- a/lab/standin/quarantine_test.go
+++ b/lab/standin/quarantine_test.go
@@ -124,6 +124,7 @@
 	is, s := is.New(t), NewSite(t)
 	s.AdjustConfig = func(cfg *config.RouterNode) { cfg.RetryAllowance = 1000 } // enough to retry each copy
 	s.Start(3)
+	s.AwaitRetrySlack()
 	beside := Request{Path: ResumePath + "beside", Body: "x", Header: http.Header{BeforeHeader: {"150"}}}
 	ended := make(map[*Engine]bool)
 	for round := range 6 {
--- a/lab/standin/restart_test.go
+++ b/lab/standin/restart_test.go
@@ -203,6 +203,7 @@
 	} {
 		t.Run(tt.path, func(t *testing.T) {
 			is, s := is.New(t), start(t, 1)
+			s.AwaitRetrySlack()
 			for _, e := range s.Engines() {
 				e.Events, e.Pace = 20, 20*time.Millisecond
 			}
--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -173,6 +174,16 @@
 	}
 }
 
+// AwaitRetrySlack waits until all nodes of a site that has just been started know that their fleet is new, so that
+// they may use the slack of the retry budgets before they have run for a whole window.
+func (s *Site) AwaitRetrySlack() {
+	for _, node := range s.Nodes {
+		s.Eventually("node knows that the fleet is new", func() bool {
+			return strings.Contains(node.Logs.String(), `"msg":"fleet is new`)
+		})
+	}
+}
+
 // Grace is the time from SIGTERM to SIGKILL of a node.
 const Grace = 3 * time.Second
 
--- a/lab/standin/unframed_test.go
+++ b/lab/standin/unframed_test.go
@@ -115,6 +115,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, s := is.New(t), start(t, 1)
+			s.AwaitRetrySlack()
 			answerUnframed(s.Model[:1], end)
 			resumed := 0
 			for i := range 30 {
--- a/retry/window.go
+++ b/retry/window.go
@@ -5,56 +5,56 @@
 	"time"
 )
 
-// WindowConfig bounds the retries of a whole fleet to one service: within any Window to Share
-// of the requests + Slack.
+// WindowConfig bounds the retries of a whole fleet to one service: in any Window to Share of the requests +
+// Slack. The requests are those of a time as long as Window that isn't fixed in advance: the window itself
+// or the one before it.
 type WindowConfig struct {
 	Share  float64
 	Slack  float64
 	Window time.Duration
-	// Reserve is the part of the bound that is left unused, for nodes that lose their counts in
-	// a restart and for nodes whose views of the fleet differ.
+	// Reserve is the part of the bound that is left unused, for the time that requests take to this node and
+	// retries to a target.
 	Reserve float64
-	// MinNodes is the minimum number of nodes that a node assumes until it has run for a whole
-	// Window, since it may not have received heartbeats from all nodes yet.
-	MinNodes int
 }
 
-// windowBuckets is the number of parts of a window.
-const windowBuckets = 10
+const (
+	// slotsPerWindow is the number of slots in which a window is counted.
+	slotsPerWindow = 100
+	// historySlots is how many slots are kept: the windows that end now begin up to slotsPerWindow slots ago,
+	// and requests up to a window before that are credited to them.
+	historySlots = 2*slotsPerWindow + 2
+	// earnedBefore is the part of Share that a request credits to the windows which begin within Window after
+	// it. The rest is credited to those that contain it. The former allows bursts of failures; the latter
+	// allows retries to a process that has just started. As the two parts are the same on all nodes and make up
+	// Share, no request is credited more than the users' bound counts it, however many processes there are.
+	earnedBefore = 2.0 / 3
+)
 
-// Window limits this node to its part of the fleet's bound without communication: each of its
-// own requests is credited with Share, and of Slack it gets an equal part for each live node.
-// It limits retries in bursts of failures, such as those of engines that crash under load and
-// refuse or reset all connections at once. It is safe for concurrent use.
+// Window limits this node to its part of the fleet's bound without communication: each of its own requests is
+// credited with Share, and of Slack it gets an equal part for each node. A process gets its part of Slack only
+// when it has run for a whole Window, since an earlier process of the node may have used it. It is safe for
+// concurrent use.
 type Window struct {
-	cfg     WindowConfig
-	started time.Time
+	cfg WindowConfig
 
-	mu       sync.Mutex
+	mu      sync.Mutex
+	started time.Time
+	// slot is the newest slot; requests and retries hold slot s at s modulo historySlots.
 	slot     int64
-	requests [windowBuckets]int
-	retries  [windowBuckets]int
-	nodes    [windowBuckets]int // maximum number of live nodes
+	requests [historySlots]int32
+	retries  [historySlots]int32
 }
 
-// NewWindow returns an unused window.
-func NewWindow(cfg WindowConfig, now time.Time) *Window { return &Window{cfg: cfg, started: now} }
-
-// Request counts a caller's request to the service.
-func (w *Window) Request(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.roll(now)
-	w.requests[w.slot%windowBuckets]++
-}
+// Charge is a retry that was charged to a window.
+type Charge struct{ slot int64 }
 
 // BudgetDecision is the decision on one retry, with what it rests on.
 type BudgetDecision struct {
 	Allowed bool
 	// Charged is the number of retries charged before this one, in the window that decides.
 	Charged int
-	// Earned is what the requests of that window have credited, Slack this node's part of the
-	// fleet's slack, dealt out among Nodes; both in retries.
+	// Earned is what requests have credited to that window, Slack this node's part of the fleet's slack,
+	// dealt out among Nodes; both in retries. Nodes is 0 while the node gets no part.
 	Earned, Slack float64
 	Nodes         int
 }
@@ -68,43 +68,110 @@
 	return max(left, 0)
 }
 
-// Take uses one retry if there is one. nodes is the number of live nodes, this one included.
-func (w *Window) Take(now time.Time, nodes int) BudgetDecision {
+// NewWindow returns an unused window of a process that started at the given time.
+func NewWindow(cfg WindowConfig, started time.Time) *Window {
+	return &Window{cfg: cfg, started: started}
+}
+
+func (w *Window) setStarted(started time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = started
+}
+
+// Request counts a caller's request to the service.
+func (w *Window) Request(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.requests[index(w.slot)]++
+}
+
+// Take charges a retry if there is one left. nodes is the number of nodes among which the slack is divided,
+// 0 if this one gets none of it.
+func (w *Window) Take(now time.Time, nodes int) (Charge, BudgetDecision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return w.take(now, nodes)
+}
+
+// Renew moves a charge to the time at which its retry is sent. If none is left then, the charge is taken back.
+func (w *Window) Renew(c Charge, now time.Time, nodes int) BudgetDecision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.takeBack(c)
+	_, d := w.take(now, nodes)
+	return d
+}
+
+// Cancel takes back the charge of a retry that was not sent.
+func (w *Window) Cancel(c Charge) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.roll(now)
+	w.takeBack(c)
+}
+
+func (w *Window) takeBack(c Charge) {
+	if w.slot-c.slot < historySlots {
+		w.retries[index(c.slot)]--
+	}
+}
+
+func (w *Window) take(now time.Time, nodes int) (Charge, BudgetDecision) {
 	if now.Sub(w.started) < w.cfg.Window {
-		nodes = max(nodes, w.cfg.MinNodes)
+		nodes = 0
 	}
-	at := w.slot % windowBuckets
-	w.nodes[at] = max(w.nodes[at], nodes)
-	requests, retries, maxNodes := 0, 0, 1
-	for i := range windowBuckets {
-		requests += w.requests[i]
-		retries += w.retries[i]
-		maxNodes = max(maxNodes, w.nodes[i])
+	d := w.tightest(nodes)
+	if d.Allowed = float64(d.Charged+1) <= d.Earned+d.Slack; d.Allowed {
+		w.retries[index(w.slot)]++
 	}
-	d := BudgetDecision{
-		Charged: retries, Nodes: maxNodes,
-		Earned: w.cfg.Share * float64(requests) * (1 - w.cfg.Reserve),
-		Slack:  w.cfg.Slack / float64(maxNodes) * (1 - w.cfg.Reserve),
+	return Charge{slot: w.slot}, d
+}
+
+// tightest returns the state of the window that has the least left, of all windows that contain the newest
+// slot. A window that begins within a slot is taken to have all retries of its first and last slots, and of the
+// requests only those that it has wherever in its first slot it begins.
+func (w *Window) tightest(nodes int) BudgetDecision {
+	usable := 1 - w.cfg.Reserve
+	slack := 0.0
+	if nodes > 0 {
+		slack = w.cfg.Slack / float64(nodes) * usable
 	}
-	if d.Allowed = float64(retries+1) <= d.Earned+d.Slack; d.Allowed {
-		w.retries[at]++
+	within, charged, before := 0, 0, 0
+	for s := w.slot - slotsPerWindow + 1; s < w.slot; s++ {
+		before += int(w.requests[index(s)])
 	}
-	return d
+	var least BudgetDecision
+	oldest := w.slot - slotsPerWindow
+	for first := w.slot; first >= oldest; first-- {
+		if first == oldest {
+			within -= int(w.requests[index(w.slot)]) // the window may end before them
+		}
+		charged += int(w.retries[index(first)])
+		earned := w.cfg.Share * (earnedBefore*float64(before) + (1-earnedBefore)*float64(within)) * usable
+		if first == w.slot || earned-float64(charged) < least.Earned-float64(least.Charged) {
+			least = BudgetDecision{Charged: charged, Earned: earned, Slack: slack, Nodes: nodes}
+		}
+		within += int(w.requests[index(first)])
+		before += int(w.requests[index(first-slotsPerWindow)]) - int(w.requests[index(first-1)])
+	}
+	return least
 }
 
-func (w *Window) roll(now time.Time) {
-	slot := now.UnixNano() / int64(w.cfg.Window/windowBuckets)
-	if slot-w.slot >= windowBuckets {
-		w.requests, w.retries, w.nodes = [windowBuckets]int{}, [windowBuckets]int{}, [windowBuckets]int{}
+// index returns the place of a slot, which is negative before 1970.
+func index(slot int64) int { return int((slot%historySlots + historySlots) % historySlots) }
+
+// advance clears the slots that have begun since the last call.
+func (w *Window) advance(now time.Time) {
+	slot := now.UnixNano() / int64(w.cfg.Window/slotsPerWindow)
+	if slot-w.slot >= historySlots {
+		w.requests, w.retries = [historySlots]int32{}, [historySlots]int32{}
 		w.slot = slot
-		return
 	}
 	for w.slot < slot {
 		w.slot++
-		at := w.slot % windowBuckets
-		w.requests[at], w.retries[at], w.nodes[at] = 0, 0, 0
+		w.requests[index(w.slot)], w.retries[index(w.slot)] = 0, 0
 	}
 }
--- a/router/budget.go
+++ b/router/budget.go
@@ -1,41 +1,90 @@
 package router
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/knapweedgw/knapweedgw/retry"
 )
 
-// takeRetry charges a retry to the service's retry budget. It returns false if none is left.
-func (x *exchange) takeRetry() bool {
-	d := x.router.window(x.service).Take(x.router.now(), x.router.fleet.LiveNodes())
-	x.budget.Store(&d)
-	outcome := budgetOutcome(d)
+var errBudgetSpent = errors.New("the retry budget was spent while the retry waited")
+
+// Outcomes of a decision on the retry budget. A retry is granted when it is decided on, and charged at the time
+// at which it is sent.
+const (
+	budgetGranted = "granted"
+	budgetRefused = "refused"
+	budgetSent    = "sent"
+	// budgetSpent: the budget was used up by the time at which a granted retry would have been sent.
+	budgetSpent = "spent"
+)
+
+// reserveRetry reserves a retry of the service's budget, unless one is reserved already. It returns false if
+// none is left.
+func (x *exchange) reserveRetry() bool {
+	if x.charge.Load() != nil {
+		return true
+	}
+	w := x.router.budgets.Window(x.service)
+	c, d := w.Take(x.router.now(), x.router.fleet.LimitShares())
+	if !d.Allowed {
+		x.recordBudget(d, budgetRefused)
+		return false
+	}
+	x.recordBudget(d, budgetGranted)
+	if !x.charge.CompareAndSwap(nil, &c) {
+		w.Cancel(c) // the timer of an overdue attempt has reserved one meanwhile
+	}
+	return true
+}
+
+// cancelRetry takes back a reserved retry that was not sent.
+func (x *exchange) cancelRetry() {
+	if c := x.charge.Swap(nil); c != nil {
+		x.router.budgets.Window(x.service).Cancel(*c)
+	}
+}
+
+// chargeSend charges the attempt whose first byte is about to be written, unless it is the first one to reach a
+// target. It returns false if the budget doesn't allow it now.
+func (x *exchange) chargeSend() bool {
+	if !x.arrived || x.charged {
+		return true
+	}
+	var d retry.BudgetDecision
+	w, now, shares := x.router.budgets.Window(x.service), x.router.now(), x.router.fleet.LimitShares()
+	if c := x.charge.Swap(nil); c != nil {
+		d = w.Renew(*c, now, shares)
+	} else {
+		_, d = w.Take(now, shares)
+	}
+	x.charged, x.overBudget = d.Allowed, !d.Allowed
+	if d.Allowed {
+		x.recordBudget(d, budgetSent)
+	} else {
+		x.recordBudget(d, budgetSpent)
+	}
+	return d.Allowed
+}
+
+// recordBudget logs and counts a decision on the retry budget.
+func (x *exchange) recordBudget(d retry.BudgetDecision, outcome string) {
 	m := x.router.metrics
 	m.budget.WithLabelValues(x.service, outcome).Inc()
 	m.budgetLeft.WithLabelValues(x.service).Set(d.Left())
+	if outcome == budgetGranted {
+		x.budget.Store(&d)
+	}
 	if !d.Allowed {
-		x.router.log.Warn("retry not in the budget", append([]any{"request", x.call.ID, "service", x.service}, x.budgetFields()...)...)
+		x.router.log.Warn("retry not in the budget", append([]any{
+			"request", x.call.ID, "service", x.service, "outcome", outcome,
+		}, budgetFields(&d)...)...)
 	}
-	return d.Allowed
 }
 
-// budgetFields returns the log fields of the last decision on the retry budget.
-func (x *exchange) budgetFields() []any {
-	d := x.budget.Load()
+// budgetFields returns the log fields of a decision on the retry budget, nil for none.
+func budgetFields(d *retry.BudgetDecision) []any {
 	if d == nil {
 		return nil
 	}
-	return []any{"budget", budgetOutcome(*d), "charged", d.Charged, "earned", d.Earned, "slack", d.Slack, "nodes", d.Nodes}
-}
-
-// Outcomes of a decision on the retry budget.
-const (
-	budgetGranted = "granted"
-	budgetUsedUp  = "used_up"
-)
-
-func budgetOutcome(d retry.BudgetDecision) string {
-	if d.Allowed {
-		return budgetGranted
-	}
-	return budgetUsedUp
+	return []any{"charged", d.Charged, "earned", d.Earned, "slack", d.Slack, "nodes", d.Nodes}
 }
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -65,10 +65,12 @@
 	// the target's answer to the last attempt was complete.
 	guarded, completed bool
 
-	// retryReserved means that the next attempt was already charged to the retry budget.
-	retryReserved atomic.Bool
-	// budget is the last decision on the retry budget, nil for none.
+	// charge is the reserved retry, nil for none; budget is the decision that granted the last one.
+	charge atomic.Pointer[retry.Charge]
 	budget atomic.Pointer[retry.BudgetDecision]
+	// arrived means that an earlier attempt may have reached a target, charged that the one in progress was
+	// charged to the retry budget when it was sent, overBudget that it was not sent since the budget was used up.
+	arrived, charged, overBudget bool
 
 	// place is what the attempt in progress occupies by the count of a dispatch owner, nil for
 	// nothing.
--- a/router/forward.go
+++ b/router/forward.go
@@ -72,8 +72,8 @@
 	if fail := x.resolveOrigin(ctx); fail != nil {
 		return x.giveUp(ctx, fail)
 	}
-	window := x.router.window(x.service)
-	window.Request(x.start)
+	x.router.budgets.Window(x.service).Request(x.start)
+	defer x.cancelRetry()
 	for {
 		if _, expired := x.remaining(); expired {
 			return x.giveUp(ctx, &failure{reason: problem.DeadlineExceeded, cause: context.DeadlineExceeded})
@@ -162,7 +162,7 @@
 	x.router.log.Info("retry", append([]any{
 		"request", x.call.ID, "target", a.target.ID, "version", a.target.Version, "reason", f.reason,
 		"progress", int(f.progress), "cause", f.cause, "tries", x.tries, "runs", x.executions, "begun", x.answerBegun,
-	}, x.budgetFields()...)...)
+	}, budgetFields(x.budget.Load())...)...)
 }
 
 // decide decides whether another attempt is allowed after fail.
@@ -170,6 +170,9 @@
 	if ctx.Err() != nil {
 		return retry.DeadlineNear
 	}
+	if errors.Is(fail.cause, errBudgetSpent) {
+		return retry.BudgetEmpty
+	}
 	if fail.local || x.tries >= maxTries {
 		return retry.AttemptsUsed
 	}
@@ -181,7 +184,7 @@
 		retry.Attempt{Number: x.executions, Progress: fail.progress, Repeatable: x.route.Repeatable(), Remaining: left},
 		retry.Limits{MaxAttempts: max(x.route.MaxAttempts, 1), MinRemaining: minRemaining},
 	)
-	if verdict == retry.Allow && retry.DrawsOnBudget(fail.progress) && !x.retryReserved.Swap(false) && !x.takeRetry() {
+	if verdict == retry.Allow && retry.DrawsOnBudget(fail.progress) && !x.reserveRetry() {
 		return retry.BudgetEmpty
 	}
 	return verdict
@@ -197,7 +200,7 @@
 	ctx, cancelDelivery := x.deliveryContext(ctx)
 	defer cancelDelivery()
 	x.tries++
-	x.completed = false
+	x.completed, x.charged, x.overBudget = false, false, false
 	x.sentAt = x.router.now()
 	x.summary.target, x.summary.version = a.target.ID, a.target.Version
 	x.summary.running, x.summary.limit = a.choice.Running, a.choice.Limit
@@ -213,10 +216,12 @@
 	}
 	w := x.watchReply(a, cancel)
 	req = req.WithContext(upstream.WithConn(ctx, func(c upstream.ConnInfo) { x.summary.conn = c }))
-	resp, progress, err := a.member.client().Do(req, func() bool { return x.router.pool.maySend(a.target) })
+	gate := func() bool { return x.router.pool.maySend(a.target) && x.chargeSend() }
+	resp, progress, err := a.member.client().Do(req, gate)
 	w.stop()
 	if progress >= retry.Sent {
 		x.executions++
+		x.arrived = true
 	}
 	var reply ReplyHeader
 	if err == nil {
@@ -240,6 +245,8 @@
 func (x *exchange) sendFailed(ctx context.Context, a assignment, p retry.Progress, err error, overdue bool) *failure {
 	f := &failure{progress: p, reason: problem.TargetFailed, cause: err}
 	switch {
+	case errors.Is(err, upstream.ErrGateClosed) && x.overBudget:
+		f.cause, f.stale = errBudgetSpent, true
 	case errors.Is(err, upstream.ErrGateClosed):
 		f.cause, f.stale = notice.ErrTargetDeclined, true
 	case overdue:
--- a/router/memory.go
+++ b/router/memory.go
@@ -39,7 +39,11 @@
 
 // saveNotes writes the note at regular intervals, on one node of the fleet.
 func (r *Router) saveNotes(ctx context.Context) {
-	pause.RunPeriodically(ctx, noteInterval, func(ctx context.Context) { r.saveNote(ctx) })
+	pause.RunPeriodically(ctx, noteInterval, func(ctx context.Context) {
+		if !r.firstNoteSaved.Swap(false) {
+			r.saveNote(ctx)
+		}
+	})
 }
 
 // saveNote writes the note if this node is its writer, and reports whether it is.
@@ -61,16 +65,35 @@
 // saveQuarantines writes a note as soon as a request is put into quarantine, since all nodes
 // may fail before the next regular note.
 func (r *Router) saveQuarantines(ctx context.Context) {
+	newFleet := r.newFleetFound
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.noteDue:
 			r.saveSoon(ctx)
+		case <-newFleet:
+			newFleet = nil
+			r.saveFirstNote(ctx)
 		}
 	}
 }
 
+// saveFirstNote writes the first note of a new fleet early, on one node. From then on, processes that start know
+// that earlier ones may have used the slack of the retry budgets. The first regular note is omitted for it.
+func (r *Router) saveFirstNote(ctx context.Context) {
+	for range noteInterval / writerPoll {
+		if !r.newFleet.Load() {
+			return // another node has written it
+		}
+		if r.saveNote(ctx) {
+			r.firstNoteSaved.Store(true)
+			return
+		}
+		pause.Sleep(ctx, writerPoll)
+	}
+}
+
 // saveSoon waits until this node is the note's writer: for a moment after a start no node is.
 // It gives up after noteInterval, by which time some node has written a regular note.
 func (r *Router) saveSoon(ctx context.Context) {
@@ -93,6 +116,7 @@
 
 // readNote applies the note that the node read from the store when it started.
 func (r *Router) readNote(raw []byte, s replica.NoteState) {
+	r.updateNewFleet(raw, s)
 	if raw == nil || s == replica.Changed {
 		return // this node knows more than the note, or soon will
 	}
@@ -105,3 +129,17 @@
 	r.pool.recordUses(n.Uses)
 	r.guard.MergeRecords("note", n.Quarantined)
 }
+
+// updateNewFleet follows whether the fleet is new: no process of it has run before if the store has no note when
+// this one starts. The slack of the retry budgets is used only once the first note is in the store, so that the
+// processes after this one don't take the fleet for new again.
+func (r *Router) updateNewFleet(raw []byte, s replica.NoteState) {
+	switch {
+	case raw == nil && s == replica.AtStart:
+		r.newFleet.Store(true)
+		close(r.newFleetFound)
+	case raw != nil && s == replica.Changed && r.newFleet.Swap(false):
+		r.log.Info("fleet is new, its first note is in the store")
+		r.budgets.NoteNewFleet()
+	}
+}
--- a/router/notices_sim_test.go
+++ b/router/notices_sim_test.go
@@ -56,6 +56,7 @@
 }
 func (n *simNode) LiveNodes() int                      { return len(n.fleet.nodes) }
 func (n *simNode) KnownNodes() int                     { return len(n.fleet.nodes) }
+func (n *simNode) LimitShares() int                    { return len(n.fleet.nodes) }
 func (n *simNode) Interval() time.Duration             { return n.fleet.interval }
 func (n *simNode) CountAge() time.Duration             { return n.fleet.interval }
 func (*simNode) FleetSize() int                        { return 1 }
--- a/router/overdue.go
+++ b/router/overdue.go
@@ -252,9 +252,8 @@
 		return overdueNoTime
 	case !x.router.pool.hasOther(criteria{service: x.service, tried: tried, regions: x.regions, began: x.began}):
 		return overdueNoTarget
-	case !x.takeRetry():
+	case !x.reserveRetry():
 		return overdueNoBudget
 	}
-	x.retryReserved.Store(true)
 	return overdueRetried
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -73,6 +73,8 @@
 	LiveNodes() int
 	// KnownNodes is the number of nodes that exist or existed recently.
 	KnownNodes() int
+	// LimitShares is among how many nodes a fleet-wide limit is divided, 0 if this node gets no part.
+	LimitShares() int
 	// Interval is the time between two reports of a node.
 	Interval() time.Duration
 	// CountAge is the maximum age of the other nodes' counts.
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -36,6 +36,7 @@
 }
 func (f *fakeFleet) LiveNodes() int                      { return 2 }
 func (*fakeFleet) KnownNodes() int                       { return 2 }
+func (*fakeFleet) LimitShares() int                      { return 2 }
 func (*fakeFleet) Interval() time.Duration               { return 200 * time.Millisecond }
 func (*fakeFleet) CountAge() time.Duration               { return 200 * time.Millisecond }
 func (f *fakeFleet) FleetSize() int                      { return 2 + f.size }
--- a/router/router.go
+++ b/router/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,10 +39,7 @@
 	callerIdle = 75 * time.Second
 	// retryReserve is the fraction of the retry limit that is left unused, see
 	// retry.WindowConfig.
-	retryReserve = 0.25
-	// assumedNodes is the fleet size that a new node assumes for its share of the retry slack
-	// until it has received the other nodes' heartbeats.
-	assumedNodes = 8
+	retryReserve = 0.05
 )
 
 // Replica is the node's copy of the configuration and the targets.
@@ -83,12 +79,15 @@
 	// noteDue has capacity 1 and contains a value while a note is to be written soon.
 	noteDue chan struct{}
 
-	windowsMu  sync.Mutex
-	windows    map[string]*retry.Window
-	replies    *replyTimes
-	deadlines  *longestDeadlines
-	dispatcher Dispatcher
-	streams    Streams
+	budgets *retry.Budgets
+	// newFleet is set while no process of the fleet has run before and its first note isn't in the store yet;
+	// newFleetFound is closed when that is found. firstNoteSaved is set when this node has written that note.
+	newFleet, firstNoteSaved atomic.Bool
+	newFleetFound            chan struct{}
+	replies                  *replyTimes
+	deadlines                *longestDeadlines
+	dispatcher               Dispatcher
+	streams                  Streams
 
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
@@ -109,9 +108,12 @@
 	guard := quarantine.NewGuard(quarantine.DefaultConfig(), clock.Monotonic, l, reg)
 	r := &Router{
 		cfg: cfg, dialect: d, replica: b, fleet: x, log: l, now: clock.Monotonic,
-		guard: guard, noteDue: make(chan struct{}, 1),
+		guard: guard, noteDue: make(chan struct{}, 1), newFleetFound: make(chan struct{}),
 		pool:    newPool(x, guard, cfg.FailureDomain, l),
-		metrics: newMetrics(reg), windows: make(map[string]*retry.Window),
+		metrics: newMetrics(reg),
+		budgets: retry.NewBudgets(retry.WindowConfig{
+			Share: cfg.RetryShare, Slack: cfg.RetryAllowance, Window: cfg.RetryWindow, Reserve: retryReserve,
+		}, clock.Monotonic()),
 		replies: newReplyTimes(), deadlines: newLongestDeadlines(), dispatcher: places,
 		streams: streams,
 	}
@@ -219,18 +221,3 @@
 	}
 	return c.Traffic(service)
 }
-
-// window returns the retry budget window of a service.
-func (r *Router) window(service string) *retry.Window {
-	r.windowsMu.Lock()
-	defer r.windowsMu.Unlock()
-	w, ok := r.windows[service]
-	if !ok {
-		w = retry.NewWindow(retry.WindowConfig{
-			Share: r.cfg.RetryShare, Slack: r.cfg.RetryAllowance, Window: r.cfg.RetryWindow,
-			Reserve: retryReserve, MinNodes: assumedNodes,
-		}, r.now())
-		r.windows[service] = w
-	}
-	return w
-}
