--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -100,12 +100,14 @@
 	report  *Report
 	refused []string          // IDs whose response says that the request was not run
 	paths   map[string]string // paths by request ID
+	// sent holds when requests were sent, by service.
+	sent map[string][]time.Time
 }
 
 func newChecker(j *standin.Journal, seed uint64, l *lossCheck) *checker {
 	return &checker{
 		journal: j, events: standin.DefaultEvents, report: &Report{Seed: seed}, lost: l,
-		paths: make(map[string]string),
+		paths: make(map[string]string), sent: make(map[string][]time.Time),
 		services: map[string]string{
 			standin.StreamPath: standin.ModelPool, standin.ResumePath: standin.ModelPool,
 			standin.UnsafePath: standin.ServicePool, standin.SafePath: standin.ServicePool,
@@ -121,6 +123,7 @@
 	defer c.mu.Unlock()
 	c.report.Requests++
 	c.paths[x.id] = x.path
+	c.sent[c.services[x.path]] = append(c.sent[c.services[x.path]], x.sent)
 	c.lost.observe(x)
 	switch {
 	case x.err != nil:
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -91,7 +91,7 @@
 		"internal_port_range": []int{port, port + 1}, "seeds": seeds,
 		"limits": map[string]int{"memory_mb": 284},
 		"bounds": map[string]float64{
-			"grace_s": grace, "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 54,
+			"grace_s": grace, "retry_budget_ratio": retryBudget.Share, "retry_window_s": retryBudget.Window.Seconds(), "budget_slack": retryBudget.Slack,
 		},
 		"platform": map[string]string{"address": proxy.Addr()},
 	})
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -103,6 +103,7 @@
 	r.checkOwners()
 	r.checkPartitions()
 	r.checkVersions()
+	r.checkRetryBudgets()
 	if ended, limit := r.ends.count(); ended > limit {
 		r.checker.broken("a request ended %d targets, %d allowed", ended, limit)
 	}
