--- a/heartbeat/shares.go
+++ b/heartbeat/shares.go
@@ -20,8 +20,8 @@
 }
 
 // update takes the numbers of other nodes that are known, that were heard within Config.AddressTTL and that are
-// live; nodes that leave count as known only. A node that is cut off takes no part, since nodes may have joined that it doesn't know: one that hears
-// no majority of the nodes that it heard lately, or that has heard none since it started.
+// live; nodes that leave count as known only. A node gets no part if it hears no majority of the nodes that it
+// heard lately, or has heard none since it started: it may be cut off, and nodes may have joined meanwhile.
 func (s *fleetShares) update(known, recent, live int, now time.Time) {
 	const self = 1
 	if now.Sub(s.began) >= fleetMemory {
--- a/retry/window.go
+++ b/retry/window.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// WindowConfig bounds the retries of a whole fleet to one service: in any Window to Share of the requests +
-// Slack. The requests are those of a time as long as Window that isn't fixed in advance: the window itself
-// or the one before it.
+// WindowConfig bounds the retries of a whole fleet to one service: in any time as long as Window to Share of its
+// requests + Slack. The requests are counted in that time or in as long a time before it, whichever has more.
 type WindowConfig struct {
 	Share  float64
 	Slack  float64
@@ -24,9 +23,9 @@
 	// and requests up to a window before that are credited to them.
 	historySlots = 2*slotsPerWindow + 2
 	// earnedBefore is the part of Share that a request credits to the windows which begin within Window after
-	// it. The rest is credited to those that contain it. The former allows bursts of failures; the latter
-	// allows retries to a process that has just started. As the two parts are the same on all nodes and make up
-	// Share, no request is credited more than the users' bound counts it, however many processes there are.
+	// it, which allows bursts of failures. The rest is credited to the windows that contain it, which allows
+	// retries to a process that has just started. Since all processes of a fleet use the same two parts, which
+	// make up Share, their sum stays within the bound, however often nodes start and requests change nodes.
 	earnedBefore = 2.0 / 3
 )
 
--- a/router/memory.go
+++ b/router/memory.go
@@ -62,9 +62,9 @@
 	return true
 }
 
-// saveQuarantines writes a note as soon as a request is put into quarantine, since all nodes
-// may fail before the next regular note.
-func (r *Router) saveQuarantines(ctx context.Context) {
+// saveUrgentNotes writes a note as soon as a request is put into quarantine or the fleet is found to be new, since
+// all nodes may fail before the next regular note.
+func (r *Router) saveUrgentNotes(ctx context.Context) {
 	newFleet := r.newFleetFound
 	for {
 		select {
--- a/router/router.go
+++ b/router/router.go
@@ -160,7 +160,7 @@
 // Start implements kernel.Starter. It listens before it returns.
 func (r *Router) Start(ctx context.Context) error {
 	go r.saveNotes(ctx)
-	go r.saveQuarantines(ctx)
+	go r.saveUrgentNotes(ctx)
 	work, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	r.cancelRequests = cancelRequests
 	r.callerServer = &http.Server{
