Test freezes, restarts in turn, bursts at each phase and retries that wait

Cause: the model of the fleet said that it drew standstills and drew none, and its case of retries that wait passed with a window that charges them at the decision. New: one node killed, all at once, nodes restarted in pairs, nodes that wake, bursts at 28 phases with five gaps, a burst that waits until the budget is whole again. Conclusion: each of the failures has a case.

--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -28,6 +28,8 @@
 type modelNode struct {
 	window  *Window
 	cut     bool
+	frozen  bool
+	queued  int // requests that callers sent while it was frozen, all of which fail
 	shares  int // among how many nodes it divides the slack
 	waiting []waitingRetry
 }
@@ -102,6 +104,9 @@
 
 // sendWaiting sends the retries that are due.
 func (m *fleetModel) sendWaiting(n *modelNode) {
+	if n.frozen {
+		return
+	}
 	n.waiting = slices.DeleteFunc(n.waiting, func(r waitingRetry) bool {
 		if r.due > m.now {
 			return false
@@ -117,28 +122,51 @@
 func (m *fleetModel) fail(n *modelNode, requests int, transit, delay time.Duration) {
 	for range requests {
 		m.request(n, transit)
-		for range retriesPerRequest {
-			if c, d := n.window.Take(m.at(), n.shares); d.Allowed {
-				n.waiting = append(n.waiting, waitingRetry{due: m.now + delay, charge: c})
-			}
-		}
+		m.retry(n, delay)
 	}
 	m.sendWaiting(n)
 }
 
+// retry asks for the retries of a failing request, which wait for delay.
+func (m *fleetModel) retry(n *modelNode, delay time.Duration) {
+	for range retriesPerRequest {
+		if c, d := n.window.Take(m.at(), n.shares); d.Allowed {
+			n.waiting = append(n.waiting, waitingRetry{due: m.now + delay, charge: c})
+		}
+	}
+}
+
 func (m *fleetModel) request(n *modelNode, transit time.Duration) {
 	m.requests = append(m.requests, m.now-transit)
 	n.window.Request(m.at())
 }
 
+// freeze stops a node for d while the others go on. When it wakes, it reads the requests sent meanwhile.
+func (m *fleetModel) freeze(n *modelNode, d time.Duration, perSecond int, failing float64) {
+	n.frozen = true
+	m.run(d, perSecond, failing)
+	n.frozen = false
+	queued := n.queued
+	n.queued = 0
+	for range queued {
+		n.window.Request(m.at())
+		m.retry(n, 0)
+	}
+	m.sendWaiting(n)
+}
+
 // run sends perSecond requests to the whole fleet for d, of which the share failing fails.
 func (m *fleetModel) run(d time.Duration, perSecond int, failing float64) {
 	interval := time.Second / time.Duration(perSecond)
 	for end := m.now + d; m.now < end; m.advance(interval) {
 		n := m.nodes[m.rng.IntN(len(m.nodes))]
-		if m.rng.Float64() < failing {
+		switch {
+		case n.frozen:
+			m.requests = append(m.requests, m.now)
+			n.queued++
+		case m.rng.Float64() < failing:
 			m.fail(n, 1, 0, 0)
-		} else {
+		default:
 			m.request(n, 0)
 		}
 	}
@@ -194,6 +222,35 @@
 			}
 			m.run(2*m.cfg.Window, perSecond, 1)
 		},
+		"one node killed in series": func(m *fleetModel) {
+			m.run(2*m.cfg.Window, perSecond, 0)
+			for range 20 {
+				m.run(700*time.Millisecond, perSecond, 1)
+				m.kill(m.nodes[3])
+			}
+		},
+		"all nodes killed at once": func(m *fleetModel) {
+			m.run(2*m.cfg.Window, perSecond, 0)
+			m.run(2*time.Second, perSecond, 1)
+			m.killAll()
+			m.run(2*m.cfg.Window, perSecond, 1)
+		},
+		"nodes restarted in turn, in pairs": func(m *fleetModel) {
+			m.run(2*m.cfg.Window, perSecond, 0)
+			for i := range 12 {
+				m.run(time.Second, perSecond, 1)
+				m.kill(m.nodes[2*i%nodes])
+				m.kill(m.nodes[(2*i+1)%nodes])
+			}
+		},
+		"nodes that wake from a freeze": func(m *fleetModel) {
+			m.run(2*m.cfg.Window, perSecond, 0)
+			m.run(time.Second, perSecond, 1)
+			for i := range 6 {
+				m.freeze(m.nodes[i], 4*time.Second, perSecond, 1)
+			}
+			m.run(m.cfg.Window, perSecond, 1)
+		},
 		"nodes killed one after the other": func(m *fleetModel) {
 			m.run(m.cfg.Window, perSecond, 0)
 			for i := range 40 {
@@ -227,6 +284,14 @@
 			m.run(500*time.Millisecond, 3*perSecond, 1)
 			m.run(m.cfg.Window, perSecond, 1)
 		},
+		"retries that wait until the budget is whole again": func(m *fleetModel) {
+			m.run(2*m.cfg.Window, perSecond, 0)
+			for _, n := range m.nodes {
+				m.fail(n, 40, 0, m.cfg.Window-500*time.Millisecond)
+			}
+			m.run(m.cfg.Window+200*time.Millisecond, perSecond, 0)
+			m.run(time.Second, 3*perSecond, 1)
+		},
 		"load that moves from node to node": func(m *fleetModel) {
 			for i := range 40 {
 				for range 50 {
@@ -245,7 +310,23 @@
 	}
 }
 
-// Guards against the same under any order of bursts, calms, kills, joins, cuts, standstills and waits.
+// Guards against a window that forgets a burst of retries before it is a window old, at whichever time within
+// the window and its slots the burst comes.
+func TestBurstsAtEachPhaseOfAWindowStayWithinTheBudget(t *testing.T) {
+	const nodes, perSecond, burst = 7, 160, 300 * time.Millisecond
+	for phase := time.Duration(0); phase < fleetBound.Window; phase += 370 * time.Millisecond {
+		for _, gap := range []time.Duration{time.Second, 5 * time.Second, 8900 * time.Millisecond, 9200 * time.Millisecond, 9650 * time.Millisecond} {
+			m := newFleetModel(nodes, 1)
+			m.run(m.cfg.Window+phase, perSecond, 0)
+			m.run(burst, 6*perSecond, 1)
+			m.run(gap, perSecond, 0)
+			m.run(burst, 6*perSecond, 1)
+			m.check(t)
+		}
+	}
+}
+
+// Guards against the same under any order of bursts, calms, kills, joins, cuts, freezes and waits.
 func TestRetriesOfAnyFleetStayWithinItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		duration := func(name string, most int) time.Duration {
@@ -254,7 +335,7 @@
 		m := newFleetModel(rapid.IntRange(1, 8).Draw(t, "nodes"), rapid.Uint64().Draw(t, "seed"))
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			n := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")]
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0:
 				m.kill(n)
 			case 1:
@@ -273,6 +354,8 @@
 				m.fail(n, rapid.IntRange(1, 80).Draw(t, "burst"), duration("transit", 200), duration("wait", 4000))
 			case 7:
 				m.run(duration("run", 3000), rapid.IntRange(1, 300).Draw(t, "rate"), 1)
+			case 8:
+				m.freeze(n, duration("freeze", 6000), rapid.IntRange(1, 300).Draw(t, "rate"), rapid.Float64Range(0, 1).Draw(t, "failing"))
 			default:
 				m.run(duration("run", 3000), rapid.IntRange(1, 300).Draw(t, "rate"), rapid.Float64Range(0, 1).Draw(t, "failing"))
 			}
