Reserve and charge retries in one place for both fronts

Cause: the router and the own interface each had the steps from a reserved retry to a charged or cancelled one, twice the same with other names. Ruled out: a change of what is charged; both call the same windows as before. Before: two copies, one of them with an atomic pointer since a timer reserves as well, no test of either alone. Conclusion: no change of behavior.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -11,16 +11,15 @@
 
 // retryBudget charges the retries of one request to the budget of its pool.
 type retryBudget struct {
-	window   *retry.Window
-	fleet    Fleet
-	reserved *retry.Charge // nil for none
+	*retry.Reservation
+	fleet Fleet
 }
 
 // newRetryBudget counts a request to a pool and returns its budget.
 func (g *Gateway) newRetryBudget(pool string) *retryBudget {
-	b := &retryBudget{window: g.budgets.Window(pool), fleet: g.fleet}
-	b.window.Request(clock.Monotonic())
-	return b
+	w := g.budgets.Window(pool)
+	w.Request(clock.Monotonic())
+	return &retryBudget{Reservation: w.NewReservation(), fleet: g.fleet}
 }
 
 func (b *retryBudget) shares() int {
@@ -31,29 +30,14 @@
 }
 
 // reserve reserves a retry when it is decided on.
-func (b *retryBudget) reserve() retry.BudgetDecision {
-	c, d := b.window.Take(clock.Monotonic(), b.shares())
-	if d.Allowed {
-		b.reserved = &c
-	}
-	return d
-}
+func (b *retryBudget) reserve() retry.BudgetDecision { return b.Reserve(clock.Monotonic(), b.shares()) }
 
 // charge charges the reserved retry, if there is one, at the time at which it is sent.
 func (b *retryBudget) charge() retry.BudgetDecision {
-	if b.reserved == nil {
+	if !b.Held() {
 		return retry.BudgetDecision{Allowed: true}
 	}
-	c := *b.reserved
-	b.reserved = nil
-	return b.window.Renew(c, clock.Monotonic(), b.shares())
-}
-
-// cancel takes back a reserved retry that was not sent.
-func (b *retryBudget) cancel() {
-	if b.reserved != nil {
-		b.window.Cancel(*b.reserved)
-	}
+	return b.Send(clock.Monotonic(), b.shares())
 }
 
 // logBudget logs a decision that refuses a retry.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,7 +54,7 @@
 	ctx, cancel := c.workContext(f.repeatable)
 	defer cancel()
 	budget := g.newRetryBudget(f.admission.Pool.Pool)
-	defer budget.cancel()
+	defer budget.Cancel()
 	guarded := g.newGuardedRequest(c, f)
 	c.guarded = guarded
 	defer guarded.done()
--- a/router/budget.go
+++ b/router/budget.go
@@ -21,42 +21,25 @@
 // reserveRetry reserves a retry of the service's budget, unless one is reserved already. It returns false if
 // none is left.
 func (x *exchange) reserveRetry() bool {
-	if x.charge.Load() != nil {
+	if x.reservation.Held() {
 		return true
 	}
-	w := x.router.budgets.Window(x.service)
-	c, d := w.Take(x.router.now(), x.router.fleet.LimitShares())
+	d := x.reservation.Reserve(x.router.now(), x.router.fleet.LimitShares())
 	if !d.Allowed {
 		x.recordBudget(d, budgetRefused)
 		return false
 	}
 	x.recordBudget(d, budgetGranted)
-	if !x.charge.CompareAndSwap(nil, &c) {
-		w.Cancel(c) // the timer of an overdue attempt has reserved one meanwhile
-	}
 	return true
 }
 
-// cancelRetry takes back a reserved retry that was not sent.
-func (x *exchange) cancelRetry() {
-	if c := x.charge.Swap(nil); c != nil {
-		x.router.budgets.Window(x.service).Cancel(*c)
-	}
-}
-
 // chargeSend charges the attempt whose first byte is about to be written, unless it is the first one to reach a
 // target. It returns false if the budget doesn't allow it now.
 func (x *exchange) chargeSend() bool {
 	if !x.arrived || x.charged {
 		return true
 	}
-	var d retry.BudgetDecision
-	w, now, shares := x.router.budgets.Window(x.service), x.router.now(), x.router.fleet.LimitShares()
-	if c := x.charge.Swap(nil); c != nil {
-		d = w.Renew(*c, now, shares)
-	} else {
-		_, d = w.Take(now, shares)
-	}
+	d := x.reservation.Send(x.router.now(), x.router.fleet.LimitShares())
 	x.charged, x.overBudget = d.Allowed, !d.Allowed
 	if d.Allowed {
 		x.recordBudget(d, budgetSent)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -65,9 +65,9 @@
 	// the target's answer to the last attempt was complete.
 	guarded, completed bool
 
-	// charge is the reserved retry, nil for none; budget is the decision that granted the last one.
-	charge atomic.Pointer[retry.Charge]
-	budget atomic.Pointer[retry.BudgetDecision]
+	// reservation holds the retry reserved for the next attempt; budget is the decision that granted the last one.
+	reservation *retry.Reservation
+	budget      atomic.Pointer[retry.BudgetDecision]
 	// arrived means that an earlier attempt may have reached a target, charged that the one in progress was
 	// charged to the retry budget when it was sent, overBudget that it was not sent since the budget was used up.
 	arrived, charged, overBudget bool
--- a/router/forward.go
+++ b/router/forward.go
@@ -72,8 +72,10 @@
 	if fail := x.resolveOrigin(ctx); fail != nil {
 		return x.giveUp(ctx, fail)
 	}
-	x.router.budgets.Window(x.service).Request(x.start)
-	defer x.cancelRetry()
+	window := x.router.budgets.Window(x.service)
+	window.Request(x.start)
+	x.reservation = window.NewReservation()
+	defer x.reservation.Cancel()
 	for {
 		if _, expired := x.remaining(); expired {
 			return x.giveUp(ctx, &failure{reason: problem.DeadlineExceeded, cause: context.DeadlineExceeded})
