Name, count and log decisions on the retry budget alike in both fronts

Cause: outcomes, log fields and the error of a spent budget stood in the router, part of them again in the own interface, which counted nothing. Ruled out: a change of what is granted. Before: no metric of the own interface's budget; no test of when the router charges a send. Conclusion: no change of behavior.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -1,46 +1,57 @@
 package gateway
 
 import (
-	"github.com/cockroachdb/errors"
-
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/retry"
 )
 
-var errBudgetSpent = errors.New("the retry budget was spent while the retry waited")
-
-// retryBudget charges the retries of one request to the budget of its pool.
+// retryBudget charges the retries of one call to the budget of its pool.
 type retryBudget struct {
-	*retry.Reservation
-	fleet Fleet
+	g           *Gateway
+	c           *call
+	pool        string
+	reservation *retry.Reservation
 }
 
-// newRetryBudget counts a request to a pool and returns its budget.
-func (g *Gateway) newRetryBudget(pool string) *retryBudget {
+// newRetryBudget counts a call to a pool and returns its budget.
+func (g *Gateway) newRetryBudget(c *call, pool string) *retryBudget {
 	w := g.budgets.Window(pool)
 	w.Request(clock.Monotonic())
-	return &retryBudget{Reservation: w.NewReservation(), fleet: g.fleet}
+	return &retryBudget{g: g, c: c, pool: pool, reservation: w.NewReservation()}
 }
 
-func (b *retryBudget) shares() int {
-	if b.fleet == nil {
-		return 1
+// reserve reserves a retry when it is decided on. It returns false if none is left.
+func (b *retryBudget) reserve() bool {
+	d := b.reservation.Reserve(clock.Monotonic(), b.shares())
+	b.record(d, d.DecideOutcome())
+	return d.Allowed
+}
+
+// charge charges the reserved retry, if there is one, at the time at which it is sent. It returns false if the
+// budget doesn't allow it now.
+func (b *retryBudget) charge() bool {
+	if !b.reservation.Held() {
+		return true
 	}
-	return b.fleet.LimitShares()
+	d := b.reservation.Send(clock.Monotonic(), b.shares())
+	b.record(d, d.SendOutcome())
+	return d.Allowed
 }
 
-// reserve reserves a retry when it is decided on.
-func (b *retryBudget) reserve() retry.BudgetDecision { return b.Reserve(clock.Monotonic(), b.shares()) }
+// cancel takes back a reserved retry that was not sent.
+func (b *retryBudget) cancel() { b.reservation.Cancel() }
 
-// charge charges the reserved retry, if there is one, at the time at which it is sent.
-func (b *retryBudget) charge() retry.BudgetDecision {
-	if !b.Held() {
-		return retry.BudgetDecision{Allowed: true}
+func (b *retryBudget) shares() int {
+	if b.g.fleet == nil {
+		return 1
 	}
-	return b.Send(clock.Monotonic(), b.shares())
+	return b.g.fleet.LimitShares()
 }
 
-// logBudget logs a decision that refuses a retry.
-func (g *Gateway) logBudget(c *call, d retry.BudgetDecision) {
-	c.log().Warn("retry not in the budget", "charged", d.Charged, "earned", d.Earned, "slack", d.Slack, "nodes", d.Nodes)
+// record counts a decision on the retry budget, and logs it if it refuses the retry.
+func (b *retryBudget) record(d retry.BudgetDecision, outcome retry.BudgetOutcome) {
+	b.g.metrics.budget.WithLabelValues(b.pool, string(outcome)).Inc()
+	if !d.Allowed {
+		b.c.log().Warn("retry not in the budget", append([]any{"pool", b.pool, "outcome", outcome}, d.LogFields()...)...)
+	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,8 +53,8 @@
 func (g *Gateway) forward(c *call, f forwardRequest) error {
 	ctx, cancel := c.workContext(f.repeatable)
 	defer cancel()
-	budget := g.newRetryBudget(f.admission.Pool.Pool)
-	defer budget.Cancel()
+	budget := g.newRetryBudget(c, f.admission.Pool.Pool)
+	defer budget.cancel()
 	guarded := g.newGuardedRequest(c, f)
 	c.guarded = guarded
 	defer guarded.done()
@@ -69,10 +69,10 @@
 		if err != nil {
 			return g.giveUp(ctx, c, withCooldown(err, cooldown))
 		}
-		if d := budget.charge(); !d.Allowed {
+		if !budget.charge() {
 			grant.Release(admission.Unknown)
-			g.logBudget(c, d)
-			return g.giveUp(ctx, c, problem.New(problem.RetryBudgetExhausted, c.ran(), errBudgetSpent.Error()).WithRetryAfter(targetRetryAfter))
+			spent := problem.New(problem.RetryBudgetExhausted, c.ran(), retry.ErrBudgetSpent.Error())
+			return g.giveUp(ctx, c, spent.WithRetryAfter(targetRetryAfter))
 		}
 		guarded.startAttempt(grant.Target)
 		fail := g.attempt(ctx, c, f, grant)
@@ -84,7 +84,7 @@
 		if fail.response != nil {
 			c.held = fail.response
 		}
-		verdict := g.decide(ctx, c, f, budget, number, fail)
+		verdict := g.decide(ctx, f, budget, number, fail)
 		if verdict != retry.Allow {
 			return g.giveUp(ctx, c, refusal(fail, verdict))
 		}
@@ -95,9 +95,7 @@
 	}
 }
 
-func (g *Gateway) decide(
-	ctx context.Context, c *call, f forwardRequest, b *retryBudget, number int, fail *attemptError,
-) retry.Verdict {
+func (g *Gateway) decide(ctx context.Context, f forwardRequest, b *retryBudget, number int, fail *attemptError) retry.Verdict {
 	if errors.Is(fail.cause, upstream.ErrGateClosed) || ctx.Err() != nil {
 		return retry.NotRepeatable
 	}
@@ -106,14 +104,10 @@
 		retry.Attempt{Number: number, Progress: fail.progress, Repeatable: f.repeatable, Remaining: remaining(ctx, now)},
 		retry.Limits{MaxAttempts: g.cfg.MaxAttempts, MinRemaining: retryMinRemaining},
 	)
-	if verdict != retry.Allow || !retry.DrawsOnBudget(fail.progress) {
-		return verdict
-	}
-	if d := b.reserve(); !d.Allowed {
-		g.logBudget(c, d)
+	if verdict == retry.Allow && retry.DrawsOnBudget(fail.progress) && !b.reserve() {
 		return retry.BudgetEmpty
 	}
-	return retry.Allow
+	return verdict
 }
 
 // giveUp ends a request without a further attempt. If a target responded with a failure, that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,7 @@
 	// the share of the requests that the flag --retry-share sets. retryReserve is left unused, see
 	// retry.WindowConfig.
 	retryWindow       = 10 * time.Second
-	retrySlack        = 20
+	retrySlack        = 20 // retries
 	retryReserve      = 0.05
 	retryMinRemaining = 50 * time.Millisecond
 	retryBaseBackoff  = 20 * time.Millisecond
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -207,7 +207,7 @@
 		o(cfg, &services)
 	}
 	n.Gateway = New(cfg, log.New(io.Discard), n.metrics)
-	n.budgets.NoteNewFleet() // it has its part of the retry slack at once
+	n.budgets.RecordNewFleet() // it has its part of the retry slack at once
 	k, err := kernel.New(append(services, n.Gateway)...)
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,7 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+	budget   *prometheus.CounterVec
 	resumes  *prometheus.CounterVec
 	notices  *prometheus.CounterVec
 	unframed *prometheus.CounterVec
@@ -42,6 +43,8 @@
 		refusals: f.CounterVec("refusals_total", "Requests refused, by reason.", "reason"),
 		retries: f.CounterVec("retries_total",
 			"Attempts repeated on another target, by reason.", "reason"),
+		budget: f.CounterVec("retry_budget_total",
+			"Decisions on the retry budget of a pool, by outcome.", "pool", "outcome"),
 		resumes: f.CounterVec("stream_resumes_total",
 			"Cut streams resumed at their engine: by the node, by a caller that reconnected, or in vain.", "by"),
 		notices: f.CounterVec("notices_total",
--- a/retry/window.go
+++ b/retry/window.go
@@ -8,8 +8,8 @@
 // WindowConfig bounds the retries of a whole fleet to one service: in any time as long as Window to Share of its
 // requests + Slack. The requests are counted in that time or in as long a time before it, whichever has more.
 type WindowConfig struct {
-	Share  float64
-	Slack  float64
+	Share  float64 // retries per request
+	Slack  float64 // retries
 	Window time.Duration
 	// Reserve is the part of the bound that is left unused, for the time that requests take to this node and
 	// retries to a target.
@@ -53,7 +53,7 @@
 	// Charged is the number of retries charged before this one, in the window that decides.
 	Charged int
 	// Earned is what requests have credited to that window, Slack this node's part of the fleet's slack,
-	// dealt out among Nodes; both in retries. Nodes is 0 while the node gets no part.
+	// which is divided among Nodes; both in retries. Nodes is 0 while the node gets no part.
 	Earned, Slack float64
 	Nodes         int
 }
--- a/router/budget.go
+++ b/router/budget.go
@@ -1,22 +1,6 @@
 package router
 
-import (
-	"github.com/cockroachdb/errors"
-
-	"github.com/knapweedgw/knapweedgw/retry"
-)
-
-var errBudgetSpent = errors.New("the retry budget was spent while the retry waited")
-
-// Outcomes of a decision on the retry budget. A retry is granted when it is decided on, and charged at the time
-// at which it is sent.
-const (
-	budgetGranted = "granted"
-	budgetRefused = "refused"
-	budgetSent    = "sent"
-	// budgetSpent: the budget was used up by the time at which a granted retry would have been sent.
-	budgetSpent = "spent"
-)
+import "github.com/knapweedgw/knapweedgw/retry"
 
 // reserveRetry reserves a retry of the service's budget, unless one is reserved already. It returns false if
 // none is left.
@@ -25,12 +9,11 @@
 		return true
 	}
 	d := x.reservation.Reserve(x.router.now(), x.router.fleet.LimitShares())
-	if !d.Allowed {
-		x.recordBudget(d, budgetRefused)
-		return false
+	x.recordBudget(d, d.DecideOutcome())
+	if d.Allowed {
+		x.budget.Store(&d)
 	}
-	x.recordBudget(d, budgetGranted)
-	return true
+	return d.Allowed
 }
 
 // chargeSend charges the attempt whose first byte is about to be written, unless it is the first one to reach a
@@ -41,33 +24,25 @@
 	}
 	d := x.reservation.Send(x.router.now(), x.router.fleet.LimitShares())
 	x.charged, x.overBudget = d.Allowed, !d.Allowed
-	if d.Allowed {
-		x.recordBudget(d, budgetSent)
-	} else {
-		x.recordBudget(d, budgetSpent)
-	}
+	x.recordBudget(d, d.SendOutcome())
 	return d.Allowed
 }
 
-// recordBudget logs and counts a decision on the retry budget.
-func (x *exchange) recordBudget(d retry.BudgetDecision, outcome string) {
+// recordBudget counts a decision on the retry budget, and logs it if it refuses the retry.
+func (x *exchange) recordBudget(d retry.BudgetDecision, outcome retry.BudgetOutcome) {
 	m := x.router.metrics
-	m.budget.WithLabelValues(x.service, outcome).Inc()
+	m.budget.WithLabelValues(x.service, string(outcome)).Inc()
 	m.budgetLeft.WithLabelValues(x.service).Set(d.Left())
-	if outcome == budgetGranted {
-		x.budget.Store(&d)
-	}
 	if !d.Allowed {
-		x.router.log.Warn("retry not in the budget", append([]any{
-			"request", x.call.ID, "service", x.service, "outcome", outcome,
-		}, budgetFields(&d)...)...)
+		x.router.log.Warn("retry not in the budget",
+			append([]any{"request", x.call.ID, "service", x.service, "outcome", outcome}, d.LogFields()...)...)
 	}
 }
 
-// budgetFields returns the log fields of a decision on the retry budget, nil for none.
-func budgetFields(d *retry.BudgetDecision) []any {
-	if d == nil {
-		return nil
+// budgetFields returns the log fields of the decision that granted the last retry, nil if there is none.
+func (x *exchange) budgetFields() []any {
+	if d := x.budget.Load(); d != nil {
+		return d.LogFields()
 	}
-	return []any{"charged", d.Charged, "earned", d.Earned, "slack", d.Slack, "nodes", d.Nodes}
+	return nil
 }
--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/replica"
@@ -48,3 +50,35 @@
 		})
 	}
 }
+
+// Guards against repeats that reach targets uncharged, and against sends that are charged though they are no repeats
+// or were charged before.
+func TestRepeatsAreChargedAsTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	now := clock.Monotonic()
+	cfg := retry.WindowConfig{Slack: 4, Window: 10 * time.Second}
+	r := &Router{
+		log: log.New(io.Discard), now: func() time.Time { return now }, fleet: &fakeFleet{},
+		budgets: retry.NewBudgets(cfg, now.Add(-cfg.Window)), metrics: newMetrics(prometheus.NewRegistry()),
+	}
+	x := &exchange{router: r, service: "s", reservation: r.budgets.Window("s").NewReservation()}
+	sent := func() float64 { return testutil.ToFloat64(r.metrics.budget.WithLabelValues("s", string(retry.BudgetSent))) }
+
+	is.True(x.chargeSend()) // the first one
+	is.Equal(sent(), 0.0)
+	x.arrived = true
+	is.True(x.reserveRetry())
+	is.True(x.reserveRetry()) // the timer of an overdue attempt
+	is.True(x.chargeSend())
+	is.True(x.chargeSend()) // another connection of the same attempt
+	is.Equal(sent(), 1.0)
+
+	x.charged = false
+	is.True(x.chargeSend()) // not reserved, since the attempt before was not sent
+	is.Equal(sent(), 2.0)
+	x.charged = false
+	is.True(!x.reserveRetry()) // two are this node's part
+	is.True(!x.chargeSend())
+	is.True(x.overBudget)
+	is.Equal(sent(), 2.0)
+}
--- a/router/forward.go
+++ b/router/forward.go
@@ -164,7 +164,7 @@
 	x.router.log.Info("retry", append([]any{
 		"request", x.call.ID, "target", a.target.ID, "version", a.target.Version, "reason", f.reason,
 		"progress", int(f.progress), "cause", f.cause, "tries", x.tries, "runs", x.executions, "begun", x.answerBegun,
-	}, budgetFields(x.budget.Load())...)...)
+	}, x.budgetFields()...)...)
 }
 
 // decide decides whether another attempt is allowed after fail.
@@ -172,7 +172,7 @@
 	if ctx.Err() != nil {
 		return retry.DeadlineNear
 	}
-	if errors.Is(fail.cause, errBudgetSpent) {
+	if errors.Is(fail.cause, retry.ErrBudgetSpent) {
 		return retry.BudgetEmpty
 	}
 	if fail.local || x.tries >= maxTries {
@@ -248,7 +248,7 @@
 	f := &failure{progress: p, reason: problem.TargetFailed, cause: err}
 	switch {
 	case errors.Is(err, upstream.ErrGateClosed) && x.overBudget:
-		f.cause, f.stale = errBudgetSpent, true
+		f.cause, f.stale = retry.ErrBudgetSpent, true
 	case errors.Is(err, upstream.ErrGateClosed):
 		f.cause, f.stale = notice.ErrTargetDeclined, true
 	case overdue:
--- a/router/memory.go
+++ b/router/memory.go
@@ -140,6 +140,6 @@
 		close(r.newFleetFound)
 	case raw != nil && s == replica.Changed && r.newFleet.Swap(false):
 		r.log.Info("fleet is new, its first note is in the store")
-		r.budgets.NoteNewFleet()
+		r.budgets.RecordNewFleet()
 	}
 }
