Format the test of charged repeats

Ruled out: any other file. Before: make lint fails on this file. After: make lint, check-generated and check-tidy pass. Conclusion: none but format.

--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -62,7 +62,9 @@
 		budgets: retry.NewBudgets(cfg, now.Add(-cfg.Window)), metrics: newMetrics(prometheus.NewRegistry()),
 	}
 	x := &exchange{router: r, service: "s", reservation: r.budgets.Window("s").NewReservation()}
-	sent := func() float64 { return testutil.ToFloat64(r.metrics.budget.WithLabelValues("s", string(retry.BudgetSent))) }
+	sent := func() float64 {
+		return testutil.ToFloat64(r.metrics.budget.WithLabelValues("s", string(retry.BudgetSent)))
+	}
 
 	is.True(x.chargeSend()) // the first one
 	is.Equal(sent(), 0.0)
