Test a store that comes back from an older copy, on stand-in nodes

Eleven tests of three nodes and six engines whose store resets calls for 0.3 s, comes back from a copy in its next era, and is written to again.

--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -109,11 +109,13 @@
 	journal *Journal
 	owner   Owner
 
-	mu         sync.Mutex
-	listener   net.Listener
-	server     *http.Server
-	addr       string
-	startedAt  int64 // start time in Unix milliseconds
+	mu        sync.Mutex
+	listener  net.Listener
+	server    *http.Server
+	addr      string
+	startedAt int64 // start time in Unix milliseconds
+	// entries is the number of store entries that the engine has made.
+	entries    int
 	fault      Fault
 	faultsLeft int // number of further requests with the fault, -1 for all
 	// leaving is set if this process of the engine sends the Server-Leaving header in its
@@ -144,11 +146,18 @@
 	}
 	return map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": e.Version(),
-		"slots": e.slots(), "state": state, "cold_remaining_ms": e.coldRemaining().Milliseconds(), "sequence": 1,
+		"slots": e.slots(), "state": state, "cold_remaining_ms": e.coldRemaining().Milliseconds(), "sequence": e.nextSequence(),
 		"born": e.Born(),
 	}
 }
 
+func (e *Engine) nextSequence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries++
+	return e.entries
+}
+
 func (e *Engine) slots() int { return cmp.Or(e.Slots, DefaultSlots) }
 
 // coldRemaining returns how much longer the engine is cold.
--- a/lab/standin/site.go
+++ b/lab/standin/site.go
@@ -130,6 +130,9 @@
 	s.Store.Put("op/config", Config(s.version, change...))
 }
 
+// Version is the version of the newest configuration that Configure wrote.
+func (s *Site) Version() int { return s.version }
+
 // Config returns the operator's configuration of the site, modified by the changes in order.
 func Config(version int, change ...func(cfg map[string]any)) map[string]any {
 	resume := Route("resume", ResumePath, "streaming", ModelPool, 2)
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -48,6 +48,7 @@
 	server *httptest.Server
 
 	mu        sync.Mutex
+	era       int64
 	revision  int64
 	items     map[string]Item
 	history   []Item
@@ -63,7 +64,7 @@
 // NewStore starts a store on a loopback address.
 func NewStore(t Owner) *Store {
 	s := &Store{
-		items: make(map[string]Item), changed: make(chan struct{}), modeByIP: make(map[string]Mode), pageSize: 500,
+		era: firstEra, items: make(map[string]Item), changed: make(chan struct{}), modeByIP: make(map[string]Mode), pageSize: 500,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
@@ -179,6 +180,7 @@
 	if m, ok := s.modeByIP[host]; ok && mode == Serving {
 		mode = m
 	}
+	s.setEra(w)
 	s.mu.Unlock()
 	switch mode {
 	case Busy:
@@ -209,6 +211,7 @@
 	}
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	n := s.pageLength(items)
+	s.setEra(w)
 	writeJSON(w, map[string]any{
 		"items": items[:n], "more_pages": n < len(items), "current_rev": s.revision,
 	})
@@ -235,13 +238,19 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
+	era := w.Header().Get(headerEra)
 	for {
 		s.mu.Lock()
-		if after < s.compacted && !s.stalled {
+		if s.eraHeader() != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if (after < s.compacted || after > s.revision) && !s.stalled {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
 		}
+		s.setEra(w)
 		events := s.changesSince(after, q.Get("prefix"))
 		changed, revision, mode := s.changed, s.revision, s.mode
 		s.mu.Unlock()
