Compare revisions of the store together with its era

Cause: the store came back from an older copy, its revisions went back and were given out again. Nodes compared revisions alone, so each list and event numbered up to the old revision was dropped as outdated, an audit took a store behind the copy for one that confirms it, and what the new history held below the point at which a watch went on was never seen. Ruled out: the watch alone (a list succeeded before each refused watch, 50 times a second) and a store that answers from a stale replica (the operator's writes were acknowledged by it).

Change: package store has positions, an era and a revision in one number that compares by the era first. The adapter makes them of the era in each answer; a watch answered in another era, or a list of two, ends with ErrRestored and the store is listed in full. Replica, history, copies and heartbeats hold positions. On the wire revisions stay as they were: the era is a field of its own in copies, and the upper bits of the sequence number in reports, which earlier releases only compare. A release without eras counts as of era 0.

A restored list is older than what a node knows, so a configuration goes by its version alone, a target's entry by the sequence number of its run, a target that the list lacks is kept for the outage grace, and targets known to be gone and evacuations that began or ended are held until their keys are written again, or for 5 s.

--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -160,7 +160,7 @@
 		now := e.now()
 		own := e.report(now, true)
 		e.mu.Lock()
-		to := e.machine.view.Behind(own.Catalog, own.Revision, e.cfg.Batch, sent, now)
+		to := e.machine.view.Behind(own.Catalog, own.Position(), e.cfg.Batch, sent, now)
 		e.mu.Unlock()
 		if len(to) == 0 {
 			return
--- a/heartbeat/machine.go
+++ b/heartbeat/machine.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 const (
@@ -89,7 +91,8 @@
 // header returns the node's brief report with the next sequence number.
 func (m *Machine) header(own Report) Report {
 	m.sequence++
-	own.Node, own.Incarnation, own.Sequence = m.self, m.incarnation, m.sequence
+	own.Node, own.Incarnation = m.self, m.incarnation
+	own.Sequence = sequenceOf(m.sequence, store.EraOf(own.Position()))
 	own.Brief, own.Targets, own.Uses, own.Requests, own.Streams, own.SharesStreams = true, nil, nil, nil, nil, false
 	return own
 }
--- a/heartbeat/queries.go
+++ b/heartbeat/queries.go
@@ -53,12 +53,12 @@
 	return e.cfg.CountAgeFor(e.machine.view.size())
 }
 
-// Ahead returns a live node with a newer configuration than catalog or newer targets than
-// revision; ok is false if there is none.
-func (e *Exchange) Ahead(catalog, revision int64) (node string, ok bool) {
+// Ahead returns a live node with a newer configuration than catalog or newer targets than those
+// at position; ok is false if there is none.
+func (e *Exchange) Ahead(catalog, position int64) (node string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.machine.view.Ahead(catalog, revision, e.now(), e.machine.subs.rng)
+	return e.machine.view.Ahead(catalog, position, e.now(), e.machine.subs.rng)
 }
 
 // WatcherRank returns how many live nodes precede this one in the order of the store's watchers,
@@ -161,18 +161,18 @@
 	return position, nodes
 }
 
-// ConfirmedAt returns when a node at the given revision last confirmed that this revision is the
-// store's newest. It is zero if none has.
-func (e *Exchange) ConfirmedAt(revision int64) time.Time {
+// ConfirmedAt returns when a node at the given position last confirmed that it is the store's
+// newest. It is zero if none has.
+func (e *Exchange) ConfirmedAt(position int64) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.machine.view.ConfirmedAt(revision)
+	return e.machine.view.ConfirmedAt(position)
 }
 
-// LaterConfirmedAt returns when a live node at a later revision than the given one last
-// confirmed that its revision is the store's newest. It is zero if none has.
-func (e *Exchange) LaterConfirmedAt(revision int64) time.Time {
+// LaterConfirmedAt returns when a live node at a later position than the given one last
+// confirmed that its position is the store's newest. It is zero if none has.
+func (e *Exchange) LaterConfirmedAt(position int64) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.machine.view.LaterConfirmedAt(revision, e.now())
+	return e.machine.view.LaterConfirmedAt(position, e.now())
 }
--- a/heartbeat/report.go
+++ b/heartbeat/report.go
@@ -7,6 +7,7 @@
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // Report is a node's report about itself. A later report replaces an earlier one.
@@ -17,8 +18,10 @@
 	// Incarnation is the start time of the node's process in Unix nanoseconds. It only
 	// distinguishes incarnations, so a clock that jumps does no harm.
 	Incarnation int64
-	Sequence    uint64
-	Leaving     bool
+	// Sequence is a sequence number in its lower bits and the era of Revision in the upper ones, see
+	// sequenceOf. Releases that don't know eras only compare sequence numbers.
+	Sequence uint64
+	Leaving  bool
 	// Brief marks a report of versions only; the targets of the previous report remain in
 	// force.
 	Brief bool
@@ -26,7 +29,7 @@
 	StoreUnreachable bool
 	// Catalog is the version of the configuration in force on the node.
 	Catalog int64
-	// Revision is the store's revision of the node's list of targets.
+	// Revision is the store's revision of the node's list of targets, in the era of Position.
 	Revision int64
 	// ConfirmedAge is the time in milliseconds since the node confirmed that Revision is the
 	// store's newest, negative if it never has.
@@ -49,6 +52,22 @@
 	Streams       []byte `cbor:"-"`
 }
 
+// sequenceBits is the number of bits of Report.Sequence that count reports: enough for a thousand in a second for
+// centuries.
+const sequenceBits = 44
+
+// sequenceOf returns the Sequence of the nth report, made in the given era. The era of a node's copy never decreases, so neither does
+// its Sequence.
+func sequenceOf(n uint64, era int64) uint64 { return uint64(era)<<sequenceBits | n }
+
+// SetPosition sets the position of the node's copy, see store.Position.
+func (r *Report) SetPosition(position int64) {
+	r.Revision, r.Sequence = store.RevisionOf(position), sequenceOf(0, store.EraOf(position))
+}
+
+// Position returns the position of the node's copy. A release that doesn't know eras reports one in era 0.
+func (r Report) Position() int64 { return store.Position(int64(r.Sequence>>sequenceBits), r.Revision) }
+
 // sharesStreamsKey is the key, among the targets of a report, of the statement that the node takes records
 // of streams. Releases without it add it up like a target's and pass it on.
 var sharesStreamsKey = uint32(routing.Hash("shares streams"))
--- a/heartbeat/view.go
+++ b/heartbeat/view.go
@@ -310,12 +310,12 @@
 
 // Behind returns up to limit known nodes that aren't known to have the given versions, live ones
 // first, without those in skip.
-func (v *View) Behind(catalog, revision int64, limit int, skip map[string]bool, now time.Time) []string {
+func (v *View) Behind(catalog, position int64, limit int, skip map[string]bool, now time.Time) []string {
 	var live, others []string
 	lost := v.cfg.lostTimeout(v.interval())
 	for node, p := range v.peers {
 		switch {
-		case skip[node], p.report.Catalog >= catalog && p.report.Revision >= revision:
+		case skip[node], p.report.Catalog >= catalog && p.report.Position() >= position:
 		case p.live(lost, now):
 			live = append(live, node)
 		default:
@@ -327,15 +327,15 @@
 }
 
 // Ahead returns a live node with a newer configuration than catalog or newer targets than
-// revision; ok is false if there is none. It picks the newer of two random ones: if all nodes
+// those at position; ok is false if there is none. It picks the newer of two random ones: if all nodes
 // that are behind asked the newest node, that node would have to serve them all.
-func (v *View) Ahead(catalog, revision int64, now time.Time, rng *rand.Rand) (node string, ok bool) {
+func (v *View) Ahead(catalog, position int64, now time.Time, rng *rand.Rand) (node string, ok bool) {
 	var picked [2]string
 	var reports [2]Report
 	ahead := 0
 	v.live(now, func(addr string, p *peer) {
 		r := p.report
-		if r.Catalog <= catalog && r.Revision <= revision {
+		if r.Catalog <= catalog && r.Position() <= position {
 			return
 		}
 		ahead++
@@ -355,15 +355,15 @@
 
 // isNewer reports whether the sender of r has a newer copy of the store than the sender of o.
 func (r Report) isNewer(o Report) bool {
-	return r.Catalog > o.Catalog || r.Catalog == o.Catalog && r.Revision > o.Revision
+	return r.Catalog > o.Catalog || r.Catalog == o.Catalog && r.Position() > o.Position()
 }
 
-// ConfirmedAt returns when a node at the given revision last confirmed that this revision is the
-// store's newest. It is zero if none has.
-func (v *View) ConfirmedAt(revision int64) time.Time {
+// ConfirmedAt returns when a node at the given position last confirmed that it is the store's
+// newest. It is zero if none has.
+func (v *View) ConfirmedAt(position int64) time.Time {
 	var newest time.Time
 	for _, p := range v.peers {
-		if p.report.Revision != revision {
+		if p.report.Position() != position {
 			continue
 		}
 		if at, ok := p.confirmedAt(); ok && at.After(newest) {
@@ -373,12 +373,12 @@
 	return newest
 }
 
-// LaterConfirmedAt returns when a live node at a later revision than the given one last
-// confirmed that its revision is the store's newest. It is zero if none has.
-func (v *View) LaterConfirmedAt(revision int64, now time.Time) time.Time {
+// LaterConfirmedAt returns when a live node at a later position than the given one last
+// confirmed that its position is the store's newest. It is zero if none has.
+func (v *View) LaterConfirmedAt(position int64, now time.Time) time.Time {
 	var newest time.Time
 	v.live(now, func(_ string, p *peer) {
-		if p.report.Revision <= revision {
+		if p.report.Position() <= position {
 			return
 		}
 		if at, ok := p.confirmedAt(); ok && at.After(newest) {
--- a/replica/audit.go
+++ b/replica/audit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // A watch can stall: it stays open but delivers no events although the store has changed.
@@ -112,10 +114,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.metrics.audits.WithLabelValues(auditResult(err, revision > r.state.revision)).Inc()
+	result := auditResult(err, revision, r.state.revision)
+	r.metrics.audits.WithLabelValues(result).Inc()
 	switch {
 	case err != nil:
 		r.nextAuditAt = r.now().Add(auditBackoff)
+	case result == auditOutdated:
+		// The answer is of an era that has ended: it neither confirms the copy nor shows changes.
+	case result == auditRestored:
+		r.handleRestored(revision)
 	case revision > r.state.revision:
 		r.handleBehind(revision)
 	default:
@@ -137,7 +144,7 @@
 	if again && !stuck {
 		r.nextAuditAt = r.now().Add(catchUpDelay)
 	}
-	r.log.Warn("copy is behind the store", "revision", r.state.revision, "store_revision", revision,
+	r.log.Warn("copy is behind the store", "revision", store.RevisionOf(r.state.revision), "store_revision", store.RevisionOf(revision),
 		"reading_all", stuck)
 	if stuck {
 		r.stale = true
@@ -149,14 +156,38 @@
 	r.wakeFollower()
 }
 
-func auditResult(err error, behind bool) string {
+// handleRestored makes the node list a store that is in a later era: what the other nodes have isn't in it, and changes in it are
+// in no node's copy. Callers must hold r.mu.
+func (r *Replica) handleRestored(position int64) {
+	r.log.Warn("store is in a later era; listing it", "era", store.EraOf(r.state.revision), "store_era", store.EraOf(position),
+		"revision", store.RevisionOf(r.state.revision), "store_revision", store.RevisionOf(position))
+	r.behindStoreSince = time.Time{}
+	r.stale = true
+	r.restartWatch()
+	r.wakeFollower()
+}
+
+// Results of audits, the values of a metric label.
+const (
+	auditFailed   = "failed"
+	auditBehind   = "behind"
+	auditCurrent  = "current"
+	auditRestored = "restored" // the store is in a later era than the copy
+	auditOutdated = "outdated" // the store was in an earlier era when it answered
+)
+
+func auditResult(err error, position, own int64) string {
 	switch {
 	case err != nil:
-		return "failed"
-	case behind:
-		return "behind"
+		return auditFailed
+	case store.EraOf(position) < store.EraOf(own):
+		return auditOutdated
+	case store.EraOf(position) > store.EraOf(own):
+		return auditRestored
+	case position > own:
+		return auditBehind
 	}
-	return "current"
+	return auditCurrent
 }
 
 // restartWatch cancels the current watch; the next one starts after the copy's revision.
--- a/replica/copying.go
+++ b/replica/copying.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // copyMethod is the peer method by which nodes copy from each other.
@@ -115,7 +116,7 @@
 	req := r.state.copyRequest()
 	r.mu.Unlock()
 	var got CopyReply
-	err = r.network.Call(ctx, node, copyMethod, req, &got)
+	err = r.network.Call(ctx, node, copyMethod, req.onWire(), &got)
 	if err == nil {
 		got, err = got.unpackEntries()
 	}
@@ -123,12 +124,14 @@
 		r.log.Warn("copying from a node that is ahead failed", "peer", node, "err", err)
 		return false, err
 	}
+	got = got.fromWire()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own := r.state.revision
 	ch := r.state.applyReply(got, r.now())
-	r.log.Info("copied from a node that is ahead", "peer", node, "revision", got.Revision,
-		"own_revision", own, "whole", got.Whole, "more", got.More, "entries", len(got.Entries))
+	r.log.Info("copied from a node that is ahead", "peer", node, "revision", store.RevisionOf(got.Revision),
+		"era", store.EraOf(got.Revision), "own_revision", store.RevisionOf(own), "own_era", store.EraOf(own),
+		"whole", got.Whole, "more", got.More, "entries", len(got.Entries))
 	r.publish(ch, sourcePeer)
 	r.adoptConfirmation(got)
 	if got.Revision > own && !got.Evacuations {
@@ -188,7 +191,7 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, err
 	}
-	reply := r.buildReply(req)
+	reply := r.buildReply(req.fromWire()).onWire()
 	if !req.Parts {
 		return reply, nil
 	}
--- a/replica/evacuation.go
+++ b/replica/evacuation.go
@@ -5,6 +5,8 @@
 	"maps"
 	"strings"
 	"time"
+
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // The operator evacuates a failure domain by writing a key that names it, and ends the
@@ -25,6 +27,11 @@
 		}
 		c.evacuations[e.Key] = e.truncated()
 	}
+	for key, e := range before {
+		if _, listed := c.evacuations[key]; !listed && !c.holds.evacuations[key] {
+			c.removals.add(key, removal{revision: store.RevisionOf(e.Revision), at: now}, now)
+		}
+	}
 	if sameKeys(before, c.evacuations) {
 		return changes{}
 	}
@@ -37,16 +44,20 @@
 
 // applyEvacuation applies one change of an evacuation key.
 func (c *copyState) applyEvacuation(e Entry, now time.Time) changes {
-	_, known := c.evacuations[e.Key]
+	last, known := c.evacuations[e.Key]
+	_, held := c.holds.evacuations[e.Key]
+	c.holds.release(e.Key)
 	if e.Removed {
 		delete(c.evacuations, e.Key)
+		c.removals.add(e.Key, removal{revision: store.RevisionOf(last.Revision), at: now}, now)
 	} else {
+		delete(c.removals, e.Key)
 		c.reportInvalidEvacuation(e)
 		e = e.truncated()
 		c.evacuations[e.Key] = e
 	}
 	c.recordChange(e)
-	if known != e.Removed {
+	if known != e.Removed && !held {
 		return changes{}
 	}
 	return changes{evacuations: true, targets: c.registry.Evacuate(c.evacuatedDomains(), now)}
@@ -55,8 +66,16 @@
 // evacuatedDomains returns the names of the evacuated failure domains.
 func (c *copyState) evacuatedDomains() map[string]bool {
 	out := make(map[string]bool, len(c.evacuations))
+	name := func(key string) string { return strings.TrimPrefix(key, c.schema.EvacuationPrefix()) }
 	for key := range c.evacuations {
-		out[strings.TrimPrefix(key, c.schema.EvacuationPrefix())] = true
+		out[name(key)] = true
+	}
+	for key, evacuated := range c.holds.evacuations {
+		if evacuated {
+			out[name(key)] = true
+		} else {
+			delete(out, name(key))
+		}
 	}
 	return out
 }
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -51,9 +51,9 @@
 			r.awaitWork(ctx)
 			err = r.watch(ctx)
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 			r.log.Info("the store no longer has the events since the copy's revision; listing it again",
-				"revision", r.revision())
+				"revision", store.RevisionOf(r.revision()), "era", store.EraOf(r.revision()), "err", err)
 			r.setStale()
 			continue
 		}
@@ -154,7 +154,9 @@
 			return b.Err
 		}
 		r.storeAnswered()
-		r.applyBatch(b)
+		if err := r.applyBatch(b); err != nil {
+			return err
+		}
 	}
 	return ctx.Err()
 }
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -18,7 +18,9 @@
 	audits      *prometheus.CounterVec
 	storeErrors prometheus.Counter
 	invalid     prometheus.Counter
-	evacuated   prometheus.Gauge
+	// restorations counts the lists of a restored store that have replaced the copy.
+	restorations prometheus.Counter
+	evacuated    prometheus.Gauge
 	// unusable counts the changes of entries that don't describe a usable target.
 	unusable *prometheus.CounterVec
 	// startReads counts the reads of the store before the first configuration or list.
@@ -36,6 +38,8 @@
 		audits:  f.CounterVec("audits_total", "questions for the store's revision, by result", "result"),
 		storeErrors: f.Counter("store_errors_total",
 			"reads and watches of the store that failed"),
+		restorations: f.Counter("store_restorations_total",
+			"returns of the store from an older copy that the node has seen"),
 		invalid: f.Counter("invalid_values_total",
 			"values of the store that could not be read"),
 		evacuated: f.Gauge("evacuated_domains", "failure domains that the operator has evacuated"),
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/flate"
+
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // maxPartEntries bounds the entries in one reply; an entry has about 300 bytes. A node that
@@ -15,24 +17,31 @@
 // grows with the number of concurrent requests and not with the number of targets.
 const maxPartEntries = 512
 
-// CopyRequest holds the revisions that the requesting node has. The reply contains what is
-// newer.
+// CopyRequest holds what the requesting node has. The reply contains what is newer. Revisions are
+// positions in memory, and revisions of Era on the wire.
 type CopyRequest struct {
 	CatalogRevision int64 `json:"catalog_revision"`
 	Revision        int64 `json:"revision"`
+	// Era is that of Revision, and CatalogVersion the version of the configuration. Nodes of releases
+	// that don't know eras leave both out.
+	Era            int64 `json:"era,omitempty"`
+	CatalogVersion int64 `json:"catalog_version,omitempty"`
 	// Parts means that the requesting node accepts a reply in parts. Nodes of releases that
 	// don't support parts leave it out and get everything in one reply.
 	Parts bool `json:"parts,omitempty"`
 }
 
 // CopyReply is what one node sends to another: the changes up to Revision, or all entries if
-// Whole is set. It contains the configuration only if the requesting node lacks it.
+// Whole is set. It contains the configuration only if the requesting node lacks it. Revisions are
+// positions in memory, and revisions of Era on the wire.
 type CopyReply struct {
 	Entries []Entry `json:"entries,omitempty"`
 	// Packed holds further entries that follow Entries, as CBOR compressed by DEFLATE.
 	Packed   []byte `json:"packed,omitempty"`
 	Revision int64  `json:"revision"`
-	Whole    bool   `json:"whole,omitempty"`
+	// Era is that of Revision. Nodes of releases that don't know eras leave it out.
+	Era   int64 `json:"era,omitempty"`
+	Whole bool  `json:"whole,omitempty"`
 	// More means that this is one of several parts. It ends at Revision; the sender has all
 	// changes up to Head.
 	More bool  `json:"more,omitempty"`
@@ -55,13 +64,18 @@
 
 // replyWithLimit is replyTo with the given limit of entries in a reply, see history.since.
 func (c *copyState) replyWithLimit(req CopyRequest, limit int) CopyReply {
+	req = c.resolve(req)
 	out := CopyReply{Revision: max(c.revision, req.Revision), Head: c.revision, Evacuations: true}
-	if c.catalogEntry.Revision > req.CatalogRevision {
+	if c.hasNewerCatalog(req) {
 		out.Entries = append(out.Entries, c.catalogEntry)
 	}
 	switch {
 	case c.incomplete:
 		out.Revision = req.Revision
+	case c.returned && req.Era == 0 && req.Revision > 0:
+		// The requesting node may have a copy of any era.
+		out.Revision, out.Whole = c.revision, true
+		c.addChanges(&out, 0, limit)
 	case c.revision <= req.Revision:
 	case c.history.isIncompleteSince(req.Revision):
 		// The requesting node may hold entries whose tombstones were discarded, unless it holds
@@ -101,9 +115,13 @@
 // copyRequest returns a request for everything that this copy lacks.
 func (c *copyState) copyRequest() CopyRequest {
 	req := CopyRequest{CatalogRevision: c.catalogEntry.Revision, Revision: c.revision, Parts: true}
+	if c.catalog != nil {
+		req.CatalogVersion = c.catalog.Version()
+	}
 	if c.staged != nil {
 		req.Revision = c.staged.revision
 	}
+	req.Era = store.EraOf(req.Revision)
 	return req
 }
 
@@ -148,6 +166,10 @@
 	if got.More && (c.revision == 0 || c.incomplete) {
 		c.firstCopyHead = max(c.firstCopyHead, got.Head)
 	}
+	if c.isRestored(got.Revision) {
+		// The reply is to a request that began before this copy was of its present era.
+		return c.applyCatalogOf(got, now)
+	}
 	first := c.completeRevision() == 0
 	var out changes
 	for _, e := range got.Entries {
@@ -164,16 +186,22 @@
 
 // stage collects one part of a full copy. Its configuration is applied at once.
 func (c *copyState) stage(got CopyReply, now time.Time) changes {
+	out := c.applyCatalogOf(got, now)
+	c.staged.add(got)
+	if c.staged.isComplete(got) {
+		out.add(c.replaceAll(c.staged.whole(got.Evacuations), now))
+	}
+	return out
+}
+
+// applyCatalogOf applies only the configuration in a reply.
+func (c *copyState) applyCatalogOf(got CopyReply, now time.Time) changes {
 	var out changes
 	for _, e := range got.Entries {
 		if e.Key == c.schema.CatalogKey() {
 			out.add(c.applyChange(e, now))
 		}
 	}
-	c.staged.add(got)
-	if c.staged.isComplete(got) {
-		out.add(c.replaceAll(c.staged.whole(got.Evacuations), now))
-	}
 	return out
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -147,6 +147,7 @@
 		wakeup:      make(chan struct{}, 1), announce: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
 	}
 	r.state = newCopyState(s, r.reportInvalidValue, r.reportUnusableEntry)
+	r.state.onRestored = r.recordRestoration
 	n.Handle(copyMethod, r.serveCopy)
 	n.LimitConcurrency(copyMethod, maxConcurrentCopies)
 	return r
@@ -208,7 +209,7 @@
 func (r *Replica) reportInvalidValue(key string, revision int64, err error) {
 	r.metrics.invalid.Inc()
 	r.log.Error("value in the store is unusable; the last good one stays in force",
-		"key", key, "revision", revision, "err", err)
+		"key", key, "revision", store.RevisionOf(revision), "err", err)
 }
 
 // applyList replaces the copy by a complete list of the store.
@@ -219,33 +220,55 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed = r.now()
+	if p.Revision < r.state.revision {
+		r.log.Info("list is older than the copy and is ignored", "era", store.EraOf(p.Revision), "revision", store.RevisionOf(p.Revision),
+			"own_era", store.EraOf(r.state.revision), "own_revision", store.RevisionOf(r.state.revision))
+	}
+	if store.EraOf(p.Revision) >= store.EraOf(r.state.revision) {
+		r.confirmed = r.now()
+	}
 	r.deliverNotes(p, AtStart)
 	r.lastListed, r.mustList = r.now(), false
 	all := CopyReply{Entries: entries, Revision: p.Revision, Whole: true, Evacuations: true}
 	r.publish(r.state.replaceAll(all, r.now()), sourceStore)
 }
 
-// applyBatch applies a batch of events from a watch.
-func (r *Replica) applyBatch(b store.WatchBatch) {
+// applyBatch applies a batch of events from a watch. It returns store.ErrRestored if the batch is of a later era than the copy.
+func (r *Replica) applyBatch(b store.WatchBatch) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.state.isRestored(b.Revision) {
+		return store.ErrRestored
+	}
 	var all changes
+	outdated := store.EraOf(b.Revision) < store.EraOf(r.state.revision)
 	for _, ev := range b.Events {
 		all.add(r.state.applyChange(changeOf(ev), r.now()))
-		if !ev.Deleted {
+		if !ev.Deleted && !outdated {
 			r.deliverNoteChange(ev.KV)
 		}
 	}
 	advanced := b.Revision > r.state.revision
 	r.state.advance(b.Revision)
-	r.confirmed = r.now()
+	if !outdated {
+		r.confirmed = r.now()
+	}
 	r.publish(all, sourceStore)
 	if advanced {
 		// Revisions without changes to this copy are announced as well. Otherwise nodes that
 		// audit the store would take their copies for outdated.
 		r.requestAnnounce()
 	}
+	return nil
+}
+
+// recordRestoration logs that the copy was replaced by a list of a restored store, and announces it. Callers must hold r.mu.
+func (r *Replica) recordRestoration(d restoration) {
+	r.metrics.restorations.Inc()
+	r.log.Warn("the store returned from a copy", "era_before", store.EraOf(d.before), "era", store.EraOf(d.after),
+		"revision_before", store.RevisionOf(d.before), "revision", store.RevisionOf(d.after),
+		"targets_lacked", d.lacked, "entries_older", d.older, "held", d.held)
+	r.requestAnnounce()
 }
 
 // publish makes changes visible to readers and other nodes. Callers must hold r.mu.
@@ -294,7 +317,7 @@
 // be a misspelt name. Callers must hold r.mu.
 func (r *Replica) logEvacuation(msg, domain, source string) {
 	r.log.Info(msg, "failure_domain", domain, "targets", r.state.registry.CountInDomain(domain),
-		"revision", r.state.revision, "source", source)
+		"revision", store.RevisionOf(r.state.revision), "source", source)
 }
 
 // publishCatalog publishes the configuration. Callers must hold r.mu.
@@ -304,7 +327,8 @@
 	r.metrics.changes.WithLabelValues("catalog", source).Inc()
 	r.requestAnnounce()
 	routes, services := c.Counts()
-	r.log.Info("configuration in force", "version", c.Version(), "revision", r.state.catalogEntry.Revision,
+	r.log.Info("configuration in force", "version", c.Version(), "revision", store.RevisionOf(r.state.catalogEntry.Revision),
+		"era", store.EraOf(r.state.catalogEntry.Revision),
 		"source", source, "routes", routes, "services", services)
 }
 
@@ -316,7 +340,7 @@
 	r.targets.Store(int64(count))
 	r.metrics.changes.WithLabelValues("targets", source).Inc()
 	r.requestAnnounce()
-	r.log.Info("targets in force", "revision", r.state.revision, "source", source, "count", count)
+	r.log.Info("targets in force", "revision", store.RevisionOf(r.state.revision), "source", source, "count", count)
 	for _, f := range r.onTargets {
 		f(changed)
 	}
@@ -334,7 +358,7 @@
 	if len(changed) <= maxTargetLines {
 		for _, d := range changed {
 			r.log.Info("target changed", "target", d.Target.ID, "service", d.Target.Service, "addr", d.Target.Addr,
-				"change", d.Change, "version", d.Target.Version, "revision", r.state.revision, "source", source)
+				"change", d.Change, "version", d.Target.Version, "revision", store.RevisionOf(r.state.revision), "source", source)
 		}
 		return
 	}
@@ -344,7 +368,7 @@
 	}
 	for change, ids := range kinds {
 		r.log.Info("targets changed", "change", change, "count", len(ids), "first", ids[:min(len(ids), sampleSize)],
-			"revision", r.state.revision, "source", source)
+			"revision", store.RevisionOf(r.state.revision), "source", source)
 	}
 }
 
@@ -374,7 +398,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.storeUnreachable {
-		r.log.Warn("store lost; the last values stay in force", "revision", r.state.revision, "err", err)
+		r.log.Warn("store lost; the last values stay in force", "revision", store.RevisionOf(r.state.revision), "err", err)
 	}
 	r.storeUnreachable = true
 	r.state.registry.MarkOutage(r.now())
@@ -423,6 +447,7 @@
 func (r *Replica) expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.publish(r.state.releaseHolds(r.now()), sourceGrace)
 	if r.state.registry.Expire(r.now()) {
 		r.publishTargets(sourceGrace)
 	}
--- a/replica/starting.go
+++ b/replica/starting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/pause"
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // noteSpread is the time over which nodes whose first configuration came from another node list
@@ -111,7 +112,7 @@
 	r.metrics.startSeconds.Set(waited.Seconds())
 	r.announceToAll = source == sourceStore && r.startReadsBegun > 1
 	r.log.Info("first configuration in force", "source", source, "waited_ms", waited.Milliseconds(),
-		"reads", r.startReadsBegun, "revision", r.state.revision, "announced_to_all", r.announceToAll)
+		"reads", r.startReadsBegun, "revision", store.RevisionOf(r.state.revision), "announced_to_all", r.announceToAll)
 }
 
 // WithoutConfiguration returns for how long this node has been running without a configuration;
--- a/replica/state.go
+++ b/replica/state.go
@@ -35,6 +35,8 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
 	Revision int64  `json:"revision"`
+	// Era is that of Revision on the wire, if it isn't that of the reply; Revision is a position in memory.
+	Era int64 `json:"era,omitempty"`
 	// Removed marks a removed key. It has no value and occurs only among changes.
 	Removed bool `json:"removed,omitempty"`
 	// Packed means that Value is compressed by DEFLATE. Only configurations are.
@@ -57,6 +59,12 @@
 	registry *roster.Registry
 	// evacuations are the entries of evacuated failure domains, by key.
 	evacuations map[string]Entry
+	// removals are the latest removals of targets and evacuations, by key.
+	removals removals
+	// holds are keys whose state in a restored store isn't in force yet.
+	holds holds
+	// returned means that the store came back from an older copy while this node had a copy.
+	returned bool
 	// history records when targets and evacuations changed.
 	history history
 	// staged collects the parts of a full copy that will replace this one; nil if there is
@@ -70,6 +78,8 @@
 	onInvalid invalidValueFunc
 	// onUnusable is called once for each change that leaves an entry without a usable target.
 	onUnusable invalidValueFunc
+	// onRestored is called when a list of a restored store has replaced the copy; may be nil.
+	onRestored func(restoration)
 }
 
 // invalidValueFunc handles a value that can't be used.
@@ -78,15 +88,16 @@
 func newCopyState(s Schema, onInvalid, onUnusable invalidValueFunc) *copyState {
 	return &copyState{
 		schema: s, targets: make(map[string]heldEntry), registry: roster.NewRegistry(),
-		evacuations: make(map[string]Entry), history: newHistory(),
+		evacuations: make(map[string]Entry), removals: make(removals), history: newHistory(),
 		onInvalid: onInvalid, onUnusable: onUnusable,
 	}
 }
 
-// putCatalog applies a configuration. It ignores one that is older than that in force or can't
-// be decoded.
+// putCatalog applies a configuration. It ignores one whose version isn't later than that in force
+// or that can't be decoded. Revisions don't count: a restored store has older configurations
+// at later positions.
 func (c *copyState) putCatalog(e Entry) bool {
-	if e.Revision <= c.catalogEntry.Revision {
+	if e.Revision == c.catalogEntry.Revision && e.Revision > 0 {
 		return false
 	}
 	next, err := c.decodeCatalog(e)
@@ -124,6 +135,13 @@
 	if got.Revision < c.revision {
 		return changes{}
 	}
+	if c.isRestored(got.Revision) {
+		var r restoration
+		got, r = c.reconcile(got, now)
+		if c.onRestored != nil {
+			defer func() { c.onRestored(r) }()
+		}
+	}
 	c.history.skip(c.completeRevision(), got.Revision)
 	c.revision = got.Revision
 	c.staged, c.incomplete, c.firstCopyHead = nil, false, 0
@@ -174,6 +192,8 @@
 	switch {
 	case e.Revision <= c.revision && e.Key != c.schema.CatalogKey():
 		return changes{}
+	case c.isRestored(e.Revision) && e.Key != c.schema.CatalogKey():
+		return changes{} // what precedes it in its era is missing
 	case e.Key == c.schema.CatalogKey() && !e.Removed:
 		return changes{catalog: c.putCatalog(e)}
 	case c.isTarget(e.Key):
@@ -185,7 +205,11 @@
 }
 
 // advance records that the copy includes all changes up to revision.
-func (c *copyState) advance(revision int64) { c.revision = max(c.revision, revision) }
+func (c *copyState) advance(revision int64) {
+	if !c.isRestored(revision) {
+		c.revision = max(c.revision, revision)
+	}
+}
 
 func entryOf(kv store.KV) Entry { return Entry{Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision} }
 
--- a/replica/targets.go
+++ b/replica/targets.go
@@ -14,6 +14,9 @@
 	// id is the ID of the target that the last usable entry under this key described, empty if
 	// there was none.
 	id string
+	// started and sequence are those of the entry, see roster.Target.
+	started  time.Time
+	sequence uint64
 }
 
 func (c *copyState) isTarget(key string) bool { return strings.HasPrefix(key, c.schema.TargetPrefix()) }
@@ -52,10 +55,10 @@
 		if !known || last.Revision != e.Revision {
 			c.onUnusable(e.Key, e.Revision, err)
 		}
-		c.targets[e.Key] = heldEntry{e.withFault(faultOf(err)), last.id}
+		c.targets[e.Key] = heldEntry{Entry: e.withFault(faultOf(err)), id: last.id}
 		return c.registry.AsWithdrawn(last.id)
 	case !c.registry.IsSuperseded(t):
-		c.targets[e.Key] = heldEntry{e, t.ID}
+		c.targets[e.Key] = heldEntry{Entry: e, id: t.ID, started: t.Started, sequence: t.Sequence}
 	case known:
 		c.targets[e.Key] = last // send the entry of the later run to other nodes
 	}
@@ -75,24 +78,42 @@
 	c.targets = make(map[string]heldEntry, len(entries))
 	list := make([]roster.Target, 0, len(entries))
 	for _, e := range entries {
-		if t, ok := c.storeEntry(e, before); ok {
+		t, ok := c.storeEntry(e, before)
+		if c.holds.targets[e.Key] {
+			continue
+		}
+		delete(c.removals, e.Key)
+		if ok {
 			list = append(list, t)
 		}
 	}
+	for key, e := range before {
+		if _, listed := c.targets[key]; !listed {
+			c.removals.addTarget(e, now)
+		}
+	}
 	return c.registry.Reset(list, now)
 }
 
 // applyTargetChange applies one change of a target's entry.
 func (c *copyState) applyTargetChange(e Entry, now time.Time) bool {
+	c.holds.release(e.Key)
 	if e.Removed {
 		changed := c.removeTarget(e.Key, now)
 		c.recordChange(e)
 		return changed
 	}
-	t, ok := c.storeEntry(e, c.targets)
+	delete(c.removals, e.Key)
+	changed := c.putTarget(e, now)
 	if c.targets[e.Key].Revision == e.Revision {
 		c.recordChange(e)
 	}
+	return changed
+}
+
+// putTarget stores a written entry and puts its target into the registry.
+func (c *copyState) putTarget(e Entry, now time.Time) bool {
+	t, ok := c.storeEntry(e, c.targets)
 	return ok && c.registry.Put(t, now)
 }
 
@@ -109,5 +130,8 @@
 func (c *copyState) removeTarget(key string, now time.Time) bool {
 	last, ok := c.targets[key]
 	delete(c.targets, key)
+	if ok {
+		c.removals.addTarget(last, now)
+	}
 	return ok && last.id != "" && c.registry.Remove(last.id, now)
 }
--- a/replica/unusable.go
+++ b/replica/unusable.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/roster"
+	"github.com/knapweedgw/knapweedgw/store"
 )
 
 // Writers other than the targets leave entries that don't describe a usable target. Each change
@@ -56,5 +57,5 @@
 		return
 	}
 	r.log.Warn("entry names no target to use; it is left aside",
-		"key", key, "revision", revision, "err", err, "left_out", suppressed)
+		"key", key, "revision", store.RevisionOf(revision), "err", err, "left_out", suppressed)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,6 +48,9 @@
 	// Hash is the hash of the target's ID, used for placement. A later run has the same hash,
 	// so that nodes which don't have its entry yet rank the targets alike.
 	Hash uint64
+	// Sequence is the number of the entry among those that this run has written, 0 if its entry doesn't have
+	// that. The Registry doesn't keep it.
+	Sequence uint64
 	// Joined is when this node first saw the target, zero if the target was there when the node
 	// started.
 	Joined time.Time
@@ -152,6 +155,12 @@
 	return ok && t.Started.Before(known.Started)
 }
 
+// IsExpected reports whether a target with the given ID is there, and not only as a fallback.
+func (k *Registry) IsExpected(id string) bool {
+	t, ok := k.targets[id]
+	return ok && !t.Fallback
+}
+
 // AsWithdrawn returns the target with the given ID marked as withdrawn, for an entry that has
 // become unusable; ok is false if there is no such target.
 func (k *Registry) AsWithdrawn(id string) (t Target, ok bool) {
@@ -177,6 +186,7 @@
 		t.ColdUntil = now.Add(t.ColdFor)
 		t.ColdFor = 0
 	}
+	t.Sequence = 0
 	old, known := k.targets[t.ID]
 	if known && old.Started.Equal(t.Started) {
 		t.Joined, t.EvacuationEnded = old.Joined, old.EvacuationEnded
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/roster"
 	"github.com/knapweedgw/knapweedgw/routing"
+	"github.com/knapweedgw/knapweedgw/store"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
@@ -39,13 +40,14 @@
 	call CallerHeader
 	body []byte
 	// read means that the request was completely read.
-	read      bool
-	catalog   *catalog.Catalog
-	revision  int64
-	route     *catalog.Route
-	service   string
-	workspace string
-	priority  int
+	read    bool
+	catalog *catalog.Catalog
+	// era and revision are the position of the node's copy of the targets.
+	era, revision int64
+	route         *catalog.Route
+	service       string
+	workspace     string
+	priority      int
 	// regions are the regions whose targets may get the request.
 	regions catalog.Regions
 	// returned means that the caller probably retries after a refusal.
@@ -163,7 +165,8 @@
 		return problem.New(problem.NodeStopping, problem.NotRun, "").WithRetryAfter(stopRetryAfter)
 	}
 	x.catalog = x.router.replica.Catalog()
-	_, x.revision = x.router.replica.Versions()
+	_, position := x.router.replica.Versions()
+	x.era, x.revision = store.EraOf(position), store.RevisionOf(position)
 	if err := x.matchRoute(); err != nil {
 		return err
 	}
@@ -345,7 +348,7 @@
 	fields := []any{
 		"request", x.call.ID, "ms", x.router.now().Sub(x.start).Milliseconds(),
 		"deadline_ms", x.call.Deadline.Milliseconds(), "service", x.service, "workspace", x.workspace,
-		"revision", x.revision,
+		"era", x.era, "revision", x.revision,
 		"tries", x.tries, "runs", x.executions, "target", x.summary.target, "version", x.summary.version,
 		"running", x.summary.running, "limit", x.summary.limit, "kept", x.summary.kept, "placed", x.summary.reason,
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -47,7 +47,7 @@
 	Catalog() *catalog.Catalog
 	// Initialized is closed when the node has its first configuration and targets.
 	Initialized() <-chan struct{}
-	Versions() (catalogVersion, revision int64)
+	Versions() (catalogVersion, position int64)
 	ConfirmedAge(now time.Time) (age time.Duration, ok bool)
 	// WithoutConfiguration returns for how long this node has been running without a
 	// configuration; 0 if it has one. OtherNodeAhead reports whether another live node is known
@@ -129,7 +129,7 @@
 	b.OnNote(replica.VersionsNote, r.readVersions)
 	x.SetReporter(r)
 	x.OnReport(r.pool.receiveReport)
-	x.OnReport(func(rep heartbeat.Report) { b.HandlePeerVersions(rep.Catalog, rep.Revision) })
+	x.OnReport(func(rep heartbeat.Report) { b.HandlePeerVersions(rep.Catalog, rep.Position()) })
 	x.OnReport(func(rep heartbeat.Report) { guard.MergeRecords(rep.Node, rep.Requests) })
 	x.OnReport(func(rep heartbeat.Report) { streams.Receive(rep.Node, rep.Streams) })
 	x.OnReport(r.retireTunnels)
@@ -147,7 +147,9 @@
 
 // FillReport implements heartbeat.Reporter.
 func (r *Router) FillReport(rep *heartbeat.Report, now time.Time) {
-	rep.Catalog, rep.Revision = r.replica.Versions()
+	catalogVersion, position := r.replica.Versions()
+	rep.Catalog = catalogVersion
+	rep.SetPosition(position)
 	rep.ConfirmedAge = -1
 	if age, ok := r.replica.ConfirmedAge(now); ok {
 		rep.ConfirmedAge = age.Milliseconds()
--- a/store/store.go
+++ b/store/store.go
@@ -29,6 +29,9 @@
 	ErrUncertain = errors.New("store: answer lost; read back before trying again")
 	// ErrCompacted means that a watch has missed changes. List again.
 	ErrCompacted = errors.New("store: revision compacted; list again")
+	// ErrRestored means that the store came back from an older copy during a call or since the revision
+	// that the call is about. List again.
+	ErrRestored = errors.New("store: came back from an older copy; list again")
 	// ErrLeaseNotFound means that the lease has expired, was revoked or never
 	// existed. Grant a new one.
 	ErrLeaseNotFound = errors.New("store: lease not found; grant a new one")
