Pause between lists of a store that can't serve the watch after them

Cause: a watch that ended with ErrCompacted was followed by a list at once, again and again, whatever came of the list. The first list still follows at once; from the second in succession on the pauses grow from 0.1 to 1 s as for an unavailable store. The other loops around the store pause already: follow after errors (storeBackoff), audits (auditTimeout, auditBackoff), first reads (probeTurn), notes (their periods).

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -31,7 +31,7 @@
 // store no longer has the events since the copy's revision.
 func (r *Replica) follow(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	failures := 0
+	failures, relists := 0, 0
 	if !r.readFirst(ctx) {
 		r.awaitNoteRead(ctx)
 		r.setStale()
@@ -52,11 +52,14 @@
 			err = r.watch(ctx)
 		}
 		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
+			relists++
 			r.log.Info("the store no longer has the events since the copy's revision; listing it again",
-				"revision", store.RevisionOf(r.revision()), "era", store.EraOf(r.revision()), "err", err)
+				"revision", store.RevisionOf(r.revision()), "era", store.EraOf(r.revision()), "in_succession", relists, "err", err)
 			r.setStale()
+			pause.Sleep(ctx, relistPause(relists, rng))
 			continue
 		}
+		relists = 0
 		if err != nil && ctx.Err() == nil {
 			failures++
 			r.storeFailed(err)
@@ -65,6 +68,15 @@
 	}
 }
 
+// relistPause returns the time between the nth watch in succession that the store couldn't serve and the next list. The first list
+// follows at once, since a store that has discarded its history, or has been restored, is listed once.
+func relistPause(n int, rng *rand.Rand) time.Duration {
+	if n <= 1 {
+		return 0
+	}
+	return storeBackoff.Pause(n-1, rng)
+}
+
 // hasCopy reports whether the node holds a complete copy; before its first list, one from another
 // node.
 func (r *Replica) hasCopy() bool {
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -156,6 +157,17 @@
 	is.Equal(r.revision(), at2(12))
 }
 
+// Guards against a list of pages of two eras, and a store that always refuses the watch, being asked again without a pause.
+func TestRepeatedListsPause(t *testing.T) {
+	is, rng := is.New(t), rand.New(rand.NewPCG(1, 1))
+	is.Equal(relistPause(1, rng), time.Duration(0))
+	sum := time.Duration(0)
+	for n := 2; n < 40; n++ {
+		sum += relistPause(n, rng)
+	}
+	is.True(sum > 10*time.Second)
+}
+
 // Guards against a node of the release before eras that gets only a part of what it lacks, and against its numbers being taken for
 // newer ones.
 func TestCopiesWithReleasesThatKnowNoEras(t *testing.T) {
