Write the notes again when the store has come back from an older copy

Callers would see it later: without the note on versions, nodes that all end at once continue streams at another software version (ORDER), and without the fleet's note they take the fleet for new and use the slack of the retry budgets again (BUDGET).

Cause: a node compares the note that it would write with the one that it takes to be in the store, which a restored store may lack. A write that was in progress meanwhile doesn't count. The restored, older notes are not read: what nodes know isn't taken back.

--- a/replica/note.go
+++ b/replica/note.go
@@ -33,6 +33,9 @@
 	InPart
 	// Changed: a watch has shown that it was written.
 	Changed
+	// Restored: the store came back from an older copy, so that the note in it is older than what the nodes wrote, or
+	// missing. It isn't passed on.
+	Restored
 )
 
 // noteWriteTimeout bounds one write of a note. A failed write is not retried here.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -262,13 +262,19 @@
 	return nil
 }
 
-// recordRestoration logs that the copy was replaced by a list of a restored store, and announces it. Callers must hold r.mu.
+// recordRestoration logs that the copy was replaced by a list of a restored store, and tells what the nodes keep in the store that it
+// may be gone. What was confirmed was so in the earlier era. Callers must hold r.mu.
 func (r *Replica) recordRestoration(d restoration) {
 	r.metrics.restorations.Inc()
 	r.log.Warn("the store returned from a copy", "era_before", store.EraOf(d.before), "era", store.EraOf(d.after),
 		"revision_before", store.RevisionOf(d.before), "revision", store.RevisionOf(d.after),
 		"targets_lacked", d.lacked, "entries_older", d.older, "held", d.held)
 	r.requestAnnounce()
+	for n := range notes {
+		for _, f := range r.onNote[n] {
+			f(nil, Restored)
+		}
+	}
 }
 
 // publish makes changes visible to readers and other nodes. Callers must hold r.mu.
--- a/resumption/service.go
+++ b/resumption/service.go
@@ -95,8 +95,9 @@
 	begun  chan struct{}
 	// appeared has capacity 1 and contains a value after a version has appeared.
 	appeared chan struct{}
-	// storedNote is the note in the store as far as this node knows.
+	// storedNote is the note in the store as far as this node knows; forgotten counts how often that was lost.
 	storedNote []byte
+	forgotten  int
 
 	// writing is true while the note is written.
 	writing atomic.Bool
@@ -367,37 +368,47 @@
 	}
 }
 
+// ForgetStoredNote records that it isn't known which note is in the store, so that the note is written again.
+func (s *Service) ForgetStoredNote() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storedNote = nil
+	s.forgotten++
+	signal(s.appeared)
+}
+
 // keepNote begins to write the note when it has changed, if this node is the one that does.
 func (s *Service) keepNote(ctx context.Context) {
 	if !s.view.targets.WritesNote() || !s.view.isCurrent() {
 		return
 	}
-	note := s.dueNote()
+	note, forgotten := s.dueNote()
 	if note == nil || !s.writing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer s.writing.Store(false)
-		s.writeNote(ctx, note)
+		s.writeNote(ctx, note, forgotten)
 	}()
 }
 
-// dueNote returns the note to be written, nil for none.
-func (s *Service) dueNote() []byte {
+// dueNote returns the note to be written, nil for none, and the value of s.forgotten.
+func (s *Service) dueNote() (note []byte, forgotten int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	note, err := s.ledger.Note(s.now())
 	if err != nil {
 		s.log.Error("encoding the note on the versions of targets failed", "err", err)
-		return nil
+		return nil, s.forgotten
 	}
 	if bytes.Equal(note, s.storedNote) {
-		return nil
+		return nil, s.forgotten
 	}
-	return note
+	return note, s.forgotten
 }
 
-func (s *Service) writeNote(ctx context.Context, note []byte) {
+// writeNote writes the note. If it is unknown since forgotten was read what the store has, the write may be gone.
+func (s *Service) writeNote(ctx context.Context, note []byte, forgotten int) {
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	if err := s.saveNote(ctx, note); err != nil {
@@ -407,5 +418,7 @@
 	s.log.Info("note on the versions of targets saved", "bytes", len(note))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storedNote = note
+	if s.forgotten == forgotten {
+		s.storedNote = note
+	}
 }
--- a/router/memory.go
+++ b/router/memory.go
@@ -116,6 +116,10 @@
 
 // readNote applies the note that the node read from the store when it started.
 func (r *Router) readNote(raw []byte, s replica.NoteState) {
+	if s == replica.Restored {
+		r.requestNote() // without a note, processes that start would take the fleet for new
+		return
+	}
 	r.updateNewFleet(raw, s)
 	if raw == nil || s == replica.Changed {
 		return // this node knows more than the note, or soon will
--- a/router/streams.go
+++ b/router/streams.go
@@ -23,6 +23,7 @@
 	Report() (packed []byte, sharing bool)
 	Receive(node string, packed []byte)
 	StoredNote(raw []byte, complete bool)
+	ForgetStoredNote()
 	Settling(service string) []resumption.Origin
 }
 
@@ -41,6 +42,10 @@
 }
 
 func (r *Router) readVersions(raw []byte, s replica.NoteState) {
+	if s == replica.Restored {
+		r.streams.ForgetStoredNote()
+		return
+	}
 	r.streams.StoredNote(raw, s == replica.AtStart)
 }
 
