Let a copy in parts go on at a node whose own copy came from a list

Found by the property test of restored stores, which plays copies of three entries a part: a copy of more than 512 entries, taken from a node whose copy came from a list, began again with each part and never ended (20 replies, each whole and of the first 512). Nodes that start, and all nodes after a restore, then depend on their own list of the store.

Cause: a list shows no removals, so a node that listed sends a full copy to one at a revision before its list. It took the revision up to which parts had been collected for that of a copy that is there, though what was collected existed at the heads of its parts.

Change: a request that collects parts tells the lowest head of these, and the sender asks whether it knows the removals since that. A sender that listed later than that head still begins again, since it doesn't. Earlier releases leave the field out and are answered as before.

Evidence: TestCopyInPartsOfAListedCopyEnds, TestNextPartFromALaterListBeginsAgain and TestCopiesConvergeAfterRestores fail without the change, with the first node at its first part; 4 parts for 2,048 entries now.

--- a/replica/eras.go
+++ b/replica/eras.go
@@ -7,13 +7,13 @@
 
 // onWire returns the request as it is sent.
 func (r CopyRequest) onWire() CopyRequest {
-	r.CatalogRevision, r.Revision = store.RevisionOf(r.CatalogRevision), store.RevisionOf(r.Revision)
+	r.CatalogRevision, r.Revision, r.Head = store.RevisionOf(r.CatalogRevision), store.RevisionOf(r.Revision), store.RevisionOf(r.Head)
 	return r
 }
 
 // fromWire is the reverse of onWire. The era of CatalogRevision isn't sent; it is used only for requests without eras.
 func (r CopyRequest) fromWire() CopyRequest {
-	r.Revision = store.Position(r.Era, r.Revision)
+	r.Revision, r.Head = store.Position(r.Era, r.Revision), store.Position(r.Era, r.Head)
 	return r
 }
 
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -26,6 +26,9 @@
 	// that don't know eras leave both out.
 	Era            int64 `json:"era,omitempty"`
 	CatalogVersion int64 `json:"catalog_version,omitempty"`
+	// Head is the lowest Head of the parts that the requesting node has collected, if it collects a copy in parts: what they contain
+	// existed at that revision. Nodes of releases that don't support it leave it out.
+	Head int64 `json:"head,omitempty"`
 	// Parts means that the requesting node accepts a reply in parts. Nodes of releases that
 	// don't support parts leave it out and get everything in one reply.
 	Parts bool `json:"parts,omitempty"`
@@ -77,7 +80,7 @@
 		out.Revision, out.Whole = c.revision, true
 		c.addChanges(&out, 0, limit)
 	case c.revision <= req.Revision:
-	case c.history.isIncompleteSince(req.Revision):
+	case c.history.isIncompleteSince(req.knownAt()):
 		// The requesting node may hold entries whose tombstones were discarded, unless it holds
 		// nothing.
 		out.Whole = req.Revision > 0 || !req.Parts
@@ -88,6 +91,14 @@
 	return out
 }
 
+// knownAt returns the position at which what the requesting node has existed: it lacks the removals since.
+func (r CopyRequest) knownAt() int64 {
+	if r.Head > 0 {
+		return r.Head
+	}
+	return r.Revision
+}
+
 // addChanges adds the changes after a revision to out, up to limit as in history.since.
 func (c *copyState) addChanges(out *CopyReply, after int64, limit int) {
 	list, more := c.history.since(after, limit)
@@ -119,7 +130,9 @@
 		req.CatalogVersion = c.catalog.Version()
 	}
 	if c.staged != nil {
-		req.Revision = c.staged.revision
+		req.Revision, req.Head = c.staged.revision, c.staged.lowestHead
+	} else if c.incomplete {
+		req.Head = c.firstCopyLowestHead
 	}
 	req.Era = store.EraOf(req.Revision)
 	return req
@@ -129,8 +142,8 @@
 type staging struct {
 	entries  map[string]Entry
 	revision int64
-	// head is the revision at which the full copy is complete.
-	head int64
+	// head is the revision at which the full copy is complete, lowestHead the lowest head of a part.
+	head, lowestHead int64
 }
 
 func (s *staging) add(got CopyReply) {
@@ -141,7 +154,15 @@
 			s.entries[e.Key] = e
 		}
 	}
-	s.revision, s.head = got.Revision, max(s.head, got.Head)
+	s.revision, s.head, s.lowestHead = got.Revision, max(s.head, got.Head), lowerHead(s.lowestHead, got.Head)
+}
+
+// lowerHead returns the lower of two heads, of which the first is 0 for none.
+func lowerHead(a, b int64) int64 {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
 }
 
 func (s *staging) isComplete(got CopyReply) bool { return !got.More && s.revision >= s.head }
@@ -164,7 +185,7 @@
 		return c.stage(got, now)
 	}
 	if got.More && (c.revision == 0 || c.incomplete) {
-		c.firstCopyHead = max(c.firstCopyHead, got.Head)
+		c.firstCopyHead, c.firstCopyLowestHead = max(c.firstCopyHead, got.Head), lowerHead(c.firstCopyLowestHead, got.Head)
 	}
 	if c.isRestored(got.Revision) {
 		// The reply is to a request that began before this copy was of its present era.
--- a/replica/parts_test.go
+++ b/replica/parts_test.go
@@ -223,3 +223,51 @@
 		}
 	})
 }
+
+// Guards against a copy in parts that begins again with each part, and never ends, since the sender's copy came from a list
+// and it can't tell which keys were removed before.
+func TestCopyInPartsOfAListedCopyEnds(t *testing.T) {
+	for name, behind := range map[string]*copyState{"first copy": newState(t), "full copy": olderState(t)} {
+		t.Run(name, func(t *testing.T) {
+			is, ahead := is.New(t), newState(t)
+			var list []Entry
+			for i := range 4 * maxPartEntries {
+				list = append(list, target(fmt.Sprint(i), "x", int64(100+i)))
+			}
+			ahead.replaceAll(fullCopy(list, 10_000), start)
+			parts := 0
+			for behind.revision < ahead.revision && parts < 20 {
+				behind.applyReply(ahead.replyTo(behind.copyRequest()), start)
+				parts++
+			}
+			is.Equal(parts, 4)
+			is.True(!behind.incomplete)
+			is.Equal(len(behind.targets), len(list))
+		})
+	}
+}
+
+// olderState is a copy that lacks the removal of a target.
+func olderState(t *testing.T) *copyState {
+	c := newState(t)
+	c.replaceAll(fullCopy([]Entry{target("gone", "x", 5)}, 50), start)
+	return c
+}
+
+// Guards against a key in a part that was removed before the list of the node that sends the next part, which doesn't know of
+// that removal.
+func TestNextPartFromALaterListBeginsAgain(t *testing.T) {
+	is, first, second, behind := is.New(t), newState(t), newState(t), newState(t)
+	var list []Entry
+	for i := range 2 * maxPartEntries {
+		list = append(list, target(fmt.Sprint(i), "x", int64(100+i)))
+	}
+	first.replaceAll(fullCopy(list, 5_000), start)
+	second.replaceAll(fullCopy(list[1:], 6_000), start) // the first one was removed in between
+	behind.applyReply(first.replyTo(behind.copyRequest()), start)
+	for range 5 {
+		behind.applyReply(second.replyTo(behind.copyRequest()), start)
+	}
+	is.Equal(behind.revision, int64(6_000))
+	is.Equal(len(behind.targets), len(list)-1)
+}
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -208,6 +208,9 @@
 	is.Equal(behind.revision, at2(12))
 }
 
+// modelPartEntries is the number of entries in a part.
+const modelPartEntries = 3
+
 // modelStore is a store that can be restored. It is what copies are compared with.
 type modelStore struct {
 	era, revision int64
@@ -285,8 +288,7 @@
 			if from.incomplete || from.revision <= req.Revision && !from.hasNewerCatalog(req) {
 				return
 			}
-			limit := maxPartEntries
-			reply := from.replyWithLimit(req.onWire().fromWire(), limit)
+			reply := from.replyWithLimit(req.onWire().fromWire(), modelPartEntries)
 			to.applyReply(reply.onWire().fromWire(), now)
 		}
 		step := func() {
--- a/replica/state.go
+++ b/replica/state.go
@@ -70,9 +70,10 @@
 	// staged collects the parts of a full copy that will replace this one; nil if there is
 	// none.
 	staged *staging
-	// incomplete means that parts of the first copy, which ends at firstCopyHead, are missing.
-	incomplete    bool
-	firstCopyHead int64
+	// incomplete means that parts of the first copy, which ends at firstCopyHead, are missing. firstCopyLowestHead is the lowest
+	// head of its parts.
+	incomplete                         bool
+	firstCopyHead, firstCopyLowestHead int64
 	// onInvalid is called for configurations and evacuations whose value can't be decoded. The
 	// last valid configuration stays in force.
 	onInvalid invalidValueFunc
@@ -144,7 +145,7 @@
 	}
 	c.history.skip(c.completeRevision(), got.Revision)
 	c.revision = got.Revision
-	c.staged, c.incomplete, c.firstCopyHead = nil, false, 0
+	c.staged, c.incomplete, c.firstCopyHead, c.firstCopyLowestHead = nil, false, 0, 0
 	var out changes
 	var targets, evacuations []Entry
 	for _, e := range got.Entries {
