--- a/replica/restore.go
+++ b/replica/restore.go
@@ -41,10 +41,15 @@
 
 func (h *holds) isEmpty() bool { return len(h.targets)+len(h.evacuations) == 0 }
 
-// isRestored reports whether the position is in a later era than this copy. A copy of unknown era is in none.
+// isRestored reports whether the position is one after a return of the store that this copy hasn't seen. A copy in era 0 may come from
+// nodes whose release knows no eras: then only a lower revision shows a return.
 func (c *copyState) isRestored(position int64) bool {
-	era := store.EraOf(c.revision)
-	return era > 0 && store.EraOf(position) > era
+	return c.isInLaterEra(position) && (store.EraOf(c.revision) > 0 || store.RevisionOf(position) < store.RevisionOf(c.revision))
+}
+
+// isInLaterEra reports whether the position is in a later era than this copy, which isn't empty.
+func (c *copyState) isInLaterEra(position int64) bool {
+	return c.revision > 0 && store.EraOf(position) > store.EraOf(c.revision)
 }
 
 // restoration is what a node does with a restored list, for its log.
@@ -55,11 +60,14 @@
 	lacked, older, held int
 }
 
-// reconcile prepares the copy for a complete list of a restored store, and returns the list with what this node knows better. The
+// reconcile prepares the copy for a complete list of a store in a later era, and returns the list with what this node knows better. The
 // history of the earlier era is dropped, so that nodes which have a copy of that era get a full one.
 func (c *copyState) reconcile(got CopyReply, now time.Time) (CopyReply, restoration) {
 	out := restoration{before: c.revision, after: got.Revision}
-	c.registry.MarkOutage(now)
+	if c.isRestored(got.Revision) {
+		c.registry.MarkOutage(now)
+		c.returned = true
+	}
 	before := c.holds
 	c.holds = newHolds(now.Add(holdTime))
 	listed := make(map[string]bool, len(got.Entries))
@@ -93,7 +101,6 @@
 	out.held = len(c.holds.targets) + len(c.holds.evacuations)
 	c.history = newHistory()
 	c.history.discardedUpTo = store.Position(store.EraOf(got.Revision), 0)
-	c.returned = true
 	return got, out
 }
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -136,7 +136,7 @@
 	if got.Revision < c.revision {
 		return changes{}
 	}
-	if c.isRestored(got.Revision) {
+	if c.isInLaterEra(got.Revision) {
 		var r restoration
 		got, r = c.reconcile(got, now)
 		if c.onRestored != nil {
