Bound what is read of answers that never end

Callers saw 504 after their timeout where an engine had refused without running the request (the promise was lost and no second engine was asked), and 502 after up to 10 MB of bytes in place of a header.

Cause: the rest of a refusal was read to its end before the next attempt, and net/http's limit of a header is 10 MB. Changes: the header of every answer (engines of both fronts, orders, both stores) has at most 64 kB; the rest of an answer is read for 20 ms and 64 kB at most so that the connection can be reused, which also ends a wait of up to 16 s for the rest of a watch's answer; a refusal on the own interface has 250 ms to show its 'ran' member, after which the request counts as perhaps run. An engine whose refusal doesn't end counts as failed, so that it is suspended. A body that may be an answer still goes on until the deadline, and is broken off.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -20,6 +20,7 @@
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/socket"
 	"github.com/knapweedgw/knapweedgw/targets"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
@@ -243,8 +244,12 @@
 	}
 }
 
-// maxRefusalBody is how much of a refusal's body is parsed for its "ran" member, in bytes.
-const maxRefusalBody = 64 << 10
+// maxRefusalBody is how much of a refusal's body is parsed for its "ran" member, in bytes, and refusalTime how long
+// it may take to arrive: many round trips within a region.
+const (
+	maxRefusalBody = 64 << 10
+	refusalTime    = 250 * time.Millisecond
+)
 
 // classifyResponse returns an error if a response counts as a failed attempt, else nil. Model
 // engines respond with 429 or 503 only before they run a request. A plain service may respond so
@@ -256,9 +261,16 @@
 ) *attemptError {
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		if f.chat || declaresNotRun(resp) {
+		notRun, ended := f.chat, true
+		if !f.chat {
+			notRun, ended = declaresNotRun(resp)
+		}
+		if notRun {
 			return statusError(retry.Refused, problem.TargetRefused, resp)
 		}
+		if !ended {
+			return statusError(retry.Sent, problem.TargetFailed, resp)
+		}
 		if f.repeatable {
 			return statusError(retry.Sent, problem.TargetRefused, resp)
 		}
@@ -274,21 +286,21 @@
 	return &attemptError{progress: p, reason: reason, cause: errors.Newf("status %d", resp.StatusCode)}
 }
 
-// declaresNotRun reports whether the response is a problem document with "ran": "no". The body
-// can be read again afterwards.
-func declaresNotRun(resp *http.Response) bool {
+// declaresNotRun reports whether the response is a problem document with "ran": "no", and whether such a document ended in
+// time. If it did, or the response is none, the body can be read again afterwards.
+func declaresNotRun(resp *http.Response) (notRun, ended bool) {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), problem.ContentType) {
-		return false
+		return false, true
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBody))
-	resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(raw), resp.Body), resp.Body}
-	if err != nil {
-		return false
+	raw, ended := socket.ReadWithin(resp.Body, maxRefusalBody, refusalTime)
+	if !ended && len(raw) <= maxRefusalBody {
+		return false, false
 	}
+	resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(raw), resp.Body), resp.Body}
 	var p struct {
 		Ran problem.Execution `json:"ran"`
 	}
-	return json.Unmarshal(raw, &p) == nil && p.Ran == problem.NotRun
+	return json.Unmarshal(raw, &p) == nil && p.Ran == problem.NotRun, true
 }
 
 type prefixedBody struct {
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -134,6 +134,8 @@
 	crashes int
 	// unframed is how the engine answers unframed, nil if it doesn't.
 	unframed *Unframed
+	// endless is how the engine sends bytes without end, 0 if it doesn't.
+	endless Endless
 	// coldArrivals are the times of the requests that came while the engine was cold.
 	coldArrivals []time.Time
 }
@@ -333,6 +335,10 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
 	}
 	e.journal.recordArrival(arrival)
+	if way := e.endlessWay(); way != 0 {
+		e.sendEndlessly(w, way, id)
+		return
+	}
 	e.announceLimit(w.Header())
 	entered := e.enter()
 	if entered {
--- a/orders/http.go
+++ b/orders/http.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedgw/knapweedgw/socket"
 )
 
 // The paths of an engine's order interface. PUT DesiredPath returns 202 once the
@@ -40,6 +42,7 @@
 func NewHTTPClient() *HTTPClient {
 	return &HTTPClient{reads: &http.Client{Transport: &http.Transport{
 		MaxIdleConns: maxIdleEngines, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: socket.MaxResponseHeaderBytes,
 	}}}
 }
 
@@ -85,7 +88,8 @@
 
 func (c *HTTPClient) transport(guard Guard, wrote *atomic.Bool) *http.Transport {
 	return &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: socket.MaxResponseHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := c.dial.DialContext(ctx, network, addr)
 			if err != nil {
--- a/router/forward.go
+++ b/router/forward.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedgw/knapweedgw/overload"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
+	"github.com/knapweedgw/knapweedgw/socket"
 	"github.com/knapweedgw/knapweedgw/upstream"
 )
 
@@ -359,9 +360,10 @@
 // refusedByTarget handles an answer which states that the target did not run the request.
 func (x *exchange) refusedByTarget(a assignment, reply ReplyHeader, resp *http.Response) *failure {
 	x.executions--
-	// Reading the rest of the answer lets the connection be reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswer))
 	outcome := health.Refused
+	if !socket.Drain(resp.Body) {
+		outcome = health.Failed
+	}
 	if reply.WrongTarget {
 		outcome = health.Unreachable
 	}
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -6,13 +6,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/knapweedgw/knapweedgw/socket"
 	"github.com/knapweedgw/knapweedgw/store"
 )
 
@@ -22,8 +22,6 @@
 
 const (
 	idleConns = 16
-	// maxRestBytes bounds what is read of a response after its JSON value.
-	maxRestBytes = 4 << 10
 )
 
 // Client is a store.Store backed by an etcd service. It is safe for concurrent use.
@@ -43,7 +41,9 @@
 		endpoints: endpoints,
 		timeout:   timeout,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns},
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns, MaxResponseHeaderBytes: socket.MaxResponseHeaderBytes,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	defer drainAndClose(resp.Body)
+	defer socket.Drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return statusError(path, resp)
 	}
@@ -148,13 +148,6 @@
 	return nil
 }
 
-// drainAndClose reads the rest of a body and closes it, so that the connection can be
-// reused.
-func drainAndClose(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxRestBytes)
-	_ = body.Close()
-}
-
 // post sends a request to the first endpoint that accepts a connection. A failure to
 // connect is ErrUnavailable; any later failure is ErrUncertain, because the service
 // may have executed the request.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -83,6 +83,8 @@
 			IdleConnTimeout:     c.IdleTimeout,
 			DisableCompression:  true,
 			DisableKeepAlives:   c.NewConnPerRequest,
+
+			MaxResponseHeaderBytes: socket.MaxResponseHeaderBytes,
 		},
 		// Redirects are not followed: they are answers of the target like any other.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
