Soak a store that comes back from older copies

The profile restored plays returns of the store from copies of up to 4 s before, in series and beside kills of one and of all nodes, freezes, cuts, busy and stalled stores, targets that leave and restart, evacuations and configurations. What the operator and the targets had written is written again within 1 s. It checks, besides the usual, that nothing reaches a target 2 s after it has left.

--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -22,7 +22,8 @@
 	CutStore        Kind = "cut_store"
 	CutTarget       Kind = "cut_target"
 	StoreBusy       Kind = "store_busy"
-	StoreWatchStall Kind = "store_deaf" // watches deliver no events, then the history is compacted
+	StoreWatchStall Kind = "store_deaf"     // watches deliver no events, then the history is compacted
+	StoreRestore    Kind = "store_restored" // it is away for a moment and comes back from a copy some seconds old
 	TargetFault     Kind = "target_does"
 	Drain           Kind = "drain" // a target drains and is removed while another joins
 	Configure       Kind = "configure"
@@ -85,6 +86,9 @@
 	// Unframed has targets that answer with neither a length nor chunks and break some answers off,
 	// while nodes and targets restart.
 	Unframed Profile = "unframed"
+	// Restored has a store that comes back from older copies, while nodes restart, freeze and are cut off from it, targets come and go,
+	// and the configuration changes.
+	Restored Profile = "restored"
 	// Versions has targets of several software versions, whose callers take up broken streams at any node,
 	// while targets are replaced by ones of other versions and nodes restart and are cut off from the store.
 	Versions Profile = "versions"
@@ -112,6 +116,11 @@
 
 var versions = []Kind{ReleaseTarget, ReleaseTarget, ReleaseTarget, ReleaseTarget, BreakStreams, BreakStreams, BreakStreams, BreakStreams, BreakStreams, Term, Kill, Kill, KillAll, Freeze, Hup, CutStore, StoreBusy, TargetFault, RestartTarget, Configure}
 
+var restored = []Kind{
+	StoreRestore, StoreRestore, StoreRestore, StoreRestore, Kill, KillAll, Freeze, Term, CutStore, StoreBusy, StoreWatchStall,
+	Drain, Drain, RestartTarget, Configure, Configure, ChangeTimeout, Evacuate,
+}
+
 func (p Profile) kinds() []Kind {
 	switch p {
 	case Planned:
@@ -132,6 +141,8 @@
 		return unframed
 	case Versions:
 		return versions
+	case Restored:
+		return restored
 	default:
 		return mixed
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -43,6 +43,8 @@
 	announcements *announcementCheck
 	partitions    *partitionCheck
 	versions      *versionCheck
+	copies        storeCopies
+	leavings      leavings
 	// configMu serializes writes of the configuration, so that versions are stored in order.
 	configMu   sync.Mutex
 	version    int
@@ -81,6 +83,10 @@
 	watching, endWatch := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWatch()
 	go r.lost.watchStalls(watching)
+	if o.Profile == Restored {
+		go r.keepCopies(watching.Done())
+		r.copies.add(r.store.Snapshot())
+	}
 	var work sync.WaitGroup
 	for i := range o.Callers {
 		work.Go(func() { r.newCaller(uint64(i)).loop(ctx) })
@@ -103,6 +109,7 @@
 	r.checkOwners()
 	r.checkPartitions()
 	r.checkVersions()
+	r.checkLeavings()
 	r.checkRetryBudgets()
 	r.checkEnds()
 	r.addTraces()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -73,6 +73,9 @@
 	"streams are taken up while targets of several versions serve": {
 		Seed: 2, Profile: Versions, Nodes: 4, Callers: 12, Length: evacuateLength,
 	},
+	"the store comes back from older copies": {
+		Seed: 1, Profile: Restored, Nodes: 4, Callers: 24, Length: seedLength,
+	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
 		Seed: 1, Profile: Planned, Nodes: 5, Callers: 16, Length: seedLength,
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -117,6 +117,8 @@
 		n.signal(syscall.SIGHUP)
 	case CutStore, StoreBusy, StoreWatchStall:
 		r.disruptStore(n, s)
+	case StoreRestore:
+		r.restoreStore(s)
 	case CutTarget, TargetFault:
 		r.disruptTarget(s)
 	case Drain:
@@ -212,9 +214,11 @@
 	r.must(r.addTarget(replacementID(e, s), e.Service, s.Which))
 	if s.Variant%2 == 0 {
 		r.store.Put("servers/"+e.ID, e.Entry("draining"))
+		r.leavings.record(e)
 		time.Sleep(drainTime)
 	}
 	r.store.Remove("servers/" + e.ID)
+	r.leavings.record(e)
 }
 
 // restartTarget crashes a target and starts it again under the same ID.
--- a/lab/standin/restore.go
+++ b/lab/standin/restore.go
@@ -30,15 +30,52 @@
 	return &Snapshot{maps.Clone(s.items), slices.Clone(s.history), s.revision, s.compacted}
 }
 
+// nodePrefix begins the keys that the nodes write.
+const nodePrefix = "knapweedgw/"
+
 // Restore makes the store come back from a copy: what was written since is gone, revisions go back and are given out
-// again, watches in progress are cut, and the next era begins.
-func (s *Store) Restore(c *Snapshot) {
+// again, watches in progress are cut, and the next era begins. It returns what others than the nodes have lost, which
+// WriteAgain writes.
+func (s *Store) Restore(c *Snapshot) (lost []Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for key, item := range s.items {
+		if c.items[key].Revision != item.Revision && !strings.HasPrefix(key, nodePrefix) {
+			lost = append(lost, item)
+		}
+	}
+	for key := range c.items {
+		if _, ok := s.items[key]; !ok && !strings.HasPrefix(key, nodePrefix) {
+			lost = append(lost, Item{Key: key, Removed: true})
+		}
+	}
+	slices.SortFunc(lost, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	s.era++
 	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
 	s.revision, s.compacted = c.revision, c.compacted
+	s.restoredAt = c.revision
 	s.wake()
+	return lost
+}
+
+// WriteAgain writes an item that a restored store has lost, unless its key has been written since.
+func (s *Store) WriteAgain(item Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok := s.items[item.Key]
+	if ok && current.Revision > s.restoredAt || s.removedSince(item.Key, s.restoredAt) {
+		return
+	}
+	if item.Removed {
+		s.remove(item.Key)
+	} else {
+		s.put(item.Key, item.Value)
+	}
+}
+
+// removedSince reports whether a key was removed after a revision. The caller holds s.mu.
+func (s *Store) removedSince(key string, revision int64) bool {
+	return slices.ContainsFunc(s.history, func(i Item) bool { return i.Key == key && i.Removed && i.Revision > revision })
 }
 
 // setEra sets the era in the header of an answer. The caller holds s.mu.
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -47,18 +47,20 @@
 type Store struct {
 	server *httptest.Server
 
-	mu        sync.Mutex
-	era       int64
-	revision  int64
-	items     map[string]Item
-	history   []Item
-	compacted int64 // revision up to which the history was compacted
-	changed   chan struct{}
-	mode      Mode
-	modeByIP  map[string]Mode // by the client's IP; overrides mode Serving
-	stalled   bool            // watches return no events
-	calls     int
-	pageSize  int
+	mu  sync.Mutex
+	era int64
+	// restoredAt is the revision of the copy that the store last came back from.
+	restoredAt int64
+	revision   int64
+	items      map[string]Item
+	history    []Item
+	compacted  int64 // revision up to which the history was compacted
+	changed    chan struct{}
+	mode       Mode
+	modeByIP   map[string]Mode // by the client's IP; overrides mode Serving
+	stalled    bool            // watches return no events
+	calls      int
+	pageSize   int
 }
 
 // NewStore starts a store on a loopback address.
@@ -93,8 +95,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(key, raw)
+}
+
+func (s *Store) put(key string, value []byte) {
 	s.revision++
-	item := Item{Key: key, Value: raw, Revision: s.revision, CreatedRev: s.revision}
+	item := Item{Key: key, Value: value, Revision: s.revision, CreatedRev: s.revision}
 	s.items[key] = item
 	s.record(item)
 }
@@ -103,6 +109,10 @@
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+func (s *Store) remove(key string) {
 	s.revision++
 	delete(s.items, key)
 	s.record(Item{Key: key, Revision: s.revision, Removed: true})
