--- a/lab/soak/restored.go
+++ b/lab/soak/restored.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -73,6 +75,7 @@
 		time.Sleep(pause)
 		r.store.WriteAgain(item)
 		r.leavings.renew(strings.TrimPrefix(item.Key, "servers/"))
+		r.configured.renew(item.Key)
 	}
 }
 
@@ -130,3 +133,66 @@
 		r.checker.broken("request %s reached %s %v after it had left", a.Request, a.Engine, late)
 	}
 }
+
+// configInForce is the time within which a configuration must be in force on all nodes.
+const configInForce = 2 * time.Second
+
+// configuration is when the store last acknowledged a version of the configuration.
+type configuration struct {
+	version int
+	at      time.Time
+}
+
+// configurations are the acknowledged versions of the configuration, in order.
+type configurations struct {
+	mu  sync.Mutex
+	all []configuration
+}
+
+func (c *configurations) record(version int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, configuration{version, time.Now()})
+}
+
+// renew records that the newest configuration was written again, if the key is the configuration's.
+func (c *configurations) renew(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.all); key == "op/config" && n > 0 {
+		c.all[n-1].at = time.Now()
+	}
+}
+
+// inForceLine is a node's log line of a configuration that has come into force.
+type inForceLine struct {
+	Time    time.Time `json:"time"`
+	Msg     string    `json:"msg"`
+	Version int       `json:"version"`
+}
+
+// checkConfigurations checks that each node had each configuration in force in time. Nodes that were frozen or started within that time
+// are excused, and a store that was disrupted.
+func (r *run) checkConfigurations() {
+	if r.Profile != Restored {
+		return
+	}
+	for _, n := range r.nodes {
+		var lines []inForceLine
+		for line := range strings.Lines(logs(n)) {
+			var l inForceLine
+			if strings.Contains(line, `"configuration in force"`) && json.Unmarshal([]byte(line), &l) == nil {
+				lines = append(lines, l)
+			}
+		}
+		for _, c := range r.configured.all {
+			due := c.at.Add(configInForce)
+			if n.disrupted.overlaps(c.at, due) || n.starts.overlaps(c.at, due) || r.lost.storeFaults.overlaps(c.at, due) {
+				continue
+			}
+			if !slices.ContainsFunc(lines, func(l inForceLine) bool { return l.Version >= c.version && !l.Time.After(due) }) {
+				r.checker.broken("%s did not have configuration %d in force %v after it was acknowledged", n.name, c.version, configInForce)
+			}
+		}
+	}
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -45,6 +45,7 @@
 	versions      *versionCheck
 	copies        storeCopies
 	leavings      leavings
+	configured    configurations
 	// configMu serializes writes of the configuration, so that versions are stored in order.
 	configMu   sync.Mutex
 	version    int
@@ -110,6 +111,7 @@
 	r.checkPartitions()
 	r.checkVersions()
 	r.checkLeavings()
+	r.checkConfigurations()
 	r.checkRetryBudgets()
 	r.checkEnds()
 	r.addTraces()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -74,7 +74,7 @@
 		Seed: 2, Profile: Versions, Nodes: 4, Callers: 12, Length: evacuateLength,
 	},
 	"the store comes back from older copies": {
-		Seed: 1, Profile: Restored, Nodes: 4, Callers: 24, Length: seedLength,
+		Seed: 4, Profile: Restored, Nodes: 4, Callers: 24, Length: seedLength,
 	},
 	"own interface": {Seed: 1, Profile: Own, Nodes: 4, Callers: 12, Length: mixLength},
 	"a stream whose first event had not come was closed at its deadline, without a byte": {
--- a/lab/soak/steps.go
+++ b/lab/soak/steps.go
@@ -274,6 +274,7 @@
 	r.lost.timeouts.set(r.timeout)
 	defer r.lost.configChanges.begin()()
 	r.store.Put("op/config", standin.Config(r.version, changes...))
+	r.configured.record(r.version)
 }
 
 func (r *run) setTimeouts(cfg map[string]any) {
