--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -46,16 +46,18 @@
 
 // Invalidate ends the term because a newer fencing number was seen. The keeper then tries to
 // acquire the duty again with a newer number.
-func (k *Keeper) Invalidate() {
+func (k *Keeper) Invalidate(seen int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.machine.Invalidate()
+	k.machine.Invalidate(seen)
 }
 
 // FenceCompare returns the compare that makes a store transaction fail unless the term with this
 // fencing number still holds the duty.
 func (k *Keeper) FenceCompare(fence int64) store.Compare {
-	return store.Compare{Key: Key(k.duty), ModRevision: fence}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return store.Compare{Key: Key(k.duty), ModRevision: k.machine.revisionOf(fence)}
 }
 
 // Run acquires and renews the duty until ctx ends.
@@ -142,7 +144,7 @@
 }
 
 func (k *Keeper) create(ctx context.Context, a Action) (int64, bool, error) {
-	raw, err := json.Marshal(Record{Holder: k.holder, WriteID: a.WriteID})
+	raw, err := json.Marshal(Record{Holder: k.holder, WriteID: a.WriteID, MinFence: a.Fence})
 	if err != nil {
 		return 0, false, errors.Wrap(err, "lease: encode duty record")
 	}
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -1,6 +1,7 @@
 // Package lease lets one node at a time hold a duty, a named role that must have a single holder.
 // The duty is a key in the platform's store that is bound to a store lease; the revision that
-// created the key is the fencing number of the term.
+// created the key is the fencing number of the term, or a greater number in its record: a store that was restored from
+// a snapshot gives out its revisions again.
 //
 // Machine decides and does no I/O; Keeper runs it against a store.Store.
 package lease
@@ -91,6 +92,8 @@
 	At      time.Time // for CallNone
 	Lease   store.LeaseID
 	WriteID string
+	// Fence is the least fencing number of the term that CallCreate begins, 0 for any.
+	Fence int64
 }
 
 // Result is the outcome of an Action. Sent and Done are the holder's clock
@@ -109,15 +112,20 @@
 
 // Record is the value of a duty's key and the revision that wrote it.
 type Record struct {
-	Holder   string `json:"holder"`
-	WriteID  string `json:"write_id"`
-	Revision int64  `json:"-"`
+	Holder  string `json:"holder"`
+	WriteID string `json:"write_id"`
+	// MinFence is the least fencing number of the term, 0 for any. Earlier releases ignore it.
+	MinFence int64 `json:"min_fence,omitempty"`
+	Revision int64 `json:"-"`
 }
 
+// Fence returns the fencing number of the term that the record began.
+func (r Record) Fence() int64 { return max(r.Revision, r.MinFence) }
+
 // Term is one uninterrupted period of holding a duty.
 type Term struct {
-	// Fence is the fencing number. Later terms have greater numbers, also across duties, because
-	// it is a revision of the store.
+	// Fence is the fencing number. Later terms have greater numbers than the earlier ones that their holder knows of.
+	// While the store isn't restored from a snapshot these are all, also across duties, because it is a revision of the store.
 	Fence int64
 	// ValidUntil is when the holder treats the term as expired, on its own clock.
 	ValidUntil time.Time
@@ -157,11 +165,14 @@
 	notBefore      time.Time // no action is due earlier
 	lease          store.LeaseID
 	currentWriteID string
-	fence          int64
-	renewedAt      time.Time // send time of the last renewal that succeeded
-	stopping       bool
-	loss           Loss
-	holder         string // holder of the duty when it was last read
+	// fence is the fencing number of the last term, revision the store's revision that created its key.
+	fence, revision int64
+	// seenFence is the greatest fencing number that is known.
+	seenFence int64
+	renewedAt time.Time // send time of the last renewal that succeeded
+	stopping  bool
+	loss      Loss
+	holder    string // holder of the duty when it was last read
 }
 
 // NewMachine returns a candidate that doesn't hold the duty. newWriteID must return a new unique ID
@@ -179,6 +190,14 @@
 	return Term{Fence: m.fence, ValidUntil: m.renewedAt.Add(m.cfg.TTL - m.cfg.Margin)}, true
 }
 
+// revisionOf returns the store's revision that created the key of the term with the fencing number.
+func (m *Machine) revisionOf(fence int64) int64 {
+	if fence == m.fence {
+		return m.revision
+	}
+	return fence
+}
+
 // Holder returns the holder of the duty when it was last read.
 func (m *Machine) Holder() string { return m.holder }
 
@@ -200,7 +219,7 @@
 	case phaseGrant:
 		return Action{Call: CallGrant}
 	case phaseCreate:
-		return Action{Call: CallCreate, Lease: m.lease, WriteID: m.currentWriteID}
+		return Action{Call: CallCreate, Lease: m.lease, WriteID: m.currentWriteID, Fence: m.minFence()}
 	case phaseReadBack:
 		return Action{Call: CallReadBack, WriteID: m.currentWriteID}
 	case phaseHeld:
@@ -224,8 +243,17 @@
 	return ok
 }
 
-// Invalidate ends the term because a newer fencing number was seen.
-func (m *Machine) Invalidate() {
+// minFence returns the least fencing number of the next term, 0 if none is known.
+func (m *Machine) minFence() int64 {
+	if m.seenFence == 0 {
+		return 0
+	}
+	return m.seenFence + 1
+}
+
+// Invalidate ends the term because a newer fencing number was seen. Later terms have greater numbers.
+func (m *Machine) Invalidate(seen int64) {
+	m.seenFence = max(m.seenFence, seen)
 	if m.phase == phaseHeld {
 		m.lose(LossFenced)
 	}
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -172,7 +172,7 @@
 	case 10:
 		s.now = s.now.Add(time.Duration(rapid.IntRange(0, 2_000).Draw(t, "wait")) * time.Millisecond)
 	case 11:
-		c.m.Invalidate()
+		c.m.Invalidate(0)
 	case 12, 13:
 		s.advanceToExpiry(c)
 	case 14, 15:
@@ -321,7 +321,7 @@
 		}, false, LossNotFound},
 		{"newer fencing number seen", func(s *simulation, c *candidate) {
 			acquire(s, c)
-			c.m.Invalidate()
+			c.m.Invalidate(0)
 		}, false, LossFenced},
 		{"released", func(s *simulation, c *candidate) {
 			acquire(s, c)
--- a/lease/observe.go
+++ b/lease/observe.go
@@ -41,6 +41,7 @@
 	}
 	m.holder = r.Record.Holder
 	if r.Found {
+		m.seenFence = max(m.seenFence, r.Record.Fence())
 		m.notBefore = r.Done.Add(m.cfg.RenewEvery)
 		return
 	}
@@ -70,7 +71,7 @@
 	}
 	switch {
 	case r.Err == nil && r.Created:
-		m.startTerm(r.Revision)
+		m.startTerm(Record{MinFence: r.Action.Fence, Revision: r.Revision})
 	case errors.Is(r.Err, store.ErrLeaseNotFound):
 		m.phase = phaseIdle
 		m.retry(r)
@@ -89,7 +90,7 @@
 	case !r.Found:
 		m.abandonOrRetry(r, phaseCreate)
 	case r.Record.WriteID == m.currentWriteID:
-		m.startTerm(r.Record.Revision)
+		m.startTerm(r.Record)
 	default:
 		m.holder = r.Record.Holder
 		m.phase = phaseRevoke
@@ -107,9 +108,10 @@
 	m.retry(r)
 }
 
-func (m *Machine) startTerm(fence int64) {
+func (m *Machine) startTerm(r Record) {
 	m.phase = phaseHeld
-	m.fence = fence
+	m.fence, m.revision = r.Fence(), r.Revision
+	m.seenFence = max(m.seenFence, m.fence)
 	m.loss = LossNone
 	m.notBefore = m.renewedAt.Add(m.cfg.RenewEvery)
 }
--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -24,7 +24,7 @@
 	// Held returns the current term, checked against the clock now.
 	Held() (lease.Term, bool)
 	// Invalidate ends the term because an engine has seen a greater number.
-	Invalidate()
+	Invalidate(seen int64)
 	// FenceCompare returns the compare that ties a store write to a term.
 	FenceCompare(fence int64) store.Compare
 }
@@ -171,7 +171,7 @@
 		"role", o.Desired.Role, "outcome", outcome(err))
 	i.pool.OrderDone(t.ID, err, i.now())
 	if i.pool.Fenced() {
-		i.holder.Invalidate()
+		i.holder.Invalidate(i.pool.SeenFence())
 	}
 }
 
--- a/orders/pool.go
+++ b/orders/pool.go
@@ -40,6 +40,8 @@
 	active bool
 	began  time.Time // of the term
 	fenced bool      // see Fenced
+	// seenFence is the greatest fencing number in an engine's state.
+	seenFence int64
 
 	loads, reads bucket
 	recordCache  recordCache
@@ -150,6 +152,9 @@
 // is over, or the engine came from another pool and a newer term is needed.
 func (p *Pool) Fenced() bool { return p.fenced }
 
+// SeenFence returns the greatest fencing number that an engine is known to have accepted.
+func (p *Pool) SeenFence() int64 { return p.seenFence }
+
 // Fence returns the fencing number of the term.
 func (p *Pool) Fence() int64 { return p.term.Fence }
 
@@ -346,6 +351,7 @@
 	}
 	was := e.class(p.spec.Desired)
 	e.known, e.readFails, e.state = true, 0, s
+	p.seenFence = max(p.seenFence, s.Fence)
 	p.reconcile(e, was, now)
 	e.nextRead = now.Add(p.readEvery(e))
 }
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -25,6 +25,7 @@
 	kvs      map[string]store.KV
 	leases   leaseTable
 	history  history
+	restores int // counts the calls of Restore
 }
 
 var _ store.Store = (*Store)(nil)
--- a/store/memory/watch.go
+++ b/store/memory/watch.go
@@ -13,6 +13,7 @@
 	if from == 0 {
 		from = s.Revision() + 1
 	}
+	restores := s.restoreCount()
 	out := make(chan store.WatchBatch)
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
@@ -22,16 +23,16 @@
 	go func() {
 		defer close(out)
 		defer stop()
-		s.sendBatches(ctx, prefix, from, out)
+		s.sendBatches(ctx, prefix, from, restores, out)
 	}()
 	return out, nil
 }
 
 // sendBatches sends the events from revision next on until ctx ends or a batch has an
 // error.
-func (s *Store) sendBatches(ctx context.Context, prefix string, next int64, out chan<- store.WatchBatch) {
+func (s *Store) sendBatches(ctx context.Context, prefix string, next int64, restores int, out chan<- store.WatchBatch) {
 	for {
-		b := s.waitForEvents(ctx, prefix, next)
+		b := s.waitForEvents(ctx, prefix, next, restores)
 		if ctx.Err() != nil {
 			return
 		}
@@ -48,11 +49,14 @@
 }
 
 // waitForEvents blocks until there is an event under prefix at revision next or later,
-// next is no longer in the history, or ctx ends.
-func (s *Store) waitForEvents(ctx context.Context, prefix string, next int64) store.WatchBatch {
+// next is no longer in the history, the store is restored or ctx ends.
+func (s *Store) waitForEvents(ctx context.Context, prefix string, next int64, restores int) store.WatchBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ctx.Err() == nil {
+		if s.restores != restores {
+			return store.WatchBatch{Err: store.ErrUnavailable}
+		}
 		if next <= s.history.compacted {
 			return store.WatchBatch{Err: store.ErrCompacted, Revision: s.history.compacted + 1}
 		}
