--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -58,6 +58,18 @@
 	})
 }
 
+// hasRival reports whether one of the others was at all of the strikes' ends as well.
+func (e *entry) hasRival(strikes []end, others []ranked) bool {
+	return slices.ContainsFunc(others, func(o ranked) bool {
+		if o.e == e {
+			return false
+		}
+		at := make(terminations)
+		at.add(o.e)
+		return !slices.ContainsFunc(strikes, func(s end) bool { return !at.contains(termination{s.target, s.ended}) })
+	})
+}
+
 // ranked is an entry to be ordered among others.
 type ranked struct {
 	f Fingerprint
@@ -99,7 +111,7 @@
 			n++
 		}
 		for _, a := range all[:n] {
-			a.e.judge(n == 1, known, explained, cfg)
+			a.e.judge(all[:n], known, explained, cfg)
 		}
 		for _, a := range all[:n] {
 			if a.e.convicted {
@@ -110,13 +122,14 @@
 	}
 }
 
-// judge decides whether the entry is in quarantine. alone means that nothing else of its kind has as many strikes.
-func (e *entry) judge(alone bool, known []termination, explained terminations, cfg Config) {
+// judge decides whether the entry is in quarantine. equals are the entries of its kind with as many strikes, itself
+// included.
+func (e *entry) judge(equals []ranked, known []termination, explained terminations, cfg Config) {
 	strikes := e.strikesBeyond(explained)
 	needed := cfg.Strikes
 	// Later terminations say nothing of the first strikes, so that they don't end a quarantine.
 	first := strikes[:min(len(strikes), cfg.Strikes)]
-	if e.part && len(first) > 0 && !(alone && e.completed.IsZero() && e.isOnlyCause(first, known)) {
+	if e.part && len(first) > 0 && !(e.completed.IsZero() && e.isOnlyCause(first, known) && !e.hasRival(first, equals)) {
 		needed = cfg.UnclearStrikes
 	}
 	// What was at many explained ends as well may be another cause of them.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -165,7 +165,7 @@
 func (m *modelFleet) startNode(i int) {
 	g := newTestGuard(m.cfg, func() time.Time { return m.now })
 	g.OnLocalChange(func() { m.after(0, func() { m.send(i) }) })
-	g.OnQuarantineChange(func() {
+	g.OnSnapshotDue(func() {
 		m.after(noteTime, func() { m.note = g.Snapshot() })
 	})
 	g.SetTrialPosition(func(key uint64) int { return (i + int(key%uint64(len(m.nodes)))) % len(m.nodes) })
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -18,7 +18,7 @@
 	now           func() time.Time
 	metrics       *metrics
 	onLocalChange func()
-	onChange      func()
+	onSnapshotDue func()
 
 	mu    sync.Mutex
 	table *Table
@@ -45,7 +45,7 @@
 func NewGuard(cfg Config, now func() time.Time, l *log.Logger, reg prometheus.Registerer) *Guard {
 	return &Guard{
 		log: l, now: now, metrics: newMetrics(reg), table: NewTable(cfg),
-		onLocalChange: func() {}, onChange: func() {},
+		onLocalChange: func() {}, onSnapshotDue: func() {},
 	}
 }
 
@@ -54,9 +54,9 @@
 // must be called before the guard is used.
 func (g *Guard) OnLocalChange(f func()) { g.onLocalChange = f }
 
-// OnQuarantineChange sets the function that is called when something is put into quarantine or released. The same
-// conditions as for OnLocalChange apply to f.
-func (g *Guard) OnQuarantineChange(f func()) { g.onChange = f }
+// OnSnapshotDue sets the function that is called when something comes close to a quarantine, is put into one or
+// released, so that nodes that start later get a new snapshot. The same conditions as for OnLocalChange apply to f.
+func (g *Guard) OnSnapshotDue(f func()) { g.onSnapshotDue = f }
 
 // HasEntries reports whether the table holds any request. While it doesn't, fingerprints need not
 // be computed.
@@ -131,14 +131,14 @@
 	if len(suspects) == 0 {
 		return
 	}
-	changed := g.recordEnds(target, instanceHash, suspects)
+	snapshotDue := g.recordEnds(target, instanceHash, suspects)
 	g.onLocalChange()
-	if changed {
-		g.onChange()
+	if snapshotDue {
+		g.onSnapshotDue()
 	}
 }
 
-func (g *Guard) recordEnds(target string, instanceHash uint64, suspects []Suspect) (changed bool) {
+func (g *Guard) recordEnds(target string, instanceHash uint64, suspects []Suspect) (snapshotDue bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -159,7 +159,8 @@
 		g.log.Info("target ended under a request", fields...)
 	}
 	g.metrics.tracked.Set(float64(g.table.Len()))
-	return g.logChanges(before, "own")
+	changed := g.logChanges(before, "own")
+	return g.table.takeSnapshotDue() || changed
 }
 
 // logChanges counts and logs what was put into quarantine and what was released since it was the given set. It
@@ -202,7 +203,7 @@
 		g.onLocalChange()
 	}
 	if changed {
-		g.onChange()
+		g.onSnapshotDue()
 	}
 }
 
@@ -226,18 +227,18 @@
 		return
 	}
 	if g.merge(source, records) {
-		g.onChange()
+		g.onSnapshotDue()
 	}
 }
 
-func (g *Guard) merge(source string, records []Record) (changed bool) {
+func (g *Guard) merge(source string, records []Record) (snapshotDue bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	added, released := g.table.MergeRecords(records, g.now())
 	g.logQuarantined(added, source)
 	g.logReleased(released, source)
 	g.metrics.tracked.Set(float64(g.table.Len()))
-	return len(added)+len(released) > 0
+	return g.table.takeSnapshotDue() || len(added)+len(released) > 0
 }
 
 // PendingRecords returns the records to send to the other nodes now.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -20,7 +20,7 @@
 	// be chance for a request that runs on many targets.
 	Strikes int
 	// UnclearStrikes is the number for a part if other targets terminated without it in the meantime, since its own
-	// strikes may be due to the same cause as those, if another part has as many, and for one that was answered before.
+	// strikes may be due to the same cause as those, if another part was at all of them, and for one that was answered before.
 	UnclearStrikes int
 	// SerialStrikes is the number of strikes from which on a node allows only one attempt of the
 	// request at a time. From it on, strikes are also part of snapshots, and an answer that clears them is
@@ -62,7 +62,7 @@
 		Strikes: 3, UnclearStrikes: 5, SerialStrikes: 2, Retention: 10 * time.Minute, TrialDelay: time.Minute, TrialStep: 500 * time.Millisecond,
 		BeginTime: 200 * time.Millisecond, SettleTime: 300 * time.Millisecond,
 		PropagateFor: 900 * time.Millisecond, RepeatInterval: 2 * time.Second, MaxEntries: 4096,
-		MaxRecordsPerMessage: 64, MaxAnsweredPerMessage: 24,
+		MaxRecordsPerMessage: 24, MaxAnsweredPerMessage: 8,
 	}
 }
 
@@ -105,6 +105,8 @@
 	stale   bool
 	// answers are the latest to requests that have no entry. A termination may become known later than they.
 	answers answerLog
+	// snapshotDue means that something has come close to a quarantine since that was last asked.
+	snapshotDue bool
 	// terminations are the latest ones known, in the order in which they became known.
 	terminations []termination
 	// position returns this node's position, from 0, in the order in which nodes may send a trial attempt.
@@ -164,15 +166,19 @@
 
 // recordAttempt records that an attempt is sent.
 func (t *Table) recordAttempt(k Keys, d *Decision, now time.Time) {
+	if d.Trial {
+		t.recordTrial(k, now)
+	}
 	if e, ok := t.entries[k.Request]; ok {
 		e.running++
 		d.MustCallDone = true
 	}
-	if !d.Trial {
-		return
-	}
+}
+
+// recordTrial records that an attempt is sent as the trial of everything whose trial is due.
+func (t *Table) recordTrial(k Keys, now time.Time) {
 	k.each(func(f Fingerprint) {
-		if e, ok := t.entries[f]; ok && t.inQuarantine(e) {
+		if e, ok := t.entries[f]; ok && t.decide(f, e, now).Trial {
 			e.trial, e.changed = now, now
 		}
 	})
@@ -240,12 +246,14 @@
 
 // update counts the strikes of an entry whose ends or answers have changed.
 func (t *Table) update(f Fingerprint, e *entry) {
-	e.strikeCount = e.strikes()
-	_, before := t.accused[f]
+	strikes := e.strikes()
+	t.snapshotDue = t.snapshotDue || e.strikeCount < t.cfg.SerialStrikes && strikes >= t.cfg.SerialStrikes
+	e.strikeCount = strikes
+	_, isAccused := t.accused[f]
 	switch {
-	case e.strikeCount >= t.cfg.Strikes:
+	case strikes >= t.cfg.Strikes:
 		t.accused[f] = e
-	case before:
+	case isAccused:
 		delete(t.accused, f)
 		e.convicted = false
 	default:
@@ -254,6 +262,13 @@
 	t.stale = true
 }
 
+// takeSnapshotDue reports whether something has come close to a quarantine since the last call.
+func (t *Table) takeSnapshotDue() bool {
+	due := t.snapshotDue
+	t.snapshotDue = false
+	return due
+}
+
 // remove removes an entry.
 func (t *Table) remove(f Fingerprint) {
 	delete(t.entries, f)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -322,6 +322,38 @@
 	is.True(!a.Quarantined(part))
 }
 
+// Guards against a part that has just been put into quarantine losing its trial to that of another part of the prompt.
+func TestTrialIsOfWhatIsDue(t *testing.T) {
+	is := is.New(t)
+	old, recent := PartFingerprint("service", 1), PartFingerprint("service", 2)
+	tab := NewTable(DefaultConfig())
+	for i := range 3 {
+		strike(tab, old, uint32(i), at(time.Duration(i)*time.Second))
+		strike(tab, recent, uint32(i+10), at(time.Minute+time.Duration(i)*time.Second))
+	}
+	now := at(time.Minute + 2*time.Second + latency + DefaultConfig().SettleTime/2)
+	d := tab.Begin(Keys{Request: request, Parts: []Fingerprint{old, recent}}, now)
+	is.True(d.Trial)
+	is.Equal(tab.entries[old].trial, now)
+	is.True(tab.entries[recent].trial.IsZero())
+}
+
+// Guards against a harmful part being released when another part gets as many strikes at other terminations.
+func TestOtherPartsStrikesDontReleaseAPart(t *testing.T) {
+	is := is.New(t)
+	a, b := PartFingerprint("service", 1), PartFingerprint("service", 2)
+	tab := NewTable(DefaultConfig())
+	for i := range 3 {
+		strike(tab, a, uint32(i), at(time.Duration(i)*time.Second))
+	}
+	is.True(tab.Quarantined(a))
+	for i := range 3 {
+		strike(tab, b, uint32(i+10), at(time.Duration(10+i)*time.Second))
+	}
+	is.True(tab.Quarantined(a))
+	is.True(tab.Quarantined(b))
+}
+
 // Records of several nodes give the same strikes in any order and with any repetition.
 func TestMergeIsOrderIndependent(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/router/router.go
+++ b/router/router.go
@@ -134,7 +134,7 @@
 	x.OnReport(func(rep heartbeat.Report) { streams.Receive(rep.Node, rep.Streams) })
 	x.OnReport(r.retireTunnels)
 	guard.OnLocalChange(func() { go x.Announce() })
-	guard.OnQuarantineChange(r.requestNote)
+	guard.OnSnapshotDue(r.requestNote)
 	guard.SetTrialPosition(func(key uint64) int {
 		position, _ := x.Position(key)
 		return position
