--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -48,7 +48,8 @@
 	}}
 }
 
-// Guards against requests that wait until their deadline for the end of a target's refusal, or of a header, that has none.
+// Guards against requests that wait until their deadline for the end of a target's refusal, or of a header, that
+// has none.
 func TestEndlessAnswersAreNotWaitedFor(t *testing.T) {
 	for name, c := range map[string]struct {
 		call   string
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -286,8 +286,8 @@
 	return &attemptError{progress: p, reason: reason, cause: errors.Newf("status %d", resp.StatusCode)}
 }
 
-// declaresNotRun reports whether the response is a problem document with "ran": "no", and whether such a document ended in
-// time. If it did, or the response is none, the body can be read again afterwards.
+// declaresNotRun reports whether the response is a problem document with "ran": "no", and whether such a document
+// ended in time. If it did, or the response is none, the body can be read again afterwards.
 func declaresNotRun(resp *http.Response) (notRun, ended bool) {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), problem.ContentType) {
 		return false, true
--- a/heartbeat/report.go
+++ b/heartbeat/report.go
@@ -56,8 +56,8 @@
 // centuries.
 const sequenceBits = 44
 
-// sequenceOf returns the Sequence of the nth report, made in the given era. The era of a node's copy never decreases, so neither does
-// its Sequence.
+// sequenceOf returns the Sequence of the nth report, made in the given era. The era of a node's copy never
+// decreases, so neither does its Sequence.
 func sequenceOf(n uint64, era int64) uint64 { return uint64(era)<<sequenceBits | n }
 
 // SetPosition sets the position of the node's copy, see store.Position.
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -86,8 +86,8 @@
 	// Unframed has targets that answer with neither a length nor chunks and break some answers off,
 	// while nodes and targets restart.
 	Unframed Profile = "unframed"
-	// Restored has a store that comes back from older copies, while nodes restart, freeze and are cut off from it, targets come and go,
-	// and the configuration changes.
+	// Restored has a store that comes back from older copies, while nodes restart, freeze and are cut off from it,
+	// targets come and go, and the configuration changes.
 	Restored Profile = "restored"
 	// Versions has targets of several software versions, whose callers take up broken streams at any node,
 	// while targets are replaced by ones of other versions and nodes restart and are cut off from the store.
@@ -163,8 +163,8 @@
 	// Which selects the node or target, modulo their number.
 	Which    int
 	NetFault NetFault // used by CutStore and CutTarget
-	// Variant is a random number that selects the fault of TargetFault, the ending of
-	// AnswerUnframed, the timeout of ChangeTimeout, how Drain, AnnounceLeave and Shed proceed, and the IDs of new targets.
+	// Variant is a random number that selects the fault of TargetFault, the ending of AnswerUnframed, the timeout
+	// of ChangeTimeout, how Drain, AnnounceLeave and Shed proceed, and the IDs of new targets.
 	Variant int
 }
 
--- a/lab/soak/restored.go
+++ b/lab/soak/restored.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// copyInterval is the time between two copies of the store, and maxCopies their number: the oldest is some seconds old.
+	// copyInterval is the time between two copies of the store, and maxCopies their number: the oldest is some
+	// seconds old.
 	copyInterval = 500 * time.Millisecond
 	maxCopies    = 8
 	// maxRewrite is the longest time until what a restored store has lost is written again.
@@ -57,8 +58,8 @@
 // awayModes are how the store fails before it comes back.
 var awayModes = []standin.Mode{standin.Reset, standin.Silent, standin.Busy, standin.Serving}
 
-// restoreStore makes the store fail for a moment and come back from a copy. What others than the nodes had written since is written
-// again one by one, within maxRewrite.
+// restoreStore makes the store fail for a moment and come back from a copy. What others than the nodes had written
+// since is written again one by one, within maxRewrite.
 func (r *run) restoreStore(s Step) {
 	r.copies.restoring.Lock()
 	defer r.copies.restoring.Unlock()
@@ -114,12 +115,12 @@
 	}
 }
 
-// lapseGrace is how long after an outage of the store a target without an entry is kept: its entry may have expired, and is written
-// again within about that time.
+// lapseGrace is how long after an outage of the store a target without an entry is kept: its entry may have
+// expired, and is written again within about that time.
 const lapseGrace = 2 * time.Second
 
-// checkLeavings checks the requests that reached targets after these had left. A node that was frozen within the time excuses it, and a
-// store that was disrupted within lapseGrace before it.
+// checkLeavings checks the requests that reached targets after these had left. A node that was frozen within the
+// time excuses it, and a store that was disrupted within lapseGrace before it.
 func (r *run) checkLeavings() {
 	if r.Profile != Restored {
 		return
@@ -175,8 +176,8 @@
 	Version int       `json:"version"`
 }
 
-// checkConfigurations checks that each node had each configuration in force in time. Nodes that were frozen or started within that time
-// are excused, and a store that was disrupted.
+// checkConfigurations checks that each node had each configuration in force in time. Nodes that were frozen or
+// started within that time are excused, and a store that was disrupted.
 func (r *run) checkConfigurations() {
 	if r.Profile != Restored {
 		return
--- a/lab/standin/endless_test.go
+++ b/lab/standin/endless_test.go
@@ -13,8 +13,8 @@
 	. "github.com/knapweedgw/knapweedgw/lab/standin"
 )
 
-// Guards against requests that wait for the end of bytes that have none, though the engine has said that nothing ran, or sends no
-// answer: an idempotent request is answered by another engine.
+// Guards against requests that wait for the end of bytes that have none, though the engine has said that nothing
+// ran, or sends no answer: an idempotent request is answered by another engine.
 func TestEndlessBytesAreNotWaitedFor(t *testing.T) {
 	for _, way := range EndlessWays {
 		t.Run(fmt.Sprint(way), func(t *testing.T) {
@@ -33,7 +33,8 @@
 	}
 }
 
-// Guards against a refusal that is known to have run nothing, and becomes a timeout that promises nothing, since its body never ends.
+// Guards against a refusal that is known to have run nothing, and becomes a timeout that promises nothing, since
+// its body never ends.
 func TestEndlessRefusalKeepsThePromise(t *testing.T) {
 	is, s := is.New(t), start(t, 1)
 	for _, e := range s.Plain {
@@ -46,7 +47,8 @@
 	is.True(time.Since(began) < 2*time.Second) // the route's timeout is 4 s
 }
 
-// Guards against heads without end that fill a node's memory: many at once take a small part of the 64 MB that control has.
+// Guards against heads without end that fill a node's memory: many at once take a small part of the 64 MB that
+// control has.
 func TestEndlessHeadsTakeLittleMemory(t *testing.T) {
 	for _, way := range []Endless{EndlessHead, EndlessLine, EndlessInterim} {
 		t.Run(fmt.Sprint(way), func(t *testing.T) {
--- a/lab/standin/restore_test.go
+++ b/lab/standin/restore_test.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// Guards against changes that are never in force at nodes that can't reach the store when it comes back from a copy, and
-// at nodes that start after it.
+// Guards against changes that are never in force at nodes that can't reach the store when it comes back from a
+// copy, and at nodes that start after it.
 func TestNodesWithoutStoreLearnOfItsRestore(t *testing.T) {
 	s := start(t, 3)
 	c := s.Store.Snapshot()
@@ -165,8 +165,8 @@
 	is.True(calls <= 60) // ten a second and node, a tenth of what a node may call
 }
 
-// Guards against a node that starts after a restore and takes the copy's configuration, in which a revoked key is valid,
-// since the other nodes' newer one has a lower revision.
+// Guards against a node that starts after a restore and takes the copy's configuration, in which a revoked key is
+// valid, since the other nodes' newer one has a lower revision.
 func TestNodeStartedAfterStoreRestoreGetsTheNewerConfiguration(t *testing.T) {
 	is, s := is.New(t), start(t, 3)
 	c := s.Store.Snapshot()
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -124,8 +124,9 @@
 
 // Term is one uninterrupted period of holding a duty.
 type Term struct {
-	// Fence is the fencing number. Later terms have greater numbers than the earlier ones that their holder knows of.
-	// While the store isn't restored from a snapshot these are all, also across duties, because it is a revision of the store.
+	// Fence is the fencing number. Later terms have greater numbers than the earlier ones that their holder knows
+	// of. While the store isn't restored from a snapshot these are all, also across duties, because it is a
+	// revision of the store.
 	Fence int64
 	// ValidUntil is when the holder treats the term as expired, on its own clock.
 	ValidUntil time.Time
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -12,8 +12,9 @@
 	"github.com/knapweedgw/knapweedgw/store/memory"
 )
 
-// Guards against a term whose fencing number is not greater than that of an earlier one, since the store was restored from a snapshot and
-// gives out its revisions again: what accepted the earlier number would refuse the holder until the store's revision has passed it.
+// Guards against a term whose fencing number is not greater than that of an earlier one, since the store was
+// restored from a snapshot and gives out its revisions again: what accepted the earlier number would refuse the
+// holder until the store's revision has passed it.
 func TestFenceGrowsOverARestore(t *testing.T) {
 	for name, waits := range map[string]bool{"the next holder has seen the earlier term": true, "it learns of it by a refusal": false} {
 		t.Run(name, func(t *testing.T) {
--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -83,8 +83,8 @@
 	)
 }
 
-// compareCause orders by the number of strikes, the most first. With as many strikes, requests come before parts: a part
-// that is only in one request has ended no more targets than the request.
+// compareCause orders by the number of strikes, the most first. With as many strikes, requests come before parts:
+// a part that is only in one request has ended no more targets than the request.
 func (a ranked) compareCause(b ranked) int {
 	return cmp.Or(cmp.Compare(b.e.strikeCount, a.e.strikeCount), isPartOrder(a.f, b.f), bytes.Compare(a.f[:], b.f[:]))
 }
@@ -100,8 +100,9 @@
 	return 1
 }
 
-// convict sets which of the entries with enough strikes are in quarantine. What was in progress at the most ends comes first, and
-// accounts for those ends: whatever else was in progress there needs enough strikes besides. Equals are judged together.
+// convict sets which of the entries with enough strikes are in quarantine. What was in progress at the most ends
+// comes first, and accounts for those ends: whatever else was in progress there needs enough strikes besides.
+// Equals are judged together.
 func convict(all []ranked, known []termination, cfg Config) {
 	slices.SortFunc(all, ranked.compareCause)
 	explained := make(terminations)
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -220,7 +220,8 @@
 	return up[m.rng.IntN(len(up))], true
 }
 
-// request sends a request with the given prompt parts at a random node. culprit is the part that ends engines, 0 for none.
+// request sends a request with the given prompt parts at a random node. culprit is the part that ends engines, 0
+// for none.
 func (m *modelFleet) request(parts []uint64, culprit uint64) {
 	i := m.rng.IntN(len(m.nodes))
 	node := m.nodes[i]
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -19,8 +19,9 @@
 	// Strikes is the number of strikes at which a request is put into quarantine. One or two may
 	// be chance for a request that runs on many targets.
 	Strikes int
-	// UnclearStrikes is the number for a part if other targets terminated without it in the meantime, since its own
-	// strikes may be due to the same cause as those, if another part was at all of them, and for one that was answered before.
+	// UnclearStrikes is the number for a part if other targets terminated without it in the meantime, since its
+	// own strikes may be due to the same cause as those, if another part was at all of them, and for one that was
+	// answered before.
 	UnclearStrikes int
 	// SerialStrikes is the number of strikes from which on a node allows only one attempt of the
 	// request at a time. From it on, strikes are also part of snapshots, and an answer that clears them is
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -287,8 +287,8 @@
 	is.True(restarted.Quarantined(part))
 }
 
-// Guards against a harmful part being released since a target ended for another reason before the next strike, which may be
-// that of the trial attempt.
+// Guards against a harmful part being released since a target ended for another reason before the next strike,
+// which may be that of the trial attempt.
 func TestLaterTerminationsDontReleaseAPart(t *testing.T) {
 	is := is.New(t)
 	part := PartFingerprint("service", 1)
--- a/replica/audit.go
+++ b/replica/audit.go
@@ -156,8 +156,8 @@
 	r.wakeFollower()
 }
 
-// handleRestored makes the node list a store that is in a later era: what the other nodes have isn't in it, and changes in it are
-// in no node's copy. Callers must hold r.mu.
+// handleRestored makes the node list a store that is in a later era: what the other nodes have isn't in it, and
+// changes in it are in no node's copy. Callers must hold r.mu.
 func (r *Replica) handleRestored(position int64) {
 	r.log.Warn("store is in a later era; listing it", "era", store.EraOf(r.state.revision), "store_era", store.EraOf(position),
 		"revision", store.RevisionOf(r.state.revision), "store_revision", store.RevisionOf(position))
--- a/replica/eras.go
+++ b/replica/eras.go
@@ -2,8 +2,8 @@
 
 import "github.com/knapweedgw/knapweedgw/store"
 
-// In memory, revisions are positions (see store.Position). Nodes send each other revisions and their eras apart, so that nodes of
-// releases that don't know eras read what they know.
+// In memory, revisions are positions (see store.Position). Nodes send each other revisions and their eras apart,
+// so that nodes of releases that don't know eras read what they know.
 
 // onWire returns the request as it is sent.
 func (r CopyRequest) onWire() CopyRequest {
@@ -25,8 +25,8 @@
 	return req
 }
 
-// hasNewerCatalog reports whether the requesting node lacks this copy's configuration. A node of a release that doesn't send the
-// version of its own is sent this one if its revision is later, or may be.
+// hasNewerCatalog reports whether the requesting node lacks this copy's configuration. A node of a release that
+// doesn't send the version of its own is sent this one if its revision is later, or may be.
 func (c *copyState) hasNewerCatalog(req CopyRequest) bool {
 	switch {
 	case c.catalog == nil:
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -41,13 +41,14 @@
 	skew time.Duration
 	// targets is the number of targets.
 	targets int
-	// restored is the time at which the store comes back from an older copy, 0 for never; see storeAt. Watches in progress are
-	// cut then, unless they hang.
+	// restored is the time at which the store comes back from an older copy, 0 for never; see storeAt. Watches in
+	// progress are cut then, unless they hang.
 	restored      time.Duration
 	watchesHang   bool
 	audits        bool
 	copies, bytes int
-	// onConfigured, if set, is called with each version of the configuration that a node has, once its copy has changed.
+	// onConfigured, if set, is called with each version of the configuration that a node has, once its copy has
+	// changed.
 	onConfigured func(version int64, at time.Duration)
 	// isolated nodes receive no datagrams.
 	isolated func(node int) bool
@@ -359,8 +360,8 @@
 	return nil
 }
 
-// storeAt returns the store's position and the version of the configuration in it. After a restore it is 80 revisions lower, and a new
-// configuration is written restoreWrite later.
+// storeAt returns the store's position and the version of the configuration in it. After a restore it is 80
+// revisions lower, and a new configuration is written restoreWrite later.
 func (f *startFleet) storeAt(at time.Duration) (position, version int64) {
 	switch {
 	case f.restored == 0:
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -68,8 +68,9 @@
 	}
 }
 
-// relistPause returns the time between the nth watch in succession that the store couldn't serve and the next list. The first list
-// follows at once, since a store that has discarded its history, or has been restored, is listed once.
+// relistPause returns the time between the nth watch in succession that the store couldn't serve and the next
+// list. The first list follows at once, since a store that has discarded its history, or has been restored, is
+// listed once.
 func relistPause(n int, rng *rand.Rand) time.Duration {
 	if n <= 1 {
 		return 0
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -26,8 +26,8 @@
 	// that don't know eras leave both out.
 	Era            int64 `json:"era,omitempty"`
 	CatalogVersion int64 `json:"catalog_version,omitempty"`
-	// Head is the lowest Head of the parts that the requesting node has collected, if it collects a copy in parts: what they contain
-	// existed at that revision. Nodes of releases that don't support it leave it out.
+	// Head is the lowest Head of the parts that the requesting node has collected, if it collects a copy in parts:
+	// what they contain existed at that revision. Nodes of releases that don't support it leave it out.
 	Head int64 `json:"head,omitempty"`
 	// Parts means that the requesting node accepts a reply in parts. Nodes of releases that
 	// don't support parts leave it out and get everything in one reply.
--- a/replica/parts_test.go
+++ b/replica/parts_test.go
@@ -224,8 +224,8 @@
 	})
 }
 
-// Guards against a copy in parts that begins again with each part, and never ends, since the sender's copy came from a list
-// and it can't tell which keys were removed before.
+// Guards against a copy in parts that begins again with each part, and never ends, since the sender's copy came
+// from a list and it can't tell which keys were removed before.
 func TestCopyInPartsOfAListedCopyEnds(t *testing.T) {
 	for name, behind := range map[string]*copyState{"first copy": newState(t), "full copy": olderState(t)} {
 		t.Run(name, func(t *testing.T) {
@@ -254,8 +254,8 @@
 	return c
 }
 
-// Guards against a key in a part that was removed before the list of the node that sends the next part, which doesn't know of
-// that removal.
+// Guards against a key in a part that was removed before the list of the node that sends the next part, which
+// doesn't know of that removal.
 func TestNextPartFromALaterListBeginsAgain(t *testing.T) {
 	is, first, second, behind := is.New(t), newState(t), newState(t), newState(t)
 	var list []Entry
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -233,7 +233,8 @@
 	r.publish(r.state.replaceAll(all, r.now()), sourceStore)
 }
 
-// applyBatch applies a batch of events from a watch. It returns store.ErrRestored if the batch is of a later era than the copy.
+// applyBatch applies a batch of events from a watch. It returns store.ErrRestored if the batch is of a later era
+// than the copy.
 func (r *Replica) applyBatch(b store.WatchBatch) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -262,8 +263,8 @@
 	return nil
 }
 
-// recordRestoration logs that the copy was replaced by a list of a restored store, and tells what the nodes keep in the store that it
-// may be gone. What was confirmed was so in the earlier era. Callers must hold r.mu.
+// recordRestoration logs that the copy was replaced by a list of a restored store, and tells what the nodes keep
+// in the store that it may be gone. What was confirmed was so in the earlier era. Callers must hold r.mu.
 func (r *Replica) recordRestoration(d restoration) {
 	r.metrics.restorations.Inc()
 	r.log.Warn("the store returned from a copy", "era_before", store.EraOf(d.before), "era", store.EraOf(d.after),
--- a/replica/restore.go
+++ b/replica/restore.go
@@ -16,8 +16,9 @@
 //   - a target known to be gone whose entry is back, and evacuations that began or ended, as the node knows them, until their
 //     keys are written again or holdTime has passed.
 
-// holdTime is how long a node holds what it knows against a restored store. The operator and the targets write again within
-// about two seconds, and the store removes the entry of a target that is gone after three intervals of its heartbeats.
+// holdTime is how long a node holds what it knows against a restored store. The operator and the targets write
+// again within about two seconds, and the store removes the entry of a target that is gone after three intervals
+// of its heartbeats.
 const holdTime = 5 * time.Second
 
 // holds are keys whose restored state isn't in force yet.
@@ -41,8 +42,8 @@
 
 func (h *holds) isEmpty() bool { return len(h.targets)+len(h.evacuations) == 0 }
 
-// isRestored reports whether the position is one after a return of the store that this copy hasn't seen. A copy in era 0 may come from
-// nodes whose release knows no eras: then only a lower revision shows a return.
+// isRestored reports whether the position is one after a return of the store that this copy hasn't seen. A copy in
+// era 0 may come from nodes whose release knows no eras: then only a lower revision shows a return.
 func (c *copyState) isRestored(position int64) bool {
 	return c.isInLaterEra(position) && (store.EraOf(c.revision) > 0 || store.RevisionOf(position) < store.RevisionOf(c.revision))
 }
@@ -55,13 +56,14 @@
 // restoration is what a node does with a restored list, for its log.
 type restoration struct {
 	before, after int64
-	// lacked is the number of known targets that the list lacks, older the number of entries that are older than the known
-	// ones, held the number of holds.
+	// lacked is the number of known targets that the list lacks, older the number of entries that are older than
+	// the known ones, held the number of holds.
 	lacked, older, held int
 }
 
-// reconcile prepares the copy for a complete list of a store in a later era, and returns the list with what this node knows better. The
-// history of the earlier era is dropped, so that nodes which have a copy of that era get a full one.
+// reconcile prepares the copy for a complete list of a store in a later era, and returns the list with what this
+// node knows better. The history of the earlier era is dropped, so that nodes which have a copy of that era get a
+// full one.
 func (c *copyState) reconcile(got CopyReply, now time.Time) (CopyReply, restoration) {
 	out := restoration{before: c.revision, after: got.Revision}
 	if c.isRestored(got.Revision) {
@@ -104,8 +106,8 @@
 	return got, out
 }
 
-// reconcileTarget returns the entry of a restored list, or the known one if that was written later. It holds the entry of a target
-// that is known to be gone.
+// reconcileTarget returns the entry of a restored list, or the known one if that was written later. It holds the
+// entry of a target that is known to be gone.
 func (c *copyState) reconcileTarget(e Entry, out *restoration) Entry {
 	t, err := c.schema.DecodeTarget(e.Key, e.Value)
 	if err != nil {
@@ -126,8 +128,8 @@
 	return e
 }
 
-// reconcileEvacuation holds an evacuation that is known to have ended, unless it was written again. A write of the earlier era keeps its
-// revision in a copy.
+// reconcileEvacuation holds an evacuation that is known to have ended, unless it was written again. A write of the
+// earlier era keeps its revision in a copy.
 func (c *copyState) reconcileEvacuation(e Entry) {
 	if last, removed := c.removals[e.Key]; removed && last.revision == store.RevisionOf(e.Revision) {
 		c.holds.evacuations[e.Key] = false
@@ -142,7 +144,8 @@
 	at       time.Time
 }
 
-// precedes reports whether an entry was written after the removal: it isn't the removed write, and a later one of its run.
+// precedes reports whether an entry was written after the removal: it isn't the removed write, and a later one of
+// its run.
 func (r removal) precedes(e Entry, sequence uint64) bool {
 	return sequence > r.sequence && store.RevisionOf(e.Revision) != r.revision
 }
--- a/replica/restore_fleet_test.go
+++ b/replica/restore_fleet_test.go
@@ -10,8 +10,8 @@
 // maxInForce is the time within which a change must be in force, from its acknowledgement.
 const maxInForce = 2 * time.Second
 
-// Guards against a change that is late at some nodes of a fleet, and against nodes that all list the store, when it comes back from an
-// older copy: watches are cut or hang, and some nodes have no path to the store.
+// Guards against a change that is late at some nodes of a fleet, and against nodes that all list the store, when
+// it comes back from an older copy: watches are cut or hang, and some nodes have no path to the store.
 func TestFleetFollowsARestoredStore(t *testing.T) {
 	for name, c := range map[string]struct {
 		nodes, targets int
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -109,7 +109,8 @@
 	is.Equal(c.evacuatedDomains(), map[string]bool{"ended": true})
 }
 
-// Guards against answers of an earlier era that arrive late: a list, events and a copy neither change the copy nor confirm it.
+// Guards against answers of an earlier era that arrive late: a list, events and a copy neither change the copy nor
+// confirm it.
 func TestLateAnswersOfAnEarlierEraAreIgnored(t *testing.T) {
 	is := is.New(t)
 	r := newTestReplica(&fakeSource{}, &stubPeers{}, &clock{now: start})
@@ -157,7 +158,8 @@
 	is.Equal(r.revision(), at2(12))
 }
 
-// Guards against a list of pages of two eras, and a store that always refuses the watch, being asked again without a pause.
+// Guards against a list of pages of two eras, and a store that always refuses the watch, being asked again without
+// a pause.
 func TestRepeatedListsPause(t *testing.T) {
 	is, rng := is.New(t), rand.New(rand.NewPCG(1, 1))
 	is.Equal(relistPause(1, rng), time.Duration(0))
@@ -168,8 +170,8 @@
 	is.True(sum > 10*time.Second)
 }
 
-// Guards against a node of the release before eras that gets only a part of what it lacks, and against its numbers being taken for
-// newer ones.
+// Guards against a node of the release before eras that gets only a part of what it lacks, and against its numbers
+// being taken for newer ones.
 func TestCopiesWithReleasesThatKnowNoEras(t *testing.T) {
 	is, c := is.New(t), newState(t)
 	list := []Entry{config(4, at1(3)), target("a", "1", at1(10)), target("b", "2", at1(20))}
@@ -195,7 +197,8 @@
 	is.True(!empty.returned)
 }
 
-// Guards against a known leaving that is taken back by the first answers with an era, those of a store that has been restored.
+// Guards against a known leaving that is taken back by the first answers with an era, those of a store that has
+// been restored.
 func TestFirstEraThatIsStatedMayFollowARestore(t *testing.T) {
 	is, c := is.New(t), newState(t)
 	c.replaceAll(fullCopy([]Entry{target("a", "late;7", 30)}, 30), start)
@@ -285,8 +288,9 @@
 	}
 }
 
-// Whatever order of writes, restores, lists, watches, copies between nodes and restarts a fleet sees, a copy at the store's position has
-// the store's keys, no configuration is ever replaced by an older one, and in the end all copies agree with the store.
+// Whatever order of writes, restores, lists, watches, copies between nodes and restarts a fleet sees, a copy at
+// the store's position has the store's keys, no configuration is ever replaced by an older one, and in the end all
+// copies agree with the store.
 func TestCopiesConvergeAfterRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
--- a/replica/state.go
+++ b/replica/state.go
@@ -70,8 +70,8 @@
 	// staged collects the parts of a full copy that will replace this one; nil if there is
 	// none.
 	staged *staging
-	// incomplete means that parts of the first copy, which ends at firstCopyHead, are missing. firstCopyLowestHead is the lowest
-	// head of its parts.
+	// incomplete means that parts of the first copy, which ends at firstCopyHead, are missing. firstCopyLowestHead
+	// is the lowest head of its parts.
 	incomplete                         bool
 	firstCopyHead, firstCopyLowestHead int64
 	// onInvalid is called for configurations and evacuations whose value can't be decoded. The
--- a/resumption/restore_test.go
+++ b/resumption/restore_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a note that a restored store lacks never being written again, since the node takes it to be there: also if a
-// write was in progress when the restore was noticed.
+// Guards against a note that a restored store lacks never being written again, since the node takes it to be
+// there: also if a write was in progress when the restore was noticed.
 func TestNoteIsDueAgainOnceTheStoredOneIsUnknown(t *testing.T) {
 	is := is.New(t)
 	s := &Service{ledger: NewLedger(start), now: func() time.Time { return start }, log: log.New(io.Discard), appeared: make(chan struct{}, 1)}
--- a/socket/drain.go
+++ b/socket/drain.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// MaxResponseHeaderBytes is the size limit of the header of a response, and of the bytes that stand in its place. Targets and
-// stores send some hundred bytes; a node may read hundreds of headers at once.
+// MaxResponseHeaderBytes is the size limit of the header of a response, and of the bytes that stand in its place.
+// Targets and stores send some hundred bytes; a node may read hundreds of headers at once.
 const MaxResponseHeaderBytes = 64 << 10
 
 const (
@@ -17,16 +17,16 @@
 	drainTime = 20 * time.Millisecond
 )
 
-// Drain reads the rest of a response's body and closes it, so that its connection can be reused. If the body doesn't end soon, the
-// connection is closed. It reports whether the body ended.
+// Drain reads the rest of a response's body and closes it, so that its connection can be reused. If the body
+// doesn't end soon, the connection is closed. It reports whether the body ended.
 func Drain(body io.ReadCloser) (ended bool) {
 	_, ended = ReadWithin(body, maxDrain, drainTime)
 	_ = body.Close()
 	return ended
 }
 
-// ReadWithin reads a body, and closes it if that takes longer than the given time. It stops behind limit bytes. ended reports
-// whether the body came to its end.
+// ReadWithin reads a body, and closes it if that takes longer than the given time. It stops behind limit bytes.
+// ended reports whether the body came to its end.
 func ReadWithin(body io.ReadCloser, limit int64, d time.Duration) (read []byte, ended bool) {
 	timer := time.AfterFunc(d, func() { _ = body.Close() })
 	defer timer.Stop()
--- a/socket/drain_test.go
+++ b/socket/drain_test.go
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a caller that waits for the end of a body that has none, and against a connection that is given up though the rest of
-// its response has arrived.
+// Guards against a caller that waits for the end of a body that has none, and against a connection that is given
+// up though the rest of its response has arrived.
 func TestDrainEndsSoon(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/store/memory/restore.go
+++ b/store/memory/restore.go
@@ -28,8 +28,9 @@
 	return out
 }
 
-// Restore makes the store what it was at the snapshot, as etcd is after a restore: what was written since is gone, revisions and the
-// IDs of leases are given out again, open watches end, and the history is empty. The leases of the snapshot have their whole TTL again.
+// Restore makes the store what it was at the snapshot, as etcd is after a restore: what was written since is gone,
+// revisions and the IDs of leases are given out again, open watches end, and the history is empty. The leases of
+// the snapshot have their whole TTL again.
 func (s *Store) Restore(c *Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
