Don't let a part in quarantine hide another harmful part

Two harmful parts at once: the ends under the first, which was in quarantine, counted as terminations for an unknown reason between those under the second, so that the second needed five strikes instead of three.

Terminations that the quarantine explains no longer speak against a part being the only cause of its own. One that nothing explains still does, which has a test.

TestQuarantinedPartDoesNotHideAnother failed before.

--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -48,13 +48,14 @@
 	return out
 }
 
-// isOnlyCause reports whether all ends of targets between the first and the last of the strikes are the entry's own.
-func (e *entry) isOnlyCause(strikes []end, all []termination) bool {
+// isOnlyCause reports whether all ends of targets between the first and the last of the strikes are the entry's own or
+// explained.
+func (e *entry) isOnlyCause(strikes []end, all []termination, explained terminations) bool {
 	first, last := strikes[0].ended, strikes[len(strikes)-1].ended
 	own := make(terminations)
 	own.add(e)
 	return !slices.ContainsFunc(all, func(n termination) bool {
-		return n.ended.After(first) && n.ended.Before(last) && !own.contains(n)
+		return n.ended.After(first) && n.ended.Before(last) && !own.contains(n) && !explained.contains(n)
 	})
 }
 
@@ -130,7 +131,7 @@
 	needed := cfg.Strikes
 	// Later terminations say nothing of the first strikes, so that they don't end a quarantine.
 	first := strikes[:min(len(strikes), cfg.Strikes)]
-	if e.part && len(first) > 0 && !(e.completed.IsZero() && e.isOnlyCause(first, known) && !e.hasRival(first, equals)) {
+	if e.part && len(first) > 0 && !(e.completed.IsZero() && e.isOnlyCause(first, known, explained) && !e.hasRival(first, equals)) {
 		needed = cfg.UnclearStrikes
 	}
 	// What was at many explained ends as well may be another cause of them.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -354,6 +354,38 @@
 	is.True(tab.Quarantined(b))
 }
 
+// Guards against a harmful part ending targets longer since another one, which is in quarantine, ended targets meanwhile.
+func TestQuarantinedPartDoesNotHideAnother(t *testing.T) {
+	is := is.New(t)
+	known, hidden := PartFingerprint("service", 1), PartFingerprint("service", 2)
+	tab := NewTable(DefaultConfig())
+	for i := range DefaultConfig().UnclearStrikes {
+		strike(tab, known, uint32(i), at(time.Duration(i)*time.Second))
+	}
+	strike(tab, hidden, 10, at(500*time.Millisecond))
+	strike(tab, hidden, 11, at(2500*time.Millisecond))
+	is.True(!tab.Quarantined(hidden))
+	strike(tab, hidden, 12, at(7*time.Second))
+	is.True(tab.Quarantined(known))
+	is.True(tab.Quarantined(hidden))
+}
+
+// Guards against a part being put into quarantine early although a target ended meanwhile that nothing explains.
+func TestUnexplainedTerminationKeepsAPartUnclear(t *testing.T) {
+	is := is.New(t)
+	known, unclear := PartFingerprint("service", 1), PartFingerprint("service", 2)
+	tab := NewTable(DefaultConfig())
+	for i := range DefaultConfig().UnclearStrikes {
+		strike(tab, known, uint32(i), at(time.Duration(i)*time.Second))
+	}
+	strike(tab, numbered(1), 20, at(3500*time.Millisecond))
+	for i, sent := range []time.Duration{500, 2500, 7000} {
+		strike(tab, unclear, uint32(10+i), at(sent*time.Millisecond))
+	}
+	is.True(tab.Quarantined(known))
+	is.True(!tab.Quarantined(unclear))
+}
+
 // Records of several nodes give the same strikes in any order and with any repetition.
 func TestMergeIsOrderIndependent(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
