Confirm a refused connection by targets that have not answered yet

Requests of a node that was partitioned a moment before were taken for suspects of a target's termination ("target ended under a request"), which after three strikes refuses innocent requests at all nodes.

Cause: a refusal counts only if another target accepts the node's connections, but only targets that had answered the node were asked. A node that none had answered had no one to ask, and then a refusal counted unless three targets had refused before. In the logs the lines come within 6 ms of the cut, at nodes 0 to 4, whose requests were all cut before an answer, after two other nodes that were just as new to the partition had passed the refusal on.

Targets that aren't known to be unreachable are now asked as well, after those that answered. A target without any other to compare with is judged as before. Ruled out: an open path seen by the probe, since the stand-in refuses all connections from before the first reset on.

TestRefusalIsConfirmedByTargetsThatHaveNotAnswered failed before for the lost path; a target that really ended still counts.

Open: the callers' own interface takes a refusal of its own path for a termination without any comparison (gateway recordDisconnect).

--- a/router/paths.go
+++ b/router/paths.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -170,17 +169,18 @@
 	return false
 }
 
-// controls returns the addresses of the targets other than m that answered this node last.
+// controls returns the addresses of the targets other than m that should accept this node's connections: those
+// that answered it last, and then those that aren't known to be unreachable.
 func (p *pool) controls(m *member) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var others []*member
 	for _, o := range p.members {
-		if o != m && !o.answeredAt.IsZero() {
+		if o != m && (!o.answeredAt.IsZero() || !o.state.Unreachable()) {
 			others = append(others, o)
 		}
 	}
-	slices.SortFunc(others, func(a, b *member) int { return cmp.Compare(b.answeredAt.UnixNano(), a.answeredAt.UnixNano()) })
+	slices.SortFunc(others, func(a, b *member) int { return b.answeredAt.Compare(a.answeredAt) })
 	var out []string
 	for _, o := range others[:min(len(others), maxControls)] {
 		out = append(out, o.target.Addr)
--- a/router/paths_test.go
+++ b/router/paths_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedgw/knapweedgw/health"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/reachability"
 	"github.com/knapweedgw/knapweedgw/roster"
 )
@@ -186,3 +187,26 @@
 		}
 	}
 }
+
+// Guards against innocent requests being quarantined by a node that was partitioned before any target answered it:
+// targets that refuse all connections of a node haven't terminated.
+func TestRefusalIsConfirmedByTargetsThatHaveNotAnswered(t *testing.T) {
+	for name, tt := range map[string]struct {
+		partitioned bool
+		want        int
+	}{"path lost": {true, 0}, "target terminated": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPool(targetsAt(3)...)
+			p.dial = func(addr string) error {
+				if tt.partitioned || addr == p.members["t0"].target.Addr {
+					return errDialRefused
+				}
+				return nil
+			}
+			s := quarantine.Suspect{Request: "r", Keys: quarantine.Keys{Request: quarantine.Fingerprint{1}}, Sent: p.clock.Add(-time.Second)}
+			<-p.connectionClosed(p.members["t0"], s)
+			is.Equal(strikes(p, s), tt.want)
+		})
+	}
+}
