Keep later writes of a target's run over a second list of a restored store

After the store came back from an older copy, a node knew that a target leaves although the list said that it is ready, but only until it listed the store once more in the same era, as nodes do whose watch is cut again, whose audit finds them stuck, or whose first copy came from another node: then the restored entry took the leaving back, and requests went to that target until it wrote again (DRAIN).

Cause: entries were compared by their run's sequence only in the first list of an era, whose later known entry was then stored as if the store had it. Found by reading for nodes that start after a return. The comparison is now where an entry is stored, for lists, copies and changes alike: of two writes of the same run the later one stays, at the store's revision.

TestSecondListAfterARestoreTakesNothingBack failed before.

--- a/replica/restore.go
+++ b/replica/restore.go
@@ -61,10 +61,9 @@
 	lacked, older, held int
 }
 
-// reconcile prepares the copy for a complete list of a store in a later era, and returns the list with what this
-// node knows better. The history of the earlier era is dropped, so that nodes which have a copy of that era get a
-// full one.
-func (c *copyState) reconcile(got CopyReply, now time.Time) (CopyReply, restoration) {
+// reconcile prepares the copy for a complete list of a store in a later era. The history of the earlier era is
+// dropped, so that nodes which have a copy of that era get a full one.
+func (c *copyState) reconcile(got CopyReply, now time.Time) restoration {
 	out := restoration{before: c.revision, after: got.Revision}
 	if c.isRestored(got.Revision) {
 		c.registry.MarkOutage(now)
@@ -73,18 +72,15 @@
 	before := c.holds
 	c.holds = newHolds(now.Add(holdTime))
 	listed := make(map[string]bool, len(got.Entries))
-	entries := make([]Entry, 0, len(got.Entries))
 	for _, e := range got.Entries {
 		listed[e.Key] = true
 		switch {
 		case c.isTarget(e.Key):
-			e = c.reconcileTarget(e, &out)
+			c.reconcileTarget(e, &out)
 		case c.isEvacuation(e.Key):
 			c.reconcileEvacuation(e)
 		}
-		entries = append(entries, e)
 	}
-	got.Entries = entries
 	for key := range c.targets {
 		if !listed[key] {
 			out.lacked++
@@ -103,29 +99,24 @@
 	out.held = len(c.holds.targets) + len(c.holds.evacuations)
 	c.history = newHistory()
 	c.history.discardedUpTo = store.Position(store.EraOf(got.Revision), 0)
-	return got, out
+	return out
 }
 
-// reconcileTarget returns the entry of a restored list, or the known one if that was written later. It holds the
-// entry of a target that is known to be gone.
-func (c *copyState) reconcileTarget(e Entry, out *restoration) Entry {
+// reconcileTarget holds the entry of a target that is known to be gone, and counts one that is older than the known one.
+func (c *copyState) reconcileTarget(e Entry, out *restoration) {
 	t, err := c.schema.DecodeTarget(e.Key, e.Value)
 	if err != nil {
-		return e
+		return
 	}
-	if last, removed := c.removals[e.Key]; removed && !c.registry.IsExpected(t.ID) {
+	last, removed := c.removals[e.Key]
+	switch {
+	case removed && !c.registry.IsExpected(t.ID):
 		if !last.precedes(e, t.Sequence) {
 			c.holds.targets[e.Key] = true
 		}
-		return e
-	}
-	known, ok := c.targets[e.Key]
-	if !ok || known.id != t.ID || !known.started.Equal(t.Started) || t.Sequence >= known.sequence {
-		return e
+	case c.targets[e.Key].isLaterWriteThan(t):
+		out.older++
 	}
-	out.older++
-	e.Value = known.Value
-	return e
 }
 
 // reconcileEvacuation holds an evacuation that is known to have ended, unless it was written again. A write of the
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -398,3 +398,20 @@
 		}
 	}
 }
+
+// Guards against a second list of the restored store, before the targets have written again, taking back what the
+// node knew better than the first one.
+func TestSecondListAfterARestoreTakesNothingBack(t *testing.T) {
+	is, c := is.New(t), newState(t)
+	c.replaceAll(fullCopy([]Entry{target("a", "late;7", at1(30)), target("b", "1;5", at1(20))}, at1(30)), start)
+	c.applyChange(removed(Entry{Key: "t/b"}, at1(31)), start)
+	later := start.Add(10 * time.Second)
+	c.registry.Expire(later)
+	list := []Entry{target("a", "early;5", at2(12)), target("b", "1;5", at2(13))}
+	c.replaceAll(fullCopy(list, at2(13)), later)
+	c.replaceAll(fullCopy(list, at2(14)), later.Add(time.Second))
+	is.Equal(addressOf(c, "t/a"), "late")
+	is.Equal(addressOf(c, "t/b"), "")
+	is.True(c.applyChange(target("a", "again;8", at2(15)), later).targets)
+	is.Equal(addressOf(c, "t/a"), "again")
+}
--- a/replica/state.go
+++ b/replica/state.go
@@ -137,8 +137,7 @@
 		return changes{}
 	}
 	if c.isInLaterEra(got.Revision) {
-		var r restoration
-		got, r = c.reconcile(got, now)
+		r := c.reconcile(got, now)
 		if c.onRestored != nil {
 			defer func() { c.onRestored(r) }()
 		}
--- a/replica/targets.go
+++ b/replica/targets.go
@@ -19,6 +19,12 @@
 	sequence uint64
 }
 
+// isLaterWriteThan reports whether the run that wrote t has written this entry later. Only a store that was restored
+// from an older copy has t then.
+func (h heldEntry) isLaterWriteThan(t roster.Target) bool {
+	return h.id == t.ID && h.started.Equal(t.Started) && h.sequence > t.Sequence
+}
+
 func (c *copyState) isTarget(key string) bool { return strings.HasPrefix(key, c.schema.TargetPrefix()) }
 
 // decodeTarget decodes an entry. An entry that another node found unusable comes without its
@@ -57,6 +63,11 @@
 		}
 		c.targets[e.Key] = heldEntry{Entry: e.withFault(faultOf(err)), id: last.id}
 		return c.registry.AsWithdrawn(last.id)
+	case known && last.isLaterWriteThan(t):
+		last.Revision = e.Revision
+		c.targets[e.Key] = last
+		t, err = c.decodeTarget(last.Entry)
+		return t, err == nil
 	case !c.registry.IsSuperseded(t):
 		c.targets[e.Key] = heldEntry{Entry: e, id: t.ID, started: t.Started, sequence: t.Sequence}
 	case known:
