Don't take a removal for a lapse if only this node lost the store

It noticed the end at 24.763 s, and took all removals of the next two seconds for entries that expired in an outage of the store. The target, of a kind that leaves by removing its entry, did so at 24.646 s; the node saw it at 24.864 s, kept the target as it was until 26.763 s, and sent it a request at 26.818 s. The other six nodes had it out of use within 0.3 s.

Cause: a node's own failed calls counted as an outage of the store. Its class: a loss of one's own path taken for an end of the other side. An outage now is a time of more than 1.3 s in which the store answered no node, as the nodes' confirmations show; a node that hears of none, since it is alone or has just started, counts as before. The grace begins when the first node was answered.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -89,6 +89,7 @@
 	state            *copyState
 	behindSince      time.Time
 	storeUnreachable bool
+	answers          answers
 	// copyDue is the earliest time of the next copy, copyFailures the number of copies that
 	// failed while this node had no configuration; only the goroutine of check uses them.
 	copyDue      time.Time
@@ -389,28 +390,6 @@
 	}
 }
 
-// storeAnswered and storeFailed record whether the store is reachable.
-func (r *Replica) storeAnswered() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.storeUnreachable {
-		r.log.Info("store regained")
-		r.state.registry.MarkOutage(r.now())
-	}
-	r.storeUnreachable = false
-}
-
-func (r *Replica) storeFailed(err error) {
-	r.metrics.storeErrors.Inc()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.storeUnreachable {
-		r.log.Warn("store lost; the last values stay in force", "revision", store.RevisionOf(r.state.revision), "err", err)
-	}
-	r.storeUnreachable = true
-	r.state.registry.MarkOutage(r.now())
-}
-
 // check copies from nodes that are ahead, expires targets whose grace period has ended, updates
 // the watcher role and starts audits.
 func (r *Replica) check(ctx context.Context) {
@@ -454,6 +433,7 @@
 func (r *Replica) expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.updateOutage()
 	r.publish(r.state.releaseHolds(r.now()), sourceGrace)
 	if r.state.registry.Expire(r.now()) {
 		r.publishTargets(sourceGrace)
