Let nodes that start after a restore learn what the others know better

A node that started within the seconds after the store came back from an older copy, and listed it, believed what the others hold against it: it sent requests to targets that were known to leave or to be gone, and to domains that were known to be evacuated (DRAIN), until these were written again.

Cause: what a node knows of the earlier era isn't in the store, and a node at the same position as the others copies nothing from them.

With its first copy a starting node asks another one, by a field of the copy request that other releases ignore, for entries with a later write of their run and for what is held, and for how long. A key that changed after the answer's position is left alone. Where the store states no era nothing is sent.

What is left: the time from the first copy to the first answer; all nodes starting then.

--- a/lab/standin/restore_test.go
+++ b/lab/standin/restore_test.go
@@ -201,6 +201,31 @@
 	is.Equal(s.Journal.ArrivalsAt(leaving.ID), before)
 }
 
+// Guards against requests to engines that are known to leave or to be gone, at a node that starts after the restore
+// and finds them in the copy.
+func TestNodeStartedAfterStoreRestoreLearnsWhatOthersKnow(t *testing.T) {
+	is, s := is.New(t), start(t, 3)
+	leaving, gone := s.Plain[0], s.Plain[1]
+	s.Store.Put("servers/"+leaving.ID, leaving.Entry("ready"))
+	c := s.Store.Snapshot()
+	s.Store.Put("servers/"+leaving.ID, leaving.Entry("draining"))
+	s.Store.Remove("servers/" + gone.ID)
+	advance(s)
+	s.Eventually("it is gone", func() bool { return allLogged(s, `"change":"gone"`) })
+	comeBack(s, c, nothing)
+	s.Restart(2)
+	s.Eventually("the node has asked another", func() bool {
+		return strings.Contains(s.Nodes[2].Logs.String(), "asked a node what it knows better than the store")
+	})
+	is.True(onlyEngine(s, s.Nodes[2], s.Plain[2]))
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		is.True(onlyEngine(s, s.Nodes[2], s.Plain[2]))
+	}
+	s.Store.Put("servers/"+gone.ID, gone.Entry("ready"))
+	s.Eventually("an engine that has written again is used", func() bool { return !onlyEngine(s, s.Nodes[2], s.Plain[2]) })
+}
+
 // Guards against requests to an engine that is known to be gone, since the copy still has its entry.
 func TestEngineKnownToBeGoneGetsNothingAfterStoreRestore(t *testing.T) {
 	is, s := is.New(t), start(t, 3)
--- a/replica/copying.go
+++ b/replica/copying.go
@@ -191,7 +191,12 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, err
 	}
-	reply := r.buildReply(req.fromWire()).onWire()
+	var reply CopyReply
+	if req.Known {
+		reply = r.buildKnown().onWire()
+	} else {
+		reply = r.buildReply(req.fromWire()).onWire()
+	}
 	if !req.Parts {
 		return reply, nil
 	}
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -29,6 +29,9 @@
 	// Head is the lowest Head of the parts that the requesting node has collected, if it collects a copy in parts:
 	// what they contain existed at that revision. Nodes of releases that don't support it leave it out.
 	Head int64 `json:"head,omitempty"`
+	// Known asks for what the other node knows better than the store, and for nothing else. Nodes of releases that don't
+	// know it reply as to any request.
+	Known bool `json:"known,omitempty"`
 	// Parts means that the requesting node accepts a reply in parts. Nodes of releases that
 	// don't support parts leave it out and get everything in one reply.
 	Parts bool `json:"parts,omitempty"`
@@ -52,6 +55,8 @@
 	// ConfirmedAge is how many milliseconds ago Revision was last confirmed to be the store's
 	// newest; nil if it never was, or if More is set.
 	ConfirmedAge *int64 `json:"confirmed_age_ms,omitempty"`
+	// Known answers a request for it; nil if the other node doesn't know.
+	Known *Known `json:"known,omitempty"`
 	// Evacuations means that the reply covers evacuated failure domains. Nodes of releases that
 	// don't support evacuations leave it out.
 	Evacuations bool `json:"evacuations,omitempty"`
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -114,6 +114,11 @@
 	// publishedDomains are the evacuated failure domains that were published last.
 	publishedDomains map[string]bool
 	rng              *rand.Rand
+	// informed means that another node has told what it knows better than the store, asking that one is being asked,
+	// and questions is how many were asked, the last one at lastQuestion.
+	informed, asking bool
+	questions        int
+	lastQuestion     time.Time
 	// cancelWatch ends the current watch.
 	cancelWatch context.CancelFunc
 	onTargets   []func([]roster.TargetChange)
@@ -412,6 +417,9 @@
 				go r.audit(ctx)
 			}
 		}
+		if node, due := r.questionDue(); due {
+			go r.ask(ctx, node)
+		}
 		if wait := r.catchUp(ctx); wait > 0 {
 			due = time.After(wait)
 		}
@@ -423,8 +431,9 @@
 func (r *Replica) HandlePeerVersions(catalogVersion, revision int64) {
 	r.mu.Lock()
 	ownCatalog, ownRevision := r.versions()
+	informed := r.isInformed()
 	r.mu.Unlock()
-	if catalogVersion <= ownCatalog && revision <= ownRevision {
+	if informed && catalogVersion <= ownCatalog && revision <= ownRevision {
 		return
 	}
 	r.triggerCheck()
--- a/replica/state.go
+++ b/replica/state.go
@@ -63,6 +63,8 @@
 	removals removals
 	// holds are keys whose state in a restored store isn't in force yet.
 	holds holds
+	// later are the keys of targets whose entry is later than what the store has.
+	later map[string]bool
 	// returned means that the store came back from an older copy while this node had a copy.
 	returned bool
 	// history records when targets and evacuations changed.
@@ -89,7 +91,7 @@
 func newCopyState(s Schema, onInvalid, onUnusable invalidValueFunc) *copyState {
 	return &copyState{
 		schema: s, targets: make(map[string]heldEntry), registry: roster.NewRegistry(),
-		evacuations: make(map[string]Entry), removals: make(removals), history: newHistory(),
+		evacuations: make(map[string]Entry), removals: make(removals), later: make(map[string]bool), history: newHistory(),
 		onInvalid: onInvalid, onUnusable: onUnusable,
 	}
 }
--- a/replica/targets.go
+++ b/replica/targets.go
@@ -55,6 +55,7 @@
 // the key described before.
 func (c *copyState) storeEntry(e Entry, before map[string]heldEntry) (t roster.Target, ok bool) {
 	last, known := before[e.Key]
+	delete(c.later, e.Key)
 	t, err := c.decodeTarget(e)
 	switch {
 	case err != nil:
@@ -66,6 +67,7 @@
 	case known && last.isLaterWriteThan(t):
 		last.Revision = e.Revision
 		c.targets[e.Key] = last
+		c.later[e.Key] = true
 		t, err = c.decodeTarget(last.Entry)
 		return t, err == nil
 	case !c.registry.IsSuperseded(t):
@@ -100,6 +102,7 @@
 	}
 	for key, e := range before {
 		if _, listed := c.targets[key]; !listed {
+			delete(c.later, key)
 			c.removals.addTarget(e, now)
 		}
 	}
@@ -141,6 +144,7 @@
 func (c *copyState) removeTarget(key string, now time.Time) bool {
 	last, ok := c.targets[key]
 	delete(c.targets, key)
+	delete(c.later, key)
 	if ok {
 		c.removals.addTarget(last, now)
 	}
