--- a/replica/known.go
+++ b/replica/known.go
@@ -107,7 +107,7 @@
 	}
 	c.removals.add(g.Key, last, now)
 	c.holds.targets[g.Key] = true
-	return c.registry.Remove(held.id, now)
+	return c.registry.Forget(held.id)
 }
 
 // changedSince reports whether a key is known to have changed after a position.
@@ -120,10 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	switch {
-	case r.isInformed() || r.asking || r.questions >= maxQuestions || now.Sub(r.lastQuestion) < questionInterval:
-		return "", false
-	case r.state.incomplete || store.EraOf(r.state.revision) == 0:
+	if !r.isQuestionDue(now) {
 		return "", false
 	}
 	if node, due = r.peers.Ahead(0, 0); due {
@@ -133,6 +130,13 @@
 	return node, due
 }
 
+// isQuestionDue reports whether this node should ask another one now. Callers must hold r.mu.
+func (r *Replica) isQuestionDue(now time.Time) bool {
+	hasCopy := store.EraOf(r.state.revision) > 0 && !r.state.incomplete
+	mayAsk := !r.asking && r.questions < maxQuestions && now.Sub(r.lastQuestion) >= questionInterval
+	return hasCopy && mayAsk && !r.isInformed()
+}
+
 // isInformed reports whether this node knows all that others know better than the store: it was told, or has been running
 // for longer than that may be held. Callers must hold r.mu.
 func (r *Replica) isInformed() bool {
--- a/replica/known_test.go
+++ b/replica/known_test.go
@@ -35,6 +35,7 @@
 	old, started := restoredCopies(t)
 	now := start.Add(11 * time.Second)
 	is.Equal(addressOf(started, "t/a"), "ready")
+	started.registry.MarkOutage(now) // its first calls failed
 	ch := started.applyKnown(overWire(t, old.replyKnown(now).onWire()).fromWire(), now)
 	is.True(ch.targets && ch.evacuations)
 	is.Equal(addressOf(started, "t/a"), "leaving")
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -426,14 +426,14 @@
 	}
 }
 
-// HandlePeerVersions handles the versions that another node reports. If that node is ahead, check
-// looks at once whether to copy from it.
+// HandlePeerVersions handles the versions that another node reports. If that node is ahead, or the first to be asked
+// what it knows, check looks at once whether to call it.
 func (r *Replica) HandlePeerVersions(catalogVersion, revision int64) {
 	r.mu.Lock()
 	ownCatalog, ownRevision := r.versions()
-	informed := r.isInformed()
+	ask := r.questions == 0 && r.isQuestionDue(r.now())
 	r.mu.Unlock()
-	if informed && catalogVersion <= ownCatalog && revision <= ownRevision {
+	if !ask && catalogVersion <= ownCatalog && revision <= ownRevision {
 		return
 	}
 	r.triggerCheck()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -224,6 +224,16 @@
 	return true
 }
 
+// Forget removes a target at once that is known to be gone, and returns true if it was there.
+func (k *Registry) Forget(id string) bool {
+	if _, known := k.targets[id]; !known {
+		return false
+	}
+	delete(k.missing, id)
+	k.set(id, nil)
+	return true
+}
+
 // Reset replaces all entries by a complete list and returns true if that changes the targets.
 func (k *Registry) Reset(list []Target, now time.Time) bool {
 	changed := false
