--- a/replica/restore_fleet_test.go
+++ b/replica/restore_fleet_test.go
@@ -10,6 +10,9 @@
 // maxInForce is the time within which a change must be in force, from its acknowledgement.
 const maxInForce = 2 * time.Second
 
+// maxReads is how many reads a second the platform's store grants all nodes together.
+const maxReads = 2000
+
 // Guards against a change that is late at some nodes of a fleet, and against nodes that all list the store, when
 // it comes back from an older copy: watches are cut or hang, and some nodes have no path to the store.
 func TestFleetFollowsARestoredStore(t *testing.T) {
@@ -53,6 +56,9 @@
 			calm := f.callsWithin(restored-4*time.Second, restored)
 			t.Logf("in force %v to %v after the write; %d calls in 4 s (%d before), %d copies of %d bytes", inForce[0]-restored-restoreWrite,
 				inForce[1]-restored-restoreWrite, calls, calm, f.copies, f.bytes)
+			for at := time.Duration(0); at < restored+4*time.Second; at += time.Second {
+				is.True(f.callsWithin(at, at+time.Second) <= maxReads)
+			}
 			for _, n := range f.all {
 				catalogVersion, position := n.Versions()
 				want, _ := f.storeAt(f.restored + restoreWrite)
