Answer what is known with a copy of the held evacuations

The answer to a node that has just started held the map itself, and was written after the lock was released: a change of an evacuation meanwhile would have ended the node (concurrent map iteration and write). Found by reading the diff; no run showed it. TestAnswerIsNotChangedByLaterChanges failed before.

--- a/replica/known.go
+++ b/replica/known.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/knapweedgw/knapweedgw/store"
@@ -36,7 +37,7 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// replyKnown returns what this copy has better than the store.
+// replyKnown returns what this copy has better than the store, for use without a lock.
 func (c *copyState) replyKnown(now time.Time) CopyReply {
 	out := CopyReply{Revision: c.revision, Head: c.revision, Known: &Known{}}
 	for key := range c.later {
@@ -46,7 +47,7 @@
 		return out
 	}
 	out.Known.RemainingMillis = max(c.holds.until.Sub(now).Milliseconds(), 0)
-	out.Known.Evacuations = c.holds.evacuations
+	out.Known.Evacuations = maps.Clone(c.holds.evacuations)
 	for key := range c.holds.targets {
 		last := c.removals[key]
 		out.Known.Gone = append(out.Known.Gone, GoneEntry{Key: key, Revision: last.revision, Sequence: last.sequence})
--- a/replica/known_test.go
+++ b/replica/known_test.go
@@ -76,6 +76,15 @@
 	is.Equal(addressOf(started, "t/a"), "ready")
 }
 
+// Guards against a node that ends since it writes an answer while the copy changes.
+func TestAnswerIsNotChangedByLaterChanges(t *testing.T) {
+	is := is.New(t)
+	old, _ := restoredCopies(t)
+	answer := old.replyKnown(start.Add(11 * time.Second))
+	old.applyChange(evacuation("x", at2(31)), start.Add(11*time.Second))
+	is.Equal(answer.Known.Evacuations, map[string]bool{"e/x": true, "e/y": false})
+}
+
 // Guards against a panic or a hold without end by an answer of another node that isn't well-formed.
 func FuzzKnown(f *testing.F) {
 	f.Add([]byte(`{"revision":40,"era":2,"known":{"remaining_ms":4000,"gone":[{"key":"t/b","revision":21,"sequence":5}],"evacuations":{"e/x":true}}}`))
