--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*run) (int, error){
 	"memory": memoryCase,
 	"extra":  extraCase,
+	"keys":   keysCase,
 }
 
 func main() {
