Test what crowds of clients that break the limits do to a process

Clients that nobody controls ended a process in a trial. Nothing showed what a process of either front holds for a crowd of them.

It checks that the process lives, that its largest resident set stays within the machine's memory and its descriptors within their number, and that an ordinary request is answered while the crowd is still connected. No check is on a time or a share.

This commit holds the tests that pass on the code as it stands, of what the HTTP library bounds: heads over the limit, empty lines before a request and between two, trailers and chunk extensions without end, pipelined requests with small answers that nobody reads; and that a slow body of the largest size in tiny chunks is served.

cd lab && go test -run 'TestCrowd|TestSlowLargest' ./fleettest -v

--- /dev/null
+++ b/lab/fleettest/crowd_clients_test.go
@@ -0,0 +1,126 @@
+package fleettest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	chunkedField = "Transfer-Encoding: chunked\r\n"
+	endlessBytes = 1 << 20 // sent where a client would never end
+)
+
+// Guards against heads over the limit.
+func TestCrowdOfOversizedHeads(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, "")); err != nil {
+				return err
+			}
+			if err := writeRepeated(w, "X-Filler: aaaaaaaaaaaaaaaa\r\n", endlessBytes); err != nil {
+				return err
+			}
+			return writeAll(w, "\r\n")
+		})
+	})
+}
+
+// Guards against empty lines without end before a request.
+func TestCrowdOfEmptyLines(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error { return writeRepeated(w, "\r\n", endlessBytes) })
+	})
+}
+
+// Guards against empty lines without end between two requests.
+func TestCrowdOfEmptyLinesAfterARequest(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, "Content-Length: 1\r\n\r\na")); err != nil {
+				return err
+			}
+			return writeRepeated(w, "\r\n", endlessBytes)
+		})
+	})
+}
+
+// Guards against trailers without end.
+func TestCrowdOfTrailers(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, chunkedField), "\r\n", chunk(1), "0\r\n"); err != nil {
+				return err
+			}
+			return writeRepeated(w, "x: a\r\n", endlessBytes)
+		})
+	})
+}
+
+// Guards against chunk extensions without end.
+func TestCrowdOfChunkExtensions(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, chunkedField), "\r\n1;"); err != nil {
+				return err
+			}
+			return writeRepeated(w, "a", endlessBytes)
+		})
+	})
+}
+
+// Guards against pipelined requests whose answers nobody reads.
+func TestCrowdOfUnreadAnswers(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		const requests = 200
+		f.press(t, crowdSize, func(w io.Writer) error {
+			for range requests {
+				if err := writeAll(w, f.head(http.MethodPost, "Content-Length: 1\r\n\r\na")); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+}
+
+// is served.
+func TestSlowLargestBodyIsServed(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		is := is.New(t)
+		const pauses, pause = 5, 1500 * time.Millisecond
+		c, err := net.Dial("tcp", f.addr)
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		is.NoErr(writeAll(c, f.head(http.MethodPost, chunkedField), "\r\n"))
+		part := strings.Repeat(chunk(crowdTinyChunk), crowdMaxBody/crowdTinyChunk/pauses)
+		rest := strings.Repeat(chunk(crowdTinyChunk), crowdMaxBody/crowdTinyChunk%pauses)
+		for range pauses {
+			is.NoErr(writeAll(c, part))
+			time.Sleep(pause)
+		}
+		is.NoErr(writeAll(c, rest, "0\r\n\r\n"))
+		status, _ := readAnswer(c)
+		is.Equal(status, http.StatusOK)
+	})
+}
+
+// readAnswer reads one response.
+func readAnswer(c net.Conn) (status int, body string) {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(raw)
+}
--- a/lab/fleettest/process_test.go
+++ b/lab/fleettest/process_test.go
@@ -52,8 +52,15 @@
 
 // start starts a program, which is killed at the end of the test if it still runs.
 func start(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	return startWithEnv(t, nil, program, args...)
+}
+
+// startWithEnv is start with further environment variables, as "name=value".
+func startWithEnv(t *testing.T, env []string, program string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -4,7 +4,10 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +39,8 @@
 	Method    string `json:"method"`
 	Path      string `json:"path"`
 	RequestID string `json:"request_id"`
+	// Padding has the length that the query's parameter "answer_bytes" sets.
+	Padding string `json:"padding,omitempty"`
 }
 
 // Service answers calls and counts them.
@@ -84,6 +89,9 @@
 		s.countRefused()
 		panic(http.ErrAbortHandler)
 	}
+	if _, err := io.Copy(io.Discard, r.Request.Body); err != nil {
+		panic(http.ErrAbortHandler) // the call wasn't received whole
+	}
 	time.Sleep(time.Duration(f.DelayBeforeMS) * time.Millisecond)
 	id := r.Request.Header.Get("X-Request-Id")
 	s.countRun(id, r.Request.Header.Get("Idempotency-Key"))
@@ -100,8 +108,10 @@
 
 // answer sends the response, or half of its body before it closes the connection if cut is set.
 func (s *Service) answer(r *restful.Request, w *restful.Response, id string, cut bool) {
+	padding, _ := strconv.Atoi(r.Request.URL.Query().Get("answer_bytes")) // 0 if it isn't a number
 	raw, _ := json.Marshal(Answer{
 		Service: s.id, Method: r.Request.Method, Path: r.Request.URL.Path, RequestID: id,
+		Padding: strings.Repeat(".", padding),
 	})
 	w.Header().Set("Content-Type", "application/json")
 	if cut {
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -432,14 +432,17 @@
 		return
 	}
 	if r.Header.Get("Model") == "" {
-		e.writePlain(w, fault, id)
+		e.writePlain(w, r, fault, id)
 		return
 	}
 	e.writeStream(w, r, run, fault, id)
 }
 
-func (e *Engine) writePlain(w http.ResponseWriter, fault Fault, id string) {
+func (e *Engine) writePlain(w http.ResponseWriter, r *http.Request, fault Fault, id string) {
 	body := PlainBody(id)
+	if n, err := strconv.Atoi(r.URL.Query().Get(AnswerBytes)); err == nil && n > len(body) {
+		body += strings.Repeat(".", n-len(body))
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if fault == Cut {
 		_, _ = io.WriteString(w, body[:5])
--- a/lab/standin/timing.go
+++ b/lab/standin/timing.go
@@ -22,6 +22,9 @@
 // VersionHeader makes an engine write its software version into each event, as the event's type.
 const VersionHeader = "Lab-Version"
 
+// AnswerBytes is the parameter of a request's query that sets the length of the answer of a plain service.
+const AnswerBytes = "answer_bytes"
+
 // headerTime returns the duration set by a header of the request, or fallback if it has none.
 func headerTime(r *http.Request, name string, fallback time.Duration) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(name))
