Give the places of clients that stall to others, at both fronts

What callers saw: no answer while other clients held connections. At the platform's front 700 clients that had sent all of a body but its last byte kept the 135 places for ever; an ordinary request got none. At the callers' own front nothing bounded connections: 715 descriptors were open of the 600 that the machine has, with silent clients, begun heads and begun bodies alike, and 1,215 with clients that reset in the middle of bodies.

Cause: only idle connections made room. One with a begun head or body counted as busy, although only its client could end that, and the server's timeout ends with the header. net/http reports a connection as idle until a header is whole, so that an eviction could also hit a request that was arriving. The own front had no limit.

Why this works: the connections move to a package of their own, which both fronts use. A pure ledger on virtual time knows in which phase each one is and since when it has made no progress; when the limit is reached, a new connection takes the place of an idle one or of the one whose client has owed a header or 16 KB of a body for longest, a second at least. Requests that were received are never ended for others. A body that is ended gets a refusal (`body_timeout`, not run). The limit follows from descriptors and, new, from memory, since receive buffers, now of 32 KB, count toward it.

cd lab && go test -run TestCrowd ./fleettest -v

--- a/cmd/knapweedgw/route.go
+++ b/cmd/knapweedgw/route.go
@@ -89,9 +89,7 @@
 }
 
 func route(ctx context.Context, path string, cfg *config.RouterNode, signals nodeSignals) error {
-	if cfg.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryLimit)))
-	}
+	setMemoryLimit(cfg.MemoryLimit)
 	debug.SetGCPercent(gcPercent)
 	registry := telemetry.NewRegistry()
 	logs := telemetry.NewAsyncWriter(os.Stdout, registry)
@@ -113,6 +111,14 @@
 	return runUntilTerm(k, adapter, logger, signals)
 }
 
+// setMemoryLimit makes the garbage collector keep the heap of a process with that much memory, in bytes, within
+// heapShare; 0 is no limit.
+func setMemoryLimit(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	}
+}
+
 // runUntilTerm reloads the settings on SIGHUP and periodically. On SIGTERM or SIGINT it stops
 // the node and returns the error of the stop.
 func runUntilTerm(k *kernel.Kernel, a *platform.Adapter, l *log.Logger, signals nodeSignals) error {
--- a/cmd/knapweedgw/serve.go
+++ b/cmd/knapweedgw/serve.go
@@ -48,6 +48,7 @@
 }
 
 func serve(ctx context.Context, cfg *config.Node) error {
+	setMemoryLimit(int64(cfg.MemoryMB) << 20)
 	k, err := node.New(cfg, os.Stderr)
 	if err != nil {
 		return err
--- a/config/config.go
+++ b/config/config.go
@@ -32,6 +32,8 @@
 	LogLevel         string
 	MaxBodyBytes     int64
 	BodyTimeout      time.Duration
+	MemoryMB         int
+	MaxFDs           int
 	MaxAttempts      int
 	RetryShare       float64
 	ResumeHold       time.Duration
@@ -51,6 +53,8 @@
 	defaultVMListInterval   = 500 * time.Millisecond
 	defaultMaxBodyBytes     = 4 << 20
 	defaultBodyTimeout      = 15 * time.Second
+	defaultMemoryMB         = 512
+	defaultMaxFDs           = 8192
 	defaultMaxAttempts      = 3
 	defaultRetryShare       = 0.2
 	defaultResumeHold       = 10 * time.Second
@@ -80,6 +84,8 @@
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.Int64Var(&c.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "largest request body in bytes")
 	fs.DurationVar(&c.BodyTimeout, "body-timeout", defaultBodyTimeout, "time a caller has to send header and body")
+	fs.IntVar(&c.MemoryMB, "memory-mb", defaultMemoryMB, "memory that the process may use, in MB: a third for callers' connections; 0 for no limit")
+	fs.IntVar(&c.MaxFDs, "max-fds", defaultMaxFDs, "file descriptors that the process may open: 45% of all but 300 for callers' connections; 0 for no limit")
 	fs.IntVar(&c.MaxAttempts, "max-attempts", defaultMaxAttempts, "most targets tried for one request")
 	fs.Float64Var(&c.RetryShare, "retry-share", defaultRetryShare, "most retries a request, on average: the fleet's load grows by this share at most")
 	fs.DurationVar(&c.ResumeHold, "resume-hold", defaultResumeHold, "time an engine is asked to hold a cut stream for resumption; 0 for none")
@@ -135,6 +141,8 @@
 	check(c.VMListInterval > 0, "--vm-list-interval is not positive: use 500ms or more")
 	check(c.MaxBodyBytes > 0, "--max-body-bytes is not positive: use 4194304 or more")
 	check(c.BodyTimeout > 0, "--body-timeout is not positive: use 15s")
+	check(c.MemoryMB >= 0, "--memory-mb is negative: use 0 for no limit")
+	check(c.MaxFDs >= 0, "--max-fds is negative: use 0 for no limit")
 	check(c.MaxAttempts > 0, "--max-attempts is not positive: use 1 or more")
 	check(c.RetryShare >= 0 && c.RetryShare <= 1, "--retry-share is not between 0 and 1: use 0.2")
 	check(c.ResumeHold >= 0, "--resume-hold is negative: use 0 for none")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedgw/knapweedgw/claims"
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/config"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/membership"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -101,6 +102,7 @@
 	leaving  LeavingObserver // nil if the registry doesn't take announcements
 	fleet    Fleet           // nil if the node is the only one
 
+	conns    *intake.Tracker
 	server   *http.Server
 	addr     string
 	draining atomic.Bool
@@ -112,8 +114,11 @@
 // with reg.
 func New(cfg *config.Node, l *log.Logger, reg *prometheus.Registry) *Gateway {
 	budget := retry.WindowConfig{Share: cfg.RetryShare, Slack: retrySlack, Window: retryWindow, Reserve: retryReserve}
+	limits := intake.NewLimits(int64(cfg.MemoryMB)<<20, cfg.MaxFDs)
+	m := newMetrics(reg)
 	return &Gateway{
-		cfg: cfg, log: l, registry: reg, metrics: newMetrics(reg),
+		cfg: cfg, log: l, registry: reg, metrics: m,
+		conns:        intake.NewTracker(limits, m.intake, l, clock.Monotonic),
 		clients:      newClients(NetworkDial()),
 		dial:         NetworkDial(),
 		budgets:      retry.NewBudgets(budget, clock.Monotonic()),
@@ -196,7 +201,7 @@
 	g.addr = ln.Addr().String()
 	g.server = g.newServer()
 	go func() {
-		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.server.Serve(g.conns.Listen(ln)); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("gateway stopped", "err", err)
 		}
 	}()
@@ -206,7 +211,9 @@
 
 func (g *Gateway) newServer() *http.Server {
 	return &http.Server{
-		Handler:           g.Handler(),
+		Handler:           g.conns.Handler(g.Handler()),
+		ConnContext:       g.conns.ConnContext,
+		ConnState:         g.conns.OnStateChange,
 		ReadHeaderTimeout: min(headerReadTimeout, g.cfg.BodyTimeout),
 		MaxHeaderBytes:    serverHeaderBytes,
 		IdleTimeout:       idleTimeout,
--- a/gateway/input.go
+++ b/gateway/input.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/problem"
 )
 
@@ -84,23 +84,17 @@
 
 // readBody reads the complete body within the limits of --max-body-bytes and --body-timeout.
 func (g *Gateway) readBody(c *call) ([]byte, error) {
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, g.cfg.MaxBodyBytes))
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	var timeout interface{ Timeout() bool }
+	limits := intake.BodyLimits{Bytes: g.cfg.MaxBodyBytes, Total: g.cfg.BodyTimeout}
+	body, err := intake.Of(c.w, c.req).ReadBody(limits)
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, err.Error())
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case err == nil:
+		return body, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, "limit "+strconv.FormatInt(g.cfg.MaxBodyBytes, 10)+" bytes")
+	case errors.Is(err, intake.ErrTooSlow):
 		return nil, problem.New(problem.BodyTimeout, problem.NotRun, "")
-	default:
-		return nil, problem.New(problem.BadRequest, problem.NotRun, "body: "+err.Error())
 	}
+	return nil, problem.New(problem.BadRequest, problem.NotRun, "body: "+err.Error())
 }
 
 func bearerToken(r *http.Request) (string, bool) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -34,6 +35,8 @@
 	replays  prometheus.Counter
 	panics   prometheus.Counter
 	inFlight prometheus.Gauge
+	// intake counts callers' connections that the node ended.
+	intake *intake.Metrics
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -57,6 +60,7 @@
 			"Kept answers given again for a repeated Idempotency-Key."),
 		panics:   f.Counter("panics_total", "Requests whose handling panicked."),
 		inFlight: f.Gauge("requests_in_flight", "Requests in progress."),
+		intake:   intake.NewMetrics(f),
 	}
 	for _, r := range problem.Reasons() {
 		m.refusals.WithLabelValues(string(r))
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,100 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Listen returns a listener whose connections the tracker accounts for. The server must also have the tracker's
+// OnStateChange and ConnContext as its hooks.
+func (t *Tracker) Listen(ln net.Listener) net.Listener { return &listener{Listener: ln, tracker: t} }
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil, errors.CombineErrors(errors.Newf("intake: connection is a %T, not TCP", c), c.Close())
+	}
+	_ = tcp.SetReadBuffer(receiveBuffer) // fails only on a closed connection
+	own := &Conn{TCPConn: tcp, tracker: l.tracker}
+	own.beforeRequest.Store(true)
+	return own, nil
+}
+
+// Conn is a caller's connection. It reports that headers begin, which net/http reads on its own.
+type Conn struct {
+	*net.TCPConn
+	tracker *Tracker
+	// beforeRequest is set from the end of a request to the end of the next one's header.
+	beforeRequest atomic.Bool
+	// request is the request in progress, nil for none.
+	request atomic.Pointer[Request]
+
+	deadlines sync.Mutex // held to set a deadline
+	ended     bool
+}
+
+// Read implements io.Reader.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.beforeRequest.Load() && !c.tracker.receivedHeader(c) {
+		return 0, os.ErrDeadlineExceeded // on which net/http closes the connection without an answer
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. It has no effect on a connection that was ended.
+func (c *Conn) SetReadDeadline(d time.Time) error {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(d)
+}
+
+// end makes the reads of the connection fail from now on.
+func (c *Conn) end() {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	c.ended = true
+	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
+
+type connKey struct{}
+
+// ConnContext is the http.Server's hook of that name. It makes the connection known to Of.
+func (t *Tracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// receivedHeader notes that a part of the bytes before the body of a request has arrived. It reports whether the
+// connection is to be read on.
+func (t *Tracker) receivedHeader(c *Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.conns[c]
+	if h == nil || h.evicted {
+		return false
+	}
+	t.revive(h)
+	if h.phase == Silent || h.phase == Idle {
+		t.ledger.Enter(h, Header, t.now())
+	}
+	return true
+}
--- /dev/null
+++ b/intake/request.go
@@ -0,0 +1,149 @@
+package intake
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of Request.ReadBody. A request that fails with one of them was not passed on.
+var (
+	// ErrTooLarge: the body is over the limit.
+	ErrTooLarge = errors.New("the body is over the limit")
+	// ErrTooSlow: the body stood still for too long, or its connection was evicted.
+	ErrTooSlow = errors.New("the body arrived too slowly")
+)
+
+// Request is what is kept for one request in progress.
+type Request struct {
+	tracker *Tracker
+	conn    *Conn   // nil if the server has no listener of the tracker
+	holder  *Holder // nil with conn
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	r       *http.Request
+	// whole means that the request was completely received.
+	whole bool
+}
+
+// Handler returns a handler that accounts for each request while next serves it.
+func (t *Tracker) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := t.begin(w, r)
+		defer q.finish()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Of returns what is kept for a request that a Handler serves.
+func Of(w http.ResponseWriter, r *http.Request) *Request {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		if q := c.request.Load(); q != nil {
+			return q
+		}
+	}
+	return newRequest(nil, w, r)
+}
+
+func newRequest(t *Tracker, w http.ResponseWriter, r *http.Request) *Request {
+	return &Request{
+		tracker: t, w: w, r: r, rc: http.NewResponseController(w),
+		whole: r.ContentLength == 0 || r.Body == nil,
+	}
+}
+
+func (t *Tracker) begin(w http.ResponseWriter, r *http.Request) *Request {
+	q := newRequest(t, w, r)
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		return q
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q.holder = t.conns[c]; q.holder == nil {
+		return q
+	}
+	q.conn = c
+	c.request.Store(q)
+	c.beforeRequest.Store(false)
+	t.revive(q.holder)
+	if q.whole {
+		t.ledger.Enter(q.holder, Serving, t.now())
+	} else {
+		t.ledger.Enter(q.holder, Body, t.now())
+	}
+	return q
+}
+
+// finish ends the account of the request. net/http then reads on to the end of its body.
+func (q *Request) finish() {
+	if !q.whole {
+		_ = q.rc.SetReadDeadline(time.Now().Add(sendStillTime)) // fails only without a connection
+	}
+	if q.conn == nil {
+		return
+	}
+	q.conn.request.Store(nil)
+}
+
+// ReadBody reads the whole body. It returns ErrTooLarge, ErrTooSlow or the error of the connection.
+func (q *Request) ReadBody(l BodyLimits) ([]byte, error) {
+	if q.whole {
+		return nil, nil
+	}
+	if l.Bytes > 0 && q.r.ContentLength > l.Bytes {
+		return nil, ErrTooLarge
+	}
+	if l.Total > 0 {
+		_ = q.rc.SetReadDeadline(time.Now().Add(l.Total)) // fails only without a connection
+	}
+	body, err := newBodyReader(q, l).readAll()
+	if err != nil {
+		return nil, q.readError(err)
+	}
+	_ = q.rc.SetReadDeadline(time.Time{})
+	q.whole = true
+	if !q.beginServing() {
+		return nil, ErrTooSlow
+	}
+	return body, nil
+}
+
+// readError returns ErrTooSlow for the error of a read whose deadline expired.
+func (q *Request) readError(err error) error {
+	var timeout interface{ Timeout() bool }
+	if q.isEvicted() || errors.As(err, &timeout) && timeout.Timeout() {
+		return ErrTooSlow
+	}
+	return err
+}
+
+func (q *Request) isEvicted() bool {
+	if q.conn == nil {
+		return false
+	}
+	q.tracker.mu.Lock()
+	defer q.tracker.mu.Unlock()
+	return q.holder.evicted
+}
+
+// beginServing notes that the request is whole. It reports whether its connection can still be answered.
+func (q *Request) beginServing() bool {
+	q.withLedger(func(l *Ledger, now time.Time) { l.Enter(q.holder, Serving, now) })
+	return !q.isEvicted()
+}
+
+// progress notes that a part of the body has arrived.
+func (q *Request) progress() {
+	q.withLedger(func(l *Ledger, now time.Time) { l.Progress(q.holder, now) })
+}
+
+func (q *Request) withLedger(f func(l *Ledger, now time.Time)) {
+	if q.conn == nil {
+		return
+	}
+	q.tracker.mu.Lock()
+	defer q.tracker.mu.Unlock()
+	f(q.tracker.ledger, q.tracker.now())
+}
--- a/router/conns_test.go
+++ b/intake/tracker_test.go
@@ -1,4 +1,4 @@
-package router
+package intake
 
 import (
 	"net"
@@ -8,6 +8,9 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/knapweedgw/knapweedgw/clock"
+	"github.com/knapweedgw/knapweedgw/telemetry"
 )
 
 // fakeConn records the calls that end a connection.
@@ -26,6 +29,12 @@
 	return nil
 }
 
+// newTestTracker returns a tracker with a limit on connections.
+func newTestTracker(limit int) *Tracker {
+	m := NewMetrics(telemetry.NewMetricFactory(prometheus.NewRegistry(), ""))
+	return NewTracker(Limits{Conns: limit}, m, nil, clock.Monotonic)
+}
+
 func TestConnLimitLeavesRoomForTargets(t *testing.T) {
 	is := is.New(t)
 	is.Equal(connLimit(0), 0)
@@ -38,39 +47,39 @@
 // closed without being read.
 func TestNewConnectionEvictsAnIdleOne(t *testing.T) {
 	is := is.New(t)
-	tracker := newConnTracker(2, newMetrics(prometheus.NewRegistry()))
+	tracker := newTestTracker(2)
 	var conns [4]fakeConn
-	tracker.onStateChange(&conns[0], http.StateNew)
-	tracker.onStateChange(&conns[0], http.StateActive)
-	is.True(!tracker.nearLimit())
-	tracker.onStateChange(&conns[1], http.StateNew)
-	tracker.onStateChange(&conns[1], http.StateActive)
-	tracker.onStateChange(&conns[1], http.StateIdle)
-	is.True(tracker.nearLimit())
+	tracker.OnStateChange(&conns[0], http.StateNew)
+	tracker.OnStateChange(&conns[0], http.StateActive)
+	is.True(!tracker.NearLimit())
+	tracker.OnStateChange(&conns[1], http.StateNew)
+	tracker.OnStateChange(&conns[1], http.StateActive)
+	tracker.OnStateChange(&conns[1], http.StateIdle)
+	is.True(tracker.NearLimit())
 
-	tracker.onStateChange(&conns[2], http.StateNew)
+	tracker.OnStateChange(&conns[2], http.StateNew)
 	is.True(conns[1].ended && !conns[1].closed && !conns[0].ended)
 	is.True(!conns[2].closed)
-	tracker.onStateChange(&conns[2], http.StateActive)
-	tracker.onStateChange(&conns[1], http.StateClosed)
+	tracker.OnStateChange(&conns[2], http.StateActive)
+	tracker.OnStateChange(&conns[1], http.StateClosed)
 
-	tracker.onStateChange(&conns[3], http.StateNew)
+	tracker.OnStateChange(&conns[3], http.StateNew)
 	is.True(conns[3].closed)
 	is.True(!conns[0].ended && !conns[2].ended)
-	tracker.onStateChange(&conns[3], http.StateClosed)
-	is.Equal(tracker.count(), 2)
+	tracker.OnStateChange(&conns[3], http.StateClosed)
+	is.Equal(tracker.Count(), 2)
 }
 
 // A request whose first byte arrived just before its idle connection was evicted is still read.
 func TestRequestOnEvictedConnectionIsServed(t *testing.T) {
 	is := is.New(t)
-	tracker := newConnTracker(1, newMetrics(prometheus.NewRegistry()))
+	tracker := newTestTracker(1)
 	var idle, added fakeConn
-	tracker.onStateChange(&idle, http.StateNew)
-	tracker.onStateChange(&idle, http.StateIdle)
-	tracker.onStateChange(&added, http.StateNew)
+	tracker.OnStateChange(&idle, http.StateNew)
+	tracker.OnStateChange(&idle, http.StateIdle)
+	tracker.OnStateChange(&added, http.StateNew)
 	is.True(idle.ended)
-	tracker.onStateChange(&idle, http.StateActive)
+	tracker.OnStateChange(&idle, http.StateActive)
 	is.True(!idle.ended)
 }
 
@@ -78,19 +87,19 @@
 // close it. Requests that arrive on it before that are refused.
 func TestBusyConnectionClosesAfterItsAnswer(t *testing.T) {
 	is := is.New(t)
-	tracker := newConnTracker(0, newMetrics(prometheus.NewRegistry()))
+	tracker := newTestTracker(0)
 	var busy, idle fakeConn
 	for _, c := range []*fakeConn{&busy, &idle} {
-		tracker.onStateChange(c, http.StateNew)
-		tracker.onStateChange(c, http.StateActive)
+		tracker.OnStateChange(c, http.StateNew)
+		tracker.OnStateChange(c, http.StateActive)
 	}
-	tracker.onStateChange(&idle, http.StateIdle)
-	is.True(!tracker.isClosing())
-	tracker.close()
-	is.True(tracker.isClosing())
+	tracker.OnStateChange(&idle, http.StateIdle)
+	is.True(!tracker.IsClosing())
+	tracker.Close()
+	is.True(tracker.IsClosing())
 	is.True(idle.ended && !idle.closed) // a first byte may have been read
 	is.True(!busy.ended)
-	tracker.onStateChange(&busy, http.StateIdle)
-	tracker.close()
+	tracker.OnStateChange(&busy, http.StateIdle)
+	tracker.Close()
 	is.True(busy.ended && !busy.closed)
 }
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -90,6 +91,50 @@
 	})
 }
 
+// Guards against clients that connect and send nothing.
+func TestCrowdOfSilentConnections(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdConns, func(io.Writer) error { return nil })
+	})
+}
+
+// Guards against clients that hold a connection by one byte of a head.
+func TestCrowdOfBegunHeads(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdConns, func(w io.Writer) error { return writeAll(w, "P") })
+	})
+}
+
+// Guards against clients that hold a connection by a body that lacks one byte.
+func TestCrowdOfBegunBodies(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdConns, func(w io.Writer) error {
+			return writeAll(w, f.head(http.MethodPost, "Content-Length: 2\r\n\r\na"))
+		})
+	})
+}
+
+// Guards against connections that are reset in the middle of a body, again and again.
+func TestCrowdThatResets(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		const rounds = 5
+		head := fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdMaxBody)
+		f.press(t, crowdSize, func(w io.Writer) error {
+			for range rounds {
+				c, err := net.Dial("tcp", f.addr)
+				if err != nil {
+					return err
+				}
+				_ = c.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
+				_ = writeAll(c, f.head(http.MethodPost, head), strings.Repeat("a", crowdMaxBody/4)) // fails if it is refused
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+			return nil
+		})
+	})
+}
+
 // is served.
 func TestSlowLargestBodyIsServed(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -89,7 +89,7 @@
 // node is draining or has too many connections. It is evaluated when the header is written, so
 // that draining also covers connections whose requests were already in progress when it began.
 func (x *exchange) maybeSendConnectionClose() {
-	if x.router.draining.Load() || x.router.conns.nearLimit() {
+	if x.router.draining.Load() || x.router.conns.NearLimit() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/router/drain.go
+++ b/router/drain.go
@@ -51,7 +51,7 @@
 	r.stopped.Store(true)
 	r.cancelRequests(errStopping)
 	r.drainConns(ctx, deadline)
-	r.log.Info("router is stopping", "in_flight", r.inFlight.Load(), "connections", r.conns.count())
+	r.log.Info("router is stopping", "in_flight", r.inFlight.Load(), "connections", r.conns.Count())
 	_ = r.readinessServer.Close() // readiness checks are meant to fail now
 	return errors.CombineErrors(err, r.callerServer.Close())
 }
@@ -59,8 +59,8 @@
 // drainConns closes callers' connections as they become idle, until the deadline.
 func (r *Router) drainConns(ctx context.Context, deadline time.Time) {
 	for {
-		r.conns.close()
-		if r.conns.count() == 0 || !r.now().Before(deadline) || ctx.Err() != nil {
+		r.conns.Close()
+		if r.conns.Count() == 0 || !r.now().Before(deadline) || ctx.Err() != nil {
 			return
 		}
 		pause.Sleep(ctx, stopPollInterval)
--- a/router/events_test.go
+++ b/router/events_test.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/clock"
 	"github.com/knapweedgw/knapweedgw/completion"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/retry"
 )
@@ -31,7 +32,7 @@
 // relayBody relays an unframed stream of a target that accepts connections afterwards.
 func relayBody(p *testPool, a assignment, body io.Reader, w http.ResponseWriter, contentType string) relayed {
 	m := newMetrics(prometheus.NewRegistry())
-	r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: newConnTracker(0, m), metrics: m, log: log.New(io.Discard)}
+	r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: intake.NewTracker(intake.Limits{}, m.intake, nil, clock.Monotonic), metrics: m, log: log.New(io.Discard)}
 	x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: &http.Request{Method: http.MethodPost}, route: &catalog.Route{}, attempts: p.guard.NewAttempts("r", func() quarantine.Keys { return quarantine.Keys{} })}
 	resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(body), Header: http.Header{"Content-Type": {contentType}}}
 	fail := x.relayStream(context.Background(), a, resp)
@@ -181,7 +182,7 @@
 	a, _, _ := p.acquire(criteria{service: service})
 	stream := bytes.Repeat([]byte("id: 10\ndata: "+strings.Repeat("x", 64)+"\n\n"), 50)
 	m := newMetrics(prometheus.NewRegistry())
-	r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: newConnTracker(0, m), metrics: m}
+	r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: intake.NewTracker(intake.Limits{}, m.intake, nil, clock.Monotonic), metrics: m}
 	for _, resumable := range []bool{false, true} {
 		b.Run(map[bool]string{false: "once", true: "resumable"}[resumable], func(b *testing.B) {
 			b.ReportAllocs()
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -15,6 +14,7 @@
 	"github.com/knapweedgw/knapweedgw/catalog"
 	"github.com/knapweedgw/knapweedgw/completion"
 	"github.com/knapweedgw/knapweedgw/dispatch"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/quarantine"
@@ -36,6 +36,7 @@
 	w      http.ResponseWriter
 	rc     *http.ResponseController // of w
 	req    *http.Request
+	intake *intake.Request // what is kept for the caller
 	start  time.Time
 
 	call CallerHeader
@@ -138,7 +139,9 @@
 	r.metrics.inFlight.Inc()
 	defer r.inFlight.Add(-1)
 	defer r.metrics.inFlight.Dec()
-	x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: req, start: r.now()}
+	x := &exchange{
+		router: r, w: w, rc: http.NewResponseController(w), req: req, intake: intake.Of(w, req), start: r.now(),
+	}
 	defer x.recoverPanic()
 	err := x.prepare()
 	if err == nil {
@@ -162,7 +165,7 @@
 		return err
 	}
 	x.read = true
-	if x.router.conns.isClosing() {
+	if x.router.conns.IsClosing() {
 		return problem.New(problem.NodeStopping, problem.NotRun, "").WithRetryAfter(stopRetryAfter)
 	}
 	x.catalog = x.router.replica.Catalog()
@@ -193,35 +196,23 @@
 }
 
 func (x *exchange) readBody() error {
-	limit := x.router.replica.Catalog().Limits().MaxBodyBytes
-	if x.req.Body == nil || x.req.ContentLength == 0 {
-		return nil
-	}
-	if limit > 0 && x.req.ContentLength > limit {
-		return problem.New(problem.BodyTooLarge, problem.NotRun, "")
-	}
-	body := io.Reader(x.req.Body)
-	if limit > 0 {
-		body = io.LimitReader(body, limit+1)
-	}
+	limits := intake.BodyLimits{Bytes: x.router.replica.Catalog().Limits().MaxBodyBytes, Pause: callerIdle}
 	var err error
-	if x.body, err = readAll(body, x.req.ContentLength); err != nil {
-		return problem.New(problem.CallerGone, problem.NotRun, err.Error())
-	}
-	if limit > 0 && int64(len(x.body)) > limit {
-		return problem.New(problem.BodyTooLarge, problem.NotRun, "")
-	}
-	return nil
+	x.body, err = x.intake.ReadBody(limits)
+	return bodyProblem(err)
 }
 
-// readAll reads all of r. length is the announced number of bytes, or -1.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+// bodyProblem returns the refusal for an error of a body that wasn't received, nil for none.
+func bodyProblem(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return problem.New(problem.BodyTooLarge, problem.NotRun, "")
+	case errors.Is(err, intake.ErrTooSlow):
+		return problem.New(problem.BodyTimeout, problem.NotRun, "")
+	}
+	return problem.New(problem.CallerGone, problem.NotRun, err.Error())
 }
 
 func (x *exchange) matchRoute() error {
@@ -296,7 +287,8 @@
 	if !errors.As(err, &p) {
 		p = problem.New(problem.Internal, problem.MayHaveRun, err.Error())
 	}
-	if x.callerGone() {
+	// net/http takes a body that stopped for a caller that is gone.
+	if p.Reason != problem.BodyTimeout && x.callerGone() {
 		p = problem.New(problem.CallerGone, p.Execution, p.Detail)
 	}
 	x.logRefused(p)
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/notice"
 	"github.com/knapweedgw/knapweedgw/placement"
 	"github.com/knapweedgw/knapweedgw/telemetry"
@@ -30,13 +31,13 @@
 	overdue *prometheus.CounterVec
 	// notices counts targets' notices that contained something new.
 	notices *prometheus.CounterVec
-	// connections counts callers' connections that the node closed.
-	connections *prometheus.CounterVec
 	// partTokens counts the tokens of shared parts that the chosen target lacked.
 	partTokens *prometheus.CounterVec
 	firstByte  *prometheus.HistogramVec
 	answerTime *prometheus.HistogramVec
 	inFlight   prometheus.Gauge
+	// intake counts callers' connections that the node ended.
+	intake *intake.Metrics
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -61,13 +62,12 @@
 			"Times that an attempt which may go elsewhere was overdue, by whether it went and why not.", "outcome"),
 		notices: f.CounterVec("notices_total",
 			notice.Help, notice.Label),
-		connections: f.CounterVec("connections_ended_total",
-			"Callers' connections ended for want of descriptors: idle ones evicted for new ones, new ones rejected.", "how"),
 		partTokens: f.CounterVec("part_tokens_total",
 			"Tokens of shared parts that the chosen target lacked, by how it got them and by the reason of the choice.", "how", "reason"),
 		firstByte:  histogram("first_byte_seconds", "Time from a request to the header of its answer."),
 		answerTime: histogram("answer_seconds", "Time from a request to the end of its answer."),
 		inFlight:   f.Gauge("in_flight", "Callers' requests in progress."),
+		intake:     intake.NewMetrics(f),
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedgw/knapweedgw/config"
 	"github.com/knapweedgw/knapweedgw/dispatch"
 	"github.com/knapweedgw/knapweedgw/heartbeat"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/kernel"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 	"github.com/knapweedgw/knapweedgw/reachability"
@@ -90,7 +91,7 @@
 
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
-	conns                         *connTracker
+	conns                         *intake.Tracker
 	draining                      atomic.Bool
 	// stopped means that the grace period of a shutdown has ended.
 	stopped  atomic.Bool
@@ -121,7 +122,8 @@
 	r.pool.self = routing.Hash(cfg.PeerListen)
 	r.pool.warmUpOf, r.pool.trafficOf = r.warmUpOf, r.trafficOf
 	places.SetDirectory(r.pool)
-	r.conns = newConnTracker(connLimit(cfg.MaxFileDescriptors), r.metrics)
+	limits := intake.NewLimits(cfg.MemoryLimit, cfg.MaxFileDescriptors)
+	r.conns = intake.NewTracker(limits, r.metrics.intake, l, clock.Monotonic)
 	b.OnTargets(r.pool.update)
 	b.OnTargets(r.recordVersions)
 	b.OnNote(replica.TargetsNote, r.readNote)
@@ -170,30 +172,38 @@
 	r.cancelRequests = cancelRequests
 	r.callerServer = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return work },
-		Handler:     http.HandlerFunc(r.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: r.conns.onStateChange, ErrorLog: r.log.StandardLog(),
+		ConnContext: r.conns.ConnContext, ConnState: r.conns.OnStateChange,
+		Handler: r.conns.Handler(http.HandlerFunc(r.serve)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: r.log.StandardLog(),
 	}
 	r.readinessServer = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	var err error
-	if r.callerListener, err = r.listen(r.callerServer, r.cfg.Listen); err != nil {
+	if r.callerListener, err = listen(r.cfg.Listen); err != nil {
 		return err
 	}
-	_, err = r.listen(r.readinessServer, r.cfg.ReadyListen)
-	return err
+	readinessListener, err := listen(r.cfg.ReadyListen)
+	if err != nil {
+		return err
+	}
+	r.serveOn(r.callerServer, r.conns.Listen(r.callerListener))
+	r.serveOn(r.readinessServer, readinessListener)
+	return nil
 }
 
-func (r *Router) listen(s *http.Server, addr string) (net.Listener, error) {
+func listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.WithHint(errors.Wrap(err, "router: listen"), "give the node a free ip:port of this VM")
-	}
+	return ln, errors.WithHint(errors.Wrap(err, "router: listen"), "give the node a free ip:port of this VM")
+}
+
+// serveOn serves in the background until the listener is closed.
+func (r *Router) serveOn(s *http.Server, ln net.Listener) {
+	addr := ln.Addr().String()
 	go func() {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			r.log.Error("listener stopped", "addr", addr, "err", err)
 		}
 	}()
 	r.log.Info("listens", "addr", addr)
-	return ln, nil
 }
 
 // serveReadiness answers the load balancer's readiness checks.
--- a/router/slow_test.go
+++ b/router/slow_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/knapweedgw/knapweedgw/clock"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/quarantine"
 )
 
@@ -47,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newTestPool(run("a", 10))
-		r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: newConnTracker(0, newMetrics(prometheus.NewRegistry()))}
+		r := &Router{pool: p.pool, now: clock.Monotonic, dialect: plainDialect{}, conns: intake.NewTracker(intake.Limits{}, newMetrics(prometheus.NewRegistry()).intake, nil, clock.Monotonic)}
 		w := &slowCaller{header: make(http.Header), released: make(chan struct{})}
 		x := &exchange{router: r, w: w, rc: http.NewResponseController(w), req: &http.Request{}, attempts: p.guard.NewAttempts("r", func() quarantine.Keys { return quarantine.Keys{} })}
 		body := &endlessBody{}
--- a/socket/reset.go
+++ b/socket/reset.go
@@ -8,7 +8,7 @@
 	if end, ok := conn.(*EndConn); ok {
 		raw = end.Conn
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
