Send a refusal at once, and let a client that still sends read it

What callers saw: at the platform's front a client that sent a body over the limit got a reset instead of the 413, since it reads only once it has sent all. At the callers' own front a client whose key is unknown, and which announced a small body and held it back, got no refusal and kept a goroutine.

Cause: net/http reads up to 256 KB of an unread body before it sends the header of the answer, and again after the handler, without a deadline in both. If more is announced it closes the connection with bytes unread, which resets it.

Why this works: before a refusal is written, the read deadline is a second away, and the connection is to be closed if more than 64 KB may still come, so that net/http doesn't read ahead. Afterwards the rest of the body is discarded, bounded by 16 MB, 5 s and a pause of 1 s, while the connection can be evicted like any that waits for its client.

cd lab && go test -run TestRefusal ./fleettest -v

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -7,6 +7,7 @@
 	restful "github.com/emicklei/go-restful/v3"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/problem"
 )
 
@@ -105,7 +106,10 @@
 	switch {
 	case !c.w.wroteHeader:
 		c.w.wroteProblem = true
+		request := intake.Of(c.w, c.req)
+		request.PrepareRefusal(c.w.Header())
 		p.Write(c.w)
+		request.Linger()
 	case c.w.streaming:
 		g.setWriteDeadline(c)
 		_, _ = c.w.Write(p.SSEEvent())
--- a/intake/request.go
+++ b/intake/request.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,16 @@
 	ErrTooSlow = errors.New("the body arrived too slowly")
 )
 
+// smallRest is the largest announced body, in bytes, whose unread rest is read so that its connection can be kept.
+const smallRest = 64 << 10
+
+// A client that still sends when it is refused reads the refusal only once it has sent all, and a connection closed
+// before that is reset. The rest of its body is therefore discarded, within bounds.
+const (
+	lingerBytes = 16 << 20
+	lingerTime  = 5 * time.Second
+)
+
 // Request is what is kept for one request in progress.
 type Request struct {
 	tracker *Tracker
@@ -147,3 +158,41 @@
 	defer q.tracker.mu.Unlock()
 	f(q.tracker.ledger, q.tracker.now())
 }
+
+// PrepareRefusal sets the header of a refusal if the body wasn't read whole: net/http reads a part of the rest before
+// it sends the header, and waits for it without a deadline.
+func (q *Request) PrepareRefusal(h http.Header) {
+	if q.whole {
+		return
+	}
+	if q.r.ContentLength < 0 || q.r.ContentLength > smallRest || q.isEvicted() {
+		h.Set("Connection", "close")
+	}
+	_ = q.rc.SetReadDeadline(time.Now().Add(sendStillTime)) // fails only without a connection
+}
+
+// Linger sends a refusal that was written and discards the rest of the request's body, so that a client that still
+// sends gets to read it. It ends early if nothing arrives for sendStillTime.
+func (q *Request) Linger() {
+	if q.whole || q.isEvicted() || q.r.Header.Get("Expect") != "" {
+		return
+	}
+	if err := q.rc.Flush(); err != nil {
+		return
+	}
+	var scratch [firstBuffer]byte
+	end, left := time.Now().Add(lingerTime), lingerBytes
+	for left > 0 && time.Now().Before(end) {
+		_ = q.rc.SetReadDeadline(time.Now().Add(sendStillTime))
+		n, err := q.r.Body.Read(scratch[:])
+		left -= n
+		if errors.Is(err, io.EOF) {
+			q.whole = true
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+	_ = q.rc.SetReadDeadline(pastDeadline) // net/http reads no further
+}
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -156,6 +157,38 @@
 	})
 }
 
+// it once it has sent all.
+func TestRefusalReachesASendingClient(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
+		defer cancel()
+		status, answer := f.request(ctx, strings.Repeat("a", 2*crowdMaxBody))
+		if status != http.StatusRequestEntityTooLarge {
+			t.Fatalf("status %d, want %d: %s", status, http.StatusRequestEntityTooLarge, answer)
+		}
+		if f.name == "serve" && !strings.Contains(answer, `"ran":"no"`) {
+			t.Fatalf("the refusal doesn't say that the request was not run: %s", answer)
+		}
+	})
+}
+
+// sends the header.
+func TestRefusalDoesNotWaitForABody(t *testing.T) {
+	f := startServeFront(t)
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(conditionTimeout))
+	if err := writeAll(c, f.headWithKey(http.MethodPost, f.path, "unknown", "Content-Length: 1000\r\n\r\na")); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := readAnswer(c); status != http.StatusUnauthorized {
+		t.Fatalf("status %d, want %d", status, http.StatusUnauthorized)
+	}
+}
+
 // readAnswer reads one response.
 func readAnswer(c net.Conn) (status int, body string) {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -301,8 +301,10 @@
 		x.abort(p.Reason)
 	}
 	x.maybeSendConnectionClose()
+	x.intake.PrepareRefusal(x.w.Header())
 	x.router.dialect.WriteRefusal(x.w, p)
 	x.flushAnswer()
+	x.intake.Linger()
 }
 
 // recoverPanic logs a panic of the handler with the request's ID, which the log line of
