Bound the bytes that are kept for all callers' bodies together

What callers saw: the process ended, with all their requests, when others sent bodies that stopped just short of their end.

Cause: each body had a limit, nobody added them up. At the platform's front a buffer of the announced length was made before a byte had come, and chunks were doubled and copied without a bound; a body was read whole before its key was looked at, so that a crowd that nobody knows could do the same; and no body ever timed out.

Why this works: a body's buffer grows with what has arrived, and each growth is granted by the ledger, which adds up what all connections keep. Its limit is a fifth of the machine's memory. If there is no room, connections whose clients have stood still for longest, a second at least, are ended for it; if there are none, the request is refused at once (`node_full`, not run). The bytes of a workspace are bounded by those that are still free, so that one alone gets half and some are left for others; 8 KB of a connection need no grant, so that small requests pass. A body of more than that is refused before it is kept if its key or route isn't known. The one request of an idle node may take all.

cd lab && go test -run TestCrowd ./fleettest -v go test ./intake

--- a/gateway/input.go
+++ b/gateway/input.go
@@ -85,7 +85,8 @@
 // readBody reads the complete body within the limits of --max-body-bytes and --body-timeout.
 func (g *Gateway) readBody(c *call) ([]byte, error) {
 	limits := intake.BodyLimits{Bytes: g.cfg.MaxBodyBytes, Total: g.cfg.BodyTimeout}
-	body, err := intake.Of(c.w, c.req).ReadBody(limits)
+	workspace := func() (string, error) { return c.workspace.Team + "/" + c.workspace.Name, nil }
+	body, err := intake.Of(c.w, c.req).ReadBody(limits, workspace)
 	switch {
 	case err == nil:
 		return body, nil
@@ -93,10 +94,17 @@
 		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, "limit "+strconv.FormatInt(g.cfg.MaxBodyBytes, 10)+" bytes")
 	case errors.Is(err, intake.ErrTooSlow):
 		return nil, problem.New(problem.BodyTimeout, problem.NotRun, "")
+	case errors.Is(err, intake.ErrNoRoom):
+		return nil, nodeFull()
 	}
 	return nil, problem.New(problem.BadRequest, problem.NotRun, "body: "+err.Error())
 }
 
+// nodeFull returns the refusal of a request for which there is no memory.
+func nodeFull() error {
+	return problem.New(problem.NodeFull, problem.NotRun, "").WithRetryAfter(intake.RetryAfter())
+}
+
 func bearerToken(r *http.Request) (string, bool) {
 	const scheme = "Bearer "
 	h := r.Header.Get("Authorization")
--- a/intake/body.go
+++ b/intake/body.go
@@ -11,9 +11,10 @@
 // was announced.
 const firstBuffer = 4 << 10
 
-// buffer holds what was read of a body.
+// buffer holds what was read of a body. Its capacity is granted to its request.
 type buffer struct {
-	bytes []byte
+	request *Request
+	bytes   []byte
 	// most is the largest capacity, 0 for no limit.
 	most int
 }
@@ -29,11 +30,17 @@
 	return size
 }
 
-// grow doubles the capacity.
-func (b *buffer) grow() {
-	larger := make([]byte, len(b.bytes), b.nextSize())
+// grow doubles the capacity. It reports whether there is room.
+func (b *buffer) grow() bool {
+	size := b.nextSize()
+	if !b.request.Acquire(int64(size)) {
+		return false
+	}
+	larger := make([]byte, len(b.bytes), size)
 	copy(larger, b.bytes)
+	b.request.release(int64(cap(b.bytes)))
 	b.bytes = larger
+	return true
 }
 
 // read reads once from r. The buffer must not be full.
@@ -56,18 +63,19 @@
 // bodyReader reads the body of a request.
 type bodyReader struct {
 	buffer
-	request *Request
-	limits  BodyLimits
-	// progressAt is the length at the last progress.
+	limits    BodyLimits
+	authorize func() (workspace string, err error)
+	// authorized means that authorize has returned the workspace; progressAt is the length at the last progress.
+	authorized bool
 	progressAt int
 }
 
-func newBodyReader(q *Request, l BodyLimits) *bodyReader {
+func newBodyReader(q *Request, l BodyLimits, authorize func() (string, error)) *bodyReader {
 	longest := l.Bytes
 	if q.r.ContentLength > 0 {
 		longest = q.r.ContentLength
 	}
-	b := &bodyReader{request: q, limits: l}
+	b := &bodyReader{buffer: buffer{request: q}, limits: l, authorize: authorize}
 	if longest > 0 {
 		b.most = int(longest) + 1 // a longer body shows by the last byte
 	}
@@ -78,7 +86,9 @@
 	q := b.request
 	for {
 		if b.isFull() {
-			b.grow()
+			if err := b.makeRoom(); err != nil {
+				return nil, err
+			}
 		}
 		if b.limits.Pause > 0 {
 			_ = q.rc.SetReadDeadline(time.Now().Add(b.limits.Pause)) // fails only without a connection
@@ -98,3 +108,18 @@
 		}
 	}
 }
+
+func (b *bodyReader) makeRoom() error {
+	if !b.authorized && b.nextSize() > freeBytes {
+		workspace, err := b.authorize()
+		if err != nil {
+			return err
+		}
+		b.authorized = true
+		b.request.Join(workspace)
+	}
+	if !b.grow() {
+		return ErrNoRoom
+	}
+	return nil
+}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -98,3 +98,12 @@
 	}
 	return true
 }
+
+// acquire grants n bytes and ends the connections that are evicted for them. The caller must hold t.mu.
+func (t *Tracker) acquire(h *Holder, n int64) bool {
+	evicted, ok := t.ledger.Acquire(h, n, t.now())
+	for _, v := range evicted {
+		t.end(v)
+	}
+	return ok
+}
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -30,6 +30,10 @@
 	phase Phase
 	// since is when the phase began or the connection last made progress.
 	since time.Time
+	// bytes is what it keeps, charged the part of it that counts toward the limit.
+	bytes, charged int64
+	// group is the workspace that the charged bytes count for, empty while it isn't known.
+	group string
 	// position is the holder's element in one of the ledger's lists, nil for none.
 	position *list.Element
 	open     bool
@@ -42,11 +46,17 @@
 // Evicted reports whether the connection is ended in favor of another.
 func (h *Holder) Evicted() bool { return h.evicted }
 
-// Ledger decides which connections a process keeps for callers, and which one is ended if another needs the room. It
-// is a pure data structure on the time that its caller passes; it is not safe for concurrent use.
+// Ledger decides which connections a process keeps for callers and how many bytes they may hold, and which connection
+// is ended if another needs the room. It is a pure data structure on the time that its caller passes; it is not safe
+// for concurrent use.
+//
+// The bytes of a group are bounded by those that are still free (the dynamic thresholds of Choudhury and Hahne), so
+// that one group alone gets half of them and some are always left for another.
 type Ledger struct {
 	limits Limits
 	conns  int
+	bytes  int64
+	groups map[string]int64
 	// idle holds the connections between two requests, sending those whose client is to send. In each the one that has
 	// made no progress for longest is first.
 	idle, sending *list.List
@@ -54,12 +64,15 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(l Limits) *Ledger {
-	return &Ledger{limits: l, idle: list.New(), sending: list.New()}
+	return &Ledger{limits: l, groups: make(map[string]int64), idle: list.New(), sending: list.New()}
 }
 
-// Conns returns the number of open connections.
+// Conns returns the number of open connections, Bytes that of the bytes that count toward the limit.
 func (l *Ledger) Conns() int { return l.conns }
 
+// Bytes returns the number of bytes that count toward the limit.
+func (l *Ledger) Bytes() int64 { return l.bytes }
+
 // Open adds a connection. If that exceeds the limit, it evicts an idle connection or, if there is none, the one that
 // has waited for its client for longest. It returns the evicted connection, nil for none, and whether there is room.
 func (l *Ledger) Open(h *Holder, now time.Time) (evicted *Holder, ok bool) {
@@ -79,17 +92,20 @@
 	if e := l.idle.Front(); e != nil {
 		return e.Value.(*Holder)
 	}
-	return l.stalled(now)
+	return l.stalled(now, func(*Holder) bool { return true })
 }
 
-// stalled returns the connection that has waited for its client for longest, nil if none has for sendStillTime.
-func (l *Ledger) stalled(now time.Time) *Holder {
-	e := l.sending.Front()
-	if e == nil {
-		return nil
-	}
-	if h := e.Value.(*Holder); now.Sub(h.since) >= sendStillTime {
-		return h
+// stalled returns the connection that has waited for its client for longest and satisfies a condition, nil if none has
+// for sendStillTime.
+func (l *Ledger) stalled(now time.Time, condition func(*Holder) bool) *Holder {
+	for e := l.sending.Front(); e != nil; e = e.Next() {
+		h := e.Value.(*Holder)
+		if now.Sub(h.since) < sendStillTime {
+			return nil
+		}
+		if condition(h) {
+			return h
+		}
 	}
 	return nil
 }
@@ -141,12 +157,69 @@
 // Progress notes that the client of a connection has done its part.
 func (l *Ledger) Progress(h *Holder, now time.Time) { l.Enter(h, h.phase, now) }
 
-// Close removes a connection.
+// Join makes the bytes of a connection count for a group.
+func (l *Ledger) Join(h *Holder, group string) {
+	l.charge(h, -h.charged)
+	h.group = group
+	l.charge(h, countedBytes(h.bytes))
+}
+
+// Acquire grants n more bytes to a connection. While there is no room, it evicts connections that have waited for
+// their clients for longest. It returns these, and whether the bytes are granted.
+func (l *Ledger) Acquire(h *Holder, n int64, now time.Time) (evicted []*Holder, ok bool) {
+	if !h.open {
+		return nil, false
+	}
+	more := countedBytes(h.bytes+n) - h.charged
+	for !l.fits(h, more) {
+		v := l.stalled(now, func(v *Holder) bool { return v != h && v.charged > 0 })
+		if v == nil {
+			return evicted, false
+		}
+		l.evict(v)
+		evicted = append(evicted, v)
+	}
+	h.bytes += n
+	l.charge(h, more)
+	return evicted, true
+}
+
+// fits reports whether a connection may be charged more bytes. One that is the only one to hold any may take all.
+func (l *Ledger) fits(h *Holder, more int64) bool {
+	if l.limits.Bytes == 0 || more <= 0 {
+		return true
+	}
+	left := l.limits.Bytes - l.bytes - more
+	return left >= 0 && (l.groups[h.group]+more <= left || l.bytes == h.charged)
+}
+
+// Release takes back n granted bytes.
+func (l *Ledger) Release(h *Holder, n int64) {
+	if !h.open {
+		return
+	}
+	h.bytes -= n
+	l.charge(h, countedBytes(h.bytes)-h.charged)
+}
+
+func (l *Ledger) charge(h *Holder, n int64) {
+	h.charged += n
+	l.bytes += n
+	if l.groups[h.group] += n; l.groups[h.group] == 0 {
+		delete(l.groups, h.group)
+	}
+}
+
+// Close removes a connection with all that it holds.
 func (l *Ledger) Close(h *Holder) {
 	if !h.open {
 		return
 	}
 	l.unlist(h)
-	h.open = false
+	l.charge(h, -h.charged)
+	h.open, h.bytes = false, 0
 	l.conns--
 }
+
+// countedBytes returns how many of the bytes that a connection keeps count toward the limit.
+func countedBytes(kept int64) int64 { return max(kept-freeBytes, 0) }
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -1,15 +1,25 @@
 package intake
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
-// connMemoryShare bounds what connections take of a machine's memory before anything is kept for their requests.
-const connMemoryShare = 1.0 / 3
+// Shares of a machine's memory. The rest is for the node's own state, the answers of targets and the garbage
+// collector, whose heap is up to a third larger than what is in use.
+const (
+	// connMemoryShare bounds what connections take before anything is kept for their requests.
+	connMemoryShare = 1.0 / 3
+	// byteShare bounds the bytes that are kept for callers' requests.
+	byteShare = 1.0 / 5
+)
 
 // What one connection takes, in bytes.
 const (
 	// connOverhead is for its goroutine and the buffers of the HTTP server.
 	connOverhead = 20 << 10
-	// freeBytes is for the header and the body of a small request.
+	// freeBytes is what a connection may keep without a grant: the header and the body of a small request, which
+	// therefore passes while larger ones are refused.
 	freeBytes = 8 << 10
 	// receiveBuffer is the size of the socket's receive buffer: bytes that have arrived and were not read yet count
 	// toward a machine's memory.
@@ -40,12 +50,14 @@
 type Limits struct {
 	// Conns is the maximum number of callers' connections, 0 for no limit.
 	Conns int
+	// Bytes is the maximum number of bytes kept for callers' requests, 0 for no limit.
+	Bytes int64
 }
 
 // NewLimits returns the limits of a process that may use memory bytes of memory and open maxFiles descriptors. In
 // both, 0 means no limit.
 func NewLimits(memory int64, maxFiles int) Limits {
-	l := Limits{Conns: connLimit(maxFiles)}
+	l := Limits{Conns: connLimit(maxFiles), Bytes: int64(byteShare * float64(memory))}
 	if memory <= 0 {
 		return l
 	}
@@ -64,3 +76,13 @@
 	}
 	return max(int(callerConnShare*float64(maxFiles-filesReserved)), 1)
 }
+
+// Bounds of RetryAfter. Until then connections that have stopped sending may be evicted, and callers that come back
+// are spread.
+const (
+	retryAfter  = sendStillTime
+	retryJitter = 500 * time.Millisecond
+)
+
+// RetryAfter returns when the caller of a request that found no room is to come back.
+func RetryAfter() time.Duration { return retryAfter + rand.N(retryJitter) }
--- a/intake/request.go
+++ b/intake/request.go
@@ -14,6 +14,8 @@
 	ErrTooLarge = errors.New("the body is over the limit")
 	// ErrTooSlow: the body stood still for too long, or its connection was evicted.
 	ErrTooSlow = errors.New("the body arrived too slowly")
+	// ErrNoRoom: as many bytes are held for callers as may be.
+	ErrNoRoom = errors.New("no room for the body")
 )
 
 // smallRest is the largest announced body, in bytes, whose unread rest is read so that its connection can be kept.
@@ -26,7 +28,7 @@
 	lingerTime  = 5 * time.Second
 )
 
-// Request is what is kept for one request in progress.
+// Request is what is kept for one request in progress. A nil Request keeps no account.
 type Request struct {
 	tracker *Tracker
 	conn    *Conn   // nil if the server has no listener of the tracker
@@ -87,7 +89,7 @@
 	return q
 }
 
-// finish ends the account of the request. net/http then reads on to the end of its body.
+// finish ends the accounting of the request. net/http then reads on to the end of its body.
 func (q *Request) finish() {
 	if !q.whole {
 		_ = q.rc.SetReadDeadline(time.Now().Add(sendStillTime)) // fails only without a connection
@@ -95,11 +97,19 @@
 	if q.conn == nil {
 		return
 	}
+	t := q.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Release(q.holder, q.holder.bytes)
+	t.ledger.Join(q.holder, "")
+	t.publish()
 	q.conn.request.Store(nil)
 }
 
-// ReadBody reads the whole body. It returns ErrTooLarge, ErrTooSlow or the error of the connection.
-func (q *Request) ReadBody(l BodyLimits) ([]byte, error) {
+// ReadBody reads the whole body. Before it keeps more of it than every request may, it calls authorize, which returns
+// the workspace for which the bytes count, or why the request is refused. It returns ErrTooLarge, ErrTooSlow,
+// ErrNoRoom, the error of authorize or that of the connection.
+func (q *Request) ReadBody(l BodyLimits, authorize func() (workspace string, err error)) ([]byte, error) {
 	if q.whole {
 		return nil, nil
 	}
@@ -109,7 +119,7 @@
 	if l.Total > 0 {
 		_ = q.rc.SetReadDeadline(time.Now().Add(l.Total)) // fails only without a connection
 	}
-	body, err := newBodyReader(q, l).readAll()
+	body, err := newBodyReader(q, l, authorize).readAll()
 	if err != nil {
 		return nil, q.readError(err)
 	}
@@ -150,8 +160,13 @@
 	q.withLedger(func(l *Ledger, now time.Time) { l.Progress(q.holder, now) })
 }
 
+// Join makes what is kept for the request count for a workspace.
+func (q *Request) Join(workspace string) {
+	q.withLedger(func(l *Ledger, _ time.Time) { l.Join(q.holder, workspace) })
+}
+
 func (q *Request) withLedger(f func(l *Ledger, now time.Time)) {
-	if q.conn == nil {
+	if q == nil || q.conn == nil {
 		return
 	}
 	q.tracker.mu.Lock()
@@ -159,6 +174,22 @@
 	f(q.tracker.ledger, q.tracker.now())
 }
 
+// Acquire grants n more bytes for the request. It reports whether there is room.
+func (q *Request) Acquire(n int64) bool {
+	if q == nil || q.conn == nil {
+		return true
+	}
+	q.tracker.mu.Lock()
+	defer q.tracker.mu.Unlock()
+	defer q.tracker.publish()
+	return q.tracker.acquire(q.holder, n)
+}
+
+// release gives back n granted bytes.
+func (q *Request) release(n int64) {
+	q.withLedger(func(l *Ledger, _ time.Time) { l.Release(q.holder, n) })
+}
+
 // PrepareRefusal sets the header of a refusal if the body wasn't read whole: net/http reads a part of the rest before
 // it sends the header, and waits for it without a deadline.
 func (q *Request) PrepareRefusal(h http.Header) {
@@ -180,6 +211,7 @@
 	if err := q.rc.Flush(); err != nil {
 		return
 	}
+	q.withLedger(func(l *Ledger, _ time.Time) { l.Release(q.holder, q.holder.bytes) })
 	var scratch [firstBuffer]byte
 	end, left := time.Now().Add(lingerTime), lingerBytes
 	for left > 0 && time.Now().Before(end) {
--- a/intake/tracker.go
+++ b/intake/tracker.go
@@ -1,5 +1,5 @@
-// Package intake bounds what a process holds for its callers together: their connections. When room is short it ends
-// the ones that have waited for their clients for longest.
+// Package intake bounds what a process holds for its callers together: their connections and the bytes that are kept
+// for their requests. When room is short it ends the connections that have waited for their clients for longest.
 package intake
 
 import (
@@ -26,7 +26,7 @@
 	// evicted counts idle connections closed in favor of new ones, rejected new ones closed since there was no room,
 	// and stalled those ended while they waited for their client.
 	evicted, rejected, stalled prometheus.Counter
-	conns                      prometheus.Gauge
+	bytes, conns               prometheus.Gauge
 }
 
 // NewMetrics registers the metrics of a Tracker.
@@ -37,11 +37,12 @@
 	return &Metrics{
 		evicted: ended.WithLabelValues("evicted"), rejected: ended.WithLabelValues("rejected"),
 		stalled: ended.WithLabelValues("stalled"),
+		bytes:   f.Gauge("held_bytes", "Bytes kept for callers' requests that count toward the limit."),
 		conns:   f.Gauge("connections", "Callers' open connections."),
 	}
 }
 
-// Tracker tracks the connections of callers. It is safe for concurrent use.
+// Tracker tracks the connections of callers and what is kept for them. It is safe for concurrent use.
 type Tracker struct {
 	limits  Limits
 	metrics *Metrics
@@ -158,12 +159,15 @@
 		return
 	}
 	t.log.Warn("connections ended for want of room", "count", t.ended, "connections", t.ledger.Conns(),
-		"limit", t.limits.Conns)
+		"limit", t.limits.Conns, "bytes", t.ledger.Bytes(), "bytes_limit", t.limits.Bytes)
 	t.ended, t.loggedAt = 0, now
 }
 
-// publish sets the gauge. The caller must hold t.mu.
-func (t *Tracker) publish() { t.metrics.conns.Set(float64(t.ledger.Conns())) }
+// publish sets the gauges. The caller must hold t.mu.
+func (t *Tracker) publish() {
+	t.metrics.conns.Set(float64(t.ledger.Conns()))
+	t.metrics.bytes.Set(float64(t.ledger.Bytes()))
+}
 
 // NearLimit reports whether answers should ask callers to close their connections.
 func (t *Tracker) NearLimit() bool {
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -17,8 +17,82 @@
 const (
 	chunkedField = "Transfer-Encoding: chunked\r\n"
 	endlessBytes = 1 << 20 // sent where a client would never end
+	overBytes    = 2 * crowdMaxBody
 )
 
+// that never arrive, and nobody ends the request.
+func TestCrowdOfAnnouncedBodies(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		head := fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdMaxBody)
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, head)); err != nil {
+				return err
+			}
+			return writeRepeated(w, "a", crowdMaxBody-1)
+		})
+	})
+}
+
+// Guards against the same bodies in large chunks, whose buffers are doubled and copied.
+func TestCrowdOfLargeChunks(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, chunkedField), "\r\n"); err != nil {
+				return err
+			}
+			return writeRepeated(w, chunk(crowdChunk), crowdMaxBody/crowdChunk*len(chunk(crowdChunk))-2)
+		})
+	})
+}
+
+// Guards against a megabyte in tiny chunks, held by each of many.
+func TestCrowdOfTinyChunks(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, chunkedField), "\r\n"); err != nil {
+				return err
+			}
+			return writeRepeated(w, chunk(crowdTinyChunk), endlessBytes/crowdTinyChunk*len(chunk(crowdTinyChunk)))
+		})
+	})
+}
+
+// Guards against bodies far over the limit that are announced.
+func TestCrowdOfAnnouncedOversizedBodies(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, "Content-Length: 1099511627776\r\n\r\n")); err != nil {
+				return err
+			}
+			return writeRepeated(w, "a", overBytes)
+		})
+	})
+}
+
+// Guards against bodies far over the limit that are just sent.
+func TestCrowdOfOversizedChunkedBodies(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.head(http.MethodPost, chunkedField), "\r\n"); err != nil {
+				return err
+			}
+			return writeRepeated(w, chunk(crowdChunk), overBytes)
+		})
+	})
+}
+
+// Guards against bodies of callers that nobody knows.
+func TestCrowdWithoutValidKeys(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := writeAll(w, f.headWithKey(http.MethodPost, f.path, "unknown", chunkedField), "\r\n"); err != nil {
+				return err
+			}
+			return writeRepeated(w, chunk(crowdChunk), crowdMaxBody)
+		})
+	})
+}
+
 // Guards against heads over the limit.
 func TestCrowdOfOversizedHeads(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -58,6 +58,7 @@
 	StreamVersionUnknown Reason = "stream_version_unknown"
 	Quarantined          Reason = "quarantined"
 	SuspectInProgress    Reason = "suspect_busy"
+	NodeFull             Reason = "node_full"
 	NodeStopping         Reason = "stopping"
 	Internal             Reason = "internal"
 )
@@ -103,6 +104,7 @@
 	StreamVersionUnknown: {http.StatusServiceUnavailable, "It isn't known which version began the stream", "Send the request again after Retry-After, or the whole request without Last-Event-Id."},
 	Quarantined:          {http.StatusServiceUnavailable, "Targets end when they run this request", "Don't send this request again as it is: change it, or ask the operator why targets end under its fingerprint."},
 	SuspectInProgress:    {http.StatusServiceUnavailable, "A copy of this request is being run with care", "Send the request again after Retry-After."},
+	NodeFull:             {http.StatusServiceUnavailable, "This node holds as many bytes for its callers as it may", "Send the request again after Retry-After."},
 	NodeStopping:         {http.StatusServiceUnavailable, "This node is stopping", "Send the request again on a new connection."},
 	Internal:             {http.StatusInternalServerError, "The node failed", "Report the request ID to the operator."},
 }
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -168,6 +168,11 @@
 	if x.router.conns.IsClosing() {
 		return problem.New(problem.NodeStopping, problem.NotRun, "").WithRetryAfter(stopRetryAfter)
 	}
+	return x.admit()
+}
+
+// admit matches the request's route and authorizes it by the newest configuration.
+func (x *exchange) admit() error {
 	x.catalog = x.router.replica.Catalog()
 	_, position := x.router.replica.Versions()
 	x.era, x.revision = store.EraOf(position), store.RevisionOf(position)
@@ -195,26 +200,39 @@
 	}
 }
 
+// readBody reads the body. A large one is refused before it has arrived if no workspace may send it, by the
+// configuration of that moment; admit decides again once it is whole.
 func (x *exchange) readBody() error {
 	limits := intake.BodyLimits{Bytes: x.router.replica.Catalog().Limits().MaxBodyBytes, Pause: callerIdle}
 	var err error
-	x.body, err = x.intake.ReadBody(limits)
+	x.body, err = x.intake.ReadBody(limits, func() (string, error) {
+		err := x.admit()
+		return x.workspace, err
+	})
 	return bodyProblem(err)
 }
 
 // bodyProblem returns the refusal for an error of a body that wasn't received, nil for none.
 func bodyProblem(err error) error {
+	var p *problem.Problem
 	switch {
-	case err == nil:
-		return nil
+	case err == nil || errors.As(err, &p):
+		return err
 	case errors.Is(err, intake.ErrTooLarge):
 		return problem.New(problem.BodyTooLarge, problem.NotRun, "")
 	case errors.Is(err, intake.ErrTooSlow):
 		return problem.New(problem.BodyTimeout, problem.NotRun, "")
+	case errors.Is(err, intake.ErrNoRoom):
+		return nodeFull()
 	}
 	return problem.New(problem.CallerGone, problem.NotRun, err.Error())
 }
 
+// nodeFull returns the refusal of a request for which there is no memory.
+func nodeFull() error {
+	return problem.New(problem.NodeFull, problem.NotRun, "").WithRetryAfter(intake.RetryAfter())
+}
+
 func (x *exchange) matchRoute() error {
 	route, ok := x.catalog.Match(x.req.Host, x.req.URL.EscapedPath())
 	if !ok {
