Count what headers take toward the bytes that are kept for callers

What callers saw: a node of the callers' own front took more than its machine has when 200 clients sent headers of many short fields, unfinished ones and whole ones with a body that lacks a byte. At the platform's front such heads kept their places.

Cause: the HTTP library bounds the length of a header, not what its decoded form takes: 60 KB of fields of seven bytes are 8,700 entries of a map, over a megabyte a connection. Nothing added them up, and prompt parts are decoded to four times the length of their header.

Why this works: the connection reports what net/http reads before a request, and the ledger grants its length and 256 bytes a line, as for bodies. A connection without room is closed unanswered: nothing of its request was taken.

cd lab && go test -run 'TestCrowdOf.*Heads' ./fleettest -v

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"os"
@@ -11,6 +12,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// fieldBytes is what a line of a header takes once it is decoded, besides its text: its entries in the maps of the
+// request and of its copy to a target, and the slices of its values.
+const fieldBytes = 256
+
 // Listen returns a listener whose connections the tracker accounts for. The server must also have the tracker's
 // OnStateChange and ConnContext as its hooks.
 func (t *Tracker) Listen(ln net.Listener) net.Listener { return &listener{Listener: ln, tracker: t} }
@@ -36,7 +41,7 @@
 	return own, nil
 }
 
-// Conn is a caller's connection. It reports that headers begin, which net/http reads on its own.
+// Conn is a caller's connection. It reports the bytes of headers, which net/http reads on its own.
 type Conn struct {
 	*net.TCPConn
 	tracker *Tracker
@@ -52,7 +57,7 @@
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.beforeRequest.Load() && !c.tracker.receivedHeader(c) {
+	if n > 0 && c.beforeRequest.Load() && !c.tracker.receivedHeader(c, p[:n]) {
 		return 0, os.ErrDeadlineExceeded // on which net/http closes the connection without an answer
 	}
 	return n, err
@@ -83,9 +88,8 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// receivedHeader notes that a part of the bytes before the body of a request has arrived. It reports whether the
-// connection is to be read on.
-func (t *Tracker) receivedHeader(c *Conn) bool {
+// receivedHeader accounts for a part of the bytes before the body of a request. It reports whether there is room.
+func (t *Tracker) receivedHeader(c *Conn, p []byte) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.conns[c]
@@ -93,12 +97,21 @@
 		return false
 	}
 	t.revive(h)
+	now := t.now()
 	if h.phase == Silent || h.phase == Idle {
-		t.ledger.Enter(h, Header, t.now())
+		t.ledger.Enter(h, Header, now)
+	}
+	size := int64(len(p) + fieldBytes*bytes.Count(p, lineEnd))
+	if t.acquire(h, size) {
+		return true
 	}
-	return true
+	t.metrics.noRoom.Inc()
+	t.logEnded()
+	return false
 }
 
+var lineEnd = []byte{'\n'}
+
 // acquire grants n bytes and ends the connections that are evicted for them. The caller must hold t.mu.
 func (t *Tracker) acquire(h *Holder, n int64) bool {
 	evicted, ok := t.ledger.Acquire(h, n, t.now())
--- a/intake/tracker.go
+++ b/intake/tracker.go
@@ -24,21 +24,21 @@
 // Metrics counts the connections that a Tracker ends.
 type Metrics struct {
 	// evicted counts idle connections closed in favor of new ones, rejected new ones closed since there was no room,
-	// and stalled those ended while they waited for their client.
-	evicted, rejected, stalled prometheus.Counter
-	bytes, conns               prometheus.Gauge
+	// stalled those ended while they waited for their client, and noRoom those whose header found no room.
+	evicted, rejected, stalled, noRoom prometheus.Counter
+	bytes, conns                       prometheus.Gauge
 }
 
 // NewMetrics registers the metrics of a Tracker.
 func NewMetrics(f telemetry.MetricFactory) *Metrics {
 	ended := f.CounterVec("connections_ended_total",
 		"Callers' connections ended for want of descriptors or memory: idle ones evicted for new ones, new ones rejected, "+
-			"and stalled ones that waited for their client.", "how")
+			"stalled ones that waited for their client, and ones with no room for their header.", "how")
 	return &Metrics{
 		evicted: ended.WithLabelValues("evicted"), rejected: ended.WithLabelValues("rejected"),
-		stalled: ended.WithLabelValues("stalled"),
-		bytes:   f.Gauge("held_bytes", "Bytes kept for callers' requests that count toward the limit."),
-		conns:   f.Gauge("connections", "Callers' open connections."),
+		stalled: ended.WithLabelValues("stalled"), noRoom: ended.WithLabelValues("no_room"),
+		bytes: f.Gauge("held_bytes", "Bytes kept for callers' requests that count toward the limit."),
+		conns: f.Gauge("connections", "Callers' open connections."),
 	}
 }
 
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// Guards against heads of many short fields that never end, whose decoded form is many times as large.
+func TestCrowdOfUnfinishedHeads(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		fields := shortFields(60 << 10)
+		f.press(t, crowdSize, func(w io.Writer) error { return writeAll(w, f.head(http.MethodPost, fields)) })
+	})
+}
+
+// Guards against the same heads that end, with a body that doesn't.
+func TestCrowdOfLargeHeadsWithOpenBodies(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		fields := shortFields(60<<10) + "Content-Length: 2\r\n\r\na"
+		f.press(t, crowdSize, func(w io.Writer) error { return writeAll(w, f.head(http.MethodPost, fields)) })
+	})
+}
+
+// shortFields returns about n bytes of header fields with different names.
+func shortFields(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
 // Guards against empty lines without end before a request.
 func TestCrowdOfEmptyLines(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -30,6 +30,9 @@
 // deadline still arrives.
 const timeoutSlack = 40 * time.Millisecond
 
+// partBytes is the size of a decoded prompt part, which may be four times as long as its text.
+const partBytes = 16
+
 // exchange is the state of one caller's request in progress.
 type exchange struct {
 	router *Router
@@ -156,6 +159,9 @@
 	if x.call, err = x.router.dialect.DecodeCallerHeader(x.req); err != nil {
 		return problem.New(problem.BadRequest, problem.NotRun, err.Error())
 	}
+	if !x.intake.Acquire(int64(len(x.call.PromptParts)) * partBytes) {
+		return nodeFull()
+	}
 	if !x.awaitCatalog() {
 		remaining := max(0, x.call.Deadline-x.router.now().Sub(x.start))
 		after := startRetryAfter(x.router.replica.WithoutConfiguration(), remaining, rand.Float64())
