End responses that their callers don't read

What callers saw: `saturated`, while callers that didn't read their responses kept the places on a target of the callers' own front.

Cause: only writes of streams had a deadline. Any other response that was larger than the buffers of the sockets blocked its handler for ever, and with it the place on its target.

Evidence: on the code before, TestUnreadResponseEnds waited for the places in vain, for 20 s, with responses of 0.5 MB, which are read whole first, and of 64 MB, which aren't.

Why this works: the writer that all responses go through sets a deadline before each 32 KB, 30 s as for streams, so that a caller that reads slowly gets all of a large response, and one that doesn't read is cut off. The timers of streams go through the same method.

The test passes; those of paused streams still do.

go test ./gateway -run 'TestUnreadResponseEnds|TestStreamContinues'

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -86,7 +87,7 @@
 	}
 	return &call{
 		id: id, kind: kindUnknown, req: r.Request,
-		w:    &responseWriter{ResponseWriter: w.ResponseWriter},
+		w:    &responseWriter{ResponseWriter: w.ResponseWriter, timeout: g.writeTimeout},
 		base: g.log,
 	}
 }
@@ -151,9 +152,15 @@
 	return deadline.Sub(now)
 }
 
-// responseWriter tracks what was written of a response.
+// writePart is the most that is written within one timeout, in bytes: a caller that reads slowly
+// gets a large response as long as it reads at all.
+const writePart = 32 << 10
+
+// responseWriter tracks what was written of a response, and bounds how long the caller may not read
+// it: until it is written, it holds memory and mostly a place on a target.
 type responseWriter struct {
 	http.ResponseWriter
+	timeout      time.Duration // of the write of writePart bytes
 	wroteHeader  bool
 	status       int // of the written header
 	wroteProblem bool
@@ -169,7 +176,27 @@
 // Write implements io.Writer.
 func (w *responseWriter) Write(p []byte) (int, error) {
 	w.wroteHeader = true
-	return w.ResponseWriter.Write(p)
+	if len(p) == 0 {
+		return w.ResponseWriter.Write(p)
+	}
+	written := 0
+	for part := range slices.Chunk(p, writePart) {
+		w.setDeadline()
+		n, err := w.ResponseWriter.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// setDeadline sets the deadline of the next write. Each write needs a new one: a stream may pause
+// for longer than the write timeout, and an expired deadline would lose the next burst of events or
+// the final error event. net/http clears the deadline before the connection's next request.
+func (w *responseWriter) setDeadline() {
+	// Ignored: a writer without deadlines waits until the caller disconnects.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.timeout))
 }
 
 // Unwrap returns the server's writer, for http.ResponseController.
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -89,9 +89,7 @@
 // is its last event; if another response has, nothing is written.
 func (g *Gateway) finish(c *call, err error) {
 	if err == nil {
-		if c.w.streaming {
-			g.setWriteDeadline(c) // the server writes the end of the stream after the handler returns
-		}
+		c.w.setDeadline() // the server writes the end of the response after the handler returns
 		g.metrics.requests.WithLabelValues(c.kind, outcomeAnswered).Inc()
 		return
 	}
@@ -111,7 +109,6 @@
 		p.Write(c.w)
 		request.Linger()
 	case c.w.streaming:
-		g.setWriteDeadline(c)
 		_, _ = c.w.Write(p.SSEEvent())
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -243,21 +243,11 @@
 // write writes to the server's buffer, which goes to the connection when it is full.
 func (s *stream) write(p []byte) {
 	s.c.captured.add(p)
-	s.g.setWriteDeadline(s.c)
 	_, _ = s.c.w.Write(p)
 }
 
 // flush sends the buffered data. It returns the error of a failed write, which write ignores.
 func (s *stream) flush() error {
-	s.g.setWriteDeadline(s.c)
+	s.c.w.setDeadline()
 	return s.rc.Flush()
 }
-
-// setWriteDeadline sets the deadline of the next write. Each write needs a new one: a stream may
-// pause for longer than the write timeout, and an expired deadline would lose the next burst of
-// events or the final error event. net/http clears the deadline before the connection's next
-// request.
-func (g *Gateway) setWriteDeadline(c *call) {
-	// Ignored: a writer without deadlines waits until the caller disconnects.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(g.writeTimeout))
-}
