Count answers that are read whole, and end clients that don't read them

What callers saw: 200 clients that asked for answers of 1 MB and read none took a node of the callers' own front over its machine's memory.

Cause: an answer is read whole, up to 1 MB, before any of it is delivered, and kept until it is written. Nothing added these up, and a connection on which a write is blocked counted as busy, so that it never made room.

Why this works: an answer's buffer grows by grants of the ledger, as a body's does, for the workspace of the request. Without room the answer is delivered as it arrives, as a larger one always was: it holds its place until it is read, so that its caller may then pause for 2 s only. The connection tells when a write begins and ends; one that has been blocked for 2 s may be ended for another, after those whose clients owe a request.

cd lab && go test -run TestCrowdOfUnread ./fleettest -v

--- a/gateway/held.go
+++ b/gateway/held.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/knapweedgw/knapweedgw/completion"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -32,8 +33,8 @@
 	fail := statusError(retry.Sent, problem.TargetFailed, resp)
 	var received completion.Body
 	received.Start(resp, false)
-	body, err := io.ReadAll(io.LimitReader(&received, maxHeldFailure+1))
-	if err == nil && len(body) > maxHeldFailure {
+	body, whole, err := intake.Of(c.w, c.req).ReadAnswer(&received, maxHeldFailure)
+	if err == nil && !whole {
 		resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
 		return nil
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedgw/knapweedgw/completion"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/retry"
 	"github.com/knapweedgw/knapweedgw/targets"
@@ -38,12 +39,16 @@
 
 // relayBuffered reads the complete response before it delivers any of it, so that a response
 // truncated by the target is never delivered as a complete one. Responses over
-// maxBufferedResponse are streamed.
+// maxBufferedResponse, and those for which there is no room, are streamed.
 func (g *Gateway) relayBuffered(
 	ctx context.Context, c *call, f forwardRequest, t targets.Target, resp *http.Response, received *completion.Body,
 ) *attemptError {
-	body, err := io.ReadAll(io.LimitReader(received, maxBufferedResponse+1))
-	if err == nil && len(body) > maxBufferedResponse {
+	body, whole, err := intake.Of(c.w, c.req).ReadAnswer(received, maxBufferedResponse)
+	if err == nil && !whole {
+		if len(body) <= maxBufferedResponse {
+			// The response holds its place until the caller has read it, for want of memory.
+			c.w.timeout = min(c.w.timeout, intake.ReadStillTime)
+		}
 		return g.relayUnbuffered(ctx, c, t, resp, received, body)
 	}
 	if fail := g.endResponse(ctx, c, t, received); fail != nil {
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -55,6 +55,9 @@
 		if err == nil {
 			err = g.authenticate(c)
 		}
+		if err == nil {
+			intake.Of(c.w, c.req).Join(c.workspace.Team + "/" + c.workspace.Name)
+		}
 		if err == nil {
 			err = f(c, r)
 		}
--- a/intake/body.go
+++ b/intake/body.go
@@ -123,3 +123,21 @@
 	}
 	return nil
 }
+
+// ReadAnswer reads an answer that is kept until it is delivered. It stops after most bytes, or if there is no room for
+// more, and reports whether it has read the whole answer.
+func (q *Request) ReadAnswer(r io.Reader, most int) (body []byte, whole bool, err error) {
+	b := buffer{request: q, most: most + 1}
+	for {
+		if len(b.bytes) > most || b.isFull() && !b.grow() {
+			return b.bytes, false, nil
+		}
+		err := b.read(r)
+		if errors.Is(err, io.EOF) {
+			return b.bytes, true, nil
+		}
+		if err != nil {
+			return b.bytes, false, err
+		}
+	}
+}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -41,7 +41,8 @@
 	return own, nil
 }
 
-// Conn is a caller's connection. It reports the bytes of headers, which net/http reads on its own.
+// Conn is a caller's connection. It reports the bytes of headers, which net/http reads on its own, and the time that
+// its writes take.
 type Conn struct {
 	*net.TCPConn
 	tracker *Tracker
@@ -63,6 +64,14 @@
 	return n, err
 }
 
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	before := c.tracker.beginWrite(c)
+	n, err := c.TCPConn.Write(p)
+	c.tracker.endWrite(c, before)
+	return n, err
+}
+
 // SetReadDeadline implements net.Conn. It has no effect on a connection that was ended.
 func (c *Conn) SetReadDeadline(d time.Time) error {
 	c.deadlines.Lock()
@@ -120,3 +129,24 @@
 	}
 	return ok
 }
+
+// beginWrite notes that a write is in progress. It returns the phase to return to.
+func (t *Tracker) beginWrite(c *Conn) Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.conns[c]
+	if h == nil {
+		return Serving
+	}
+	before := h.phase
+	t.ledger.Enter(h, Writing, t.now())
+	return before
+}
+
+func (t *Tracker) endWrite(c *Conn, before Phase) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.conns[c]; h != nil && h.phase == Writing {
+		t.ledger.Enter(h, before, t.now())
+	}
+}
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -18,6 +18,8 @@
 	Body
 	// Serving: a whole request is in progress.
 	Serving
+	// Writing: a write of an answer is in progress.
+	Writing
 	// Idle: the connection is between two requests.
 	Idle
 )
@@ -57,14 +59,16 @@
 	conns  int
 	bytes  int64
 	groups map[string]int64
-	// idle holds the connections between two requests, sending those whose client is to send. In each the one that has
-	// made no progress for longest is first.
-	idle, sending *list.List
+	// idle holds the connections between two requests, sending those whose client is to send, and reading those whose
+	// client is to read. In each the one that has made no progress for longest is first.
+	idle, sending, reading *list.List
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(l Limits) *Ledger {
-	return &Ledger{limits: l, groups: make(map[string]int64), idle: list.New(), sending: list.New()}
+	return &Ledger{
+		limits: l, groups: make(map[string]int64), idle: list.New(), sending: list.New(), reading: list.New(),
+	}
 }
 
 // Conns returns the number of open connections, Bytes that of the bytes that count toward the limit.
@@ -95,12 +99,20 @@
 	return l.stalled(now, func(*Holder) bool { return true })
 }
 
-// stalled returns the connection that has waited for its client for longest and satisfies a condition, nil if none has
-// for sendStillTime.
+// stalled returns the connection that has waited for its client for longest and satisfies a condition, nil for none.
+// Clients that are to send come first: the others have been served.
 func (l *Ledger) stalled(now time.Time, condition func(*Holder) bool) *Holder {
-	for e := l.sending.Front(); e != nil; e = e.Next() {
+	if h := stillest(l.sending, now.Add(-sendStillTime), condition); h != nil {
+		return h
+	}
+	return stillest(l.reading, now.Add(-ReadStillTime), condition)
+}
+
+// stillest returns the first connection of a list that satisfies a condition and has made no progress since a time.
+func stillest(holders *list.List, since time.Time, condition func(*Holder) bool) *Holder {
+	for e := holders.Front(); e != nil; e = e.Next() {
 		h := e.Value.(*Holder)
-		if now.Sub(h.since) < sendStillTime {
+		if h.since.After(since) {
 			return nil
 		}
 		if condition(h) {
@@ -149,6 +161,8 @@
 		return l.idle
 	case Silent, Header, Body:
 		return l.sending
+	case Writing:
+		return l.reading
 	case Serving:
 	}
 	return nil
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -26,7 +26,7 @@
 // Guards against connections that hold their places for ever: the one that has waited for its client for longest makes
 // room, whatever the client is to do.
 func TestStalledConnectionMakesRoom(t *testing.T) {
-	for _, p := range []Phase{Silent, Header, Body} {
+	for _, p := range []Phase{Silent, Header, Body, Writing} {
 		is := is.New(t)
 		l := NewLedger(Limits{Conns: 3})
 		later, first := open(t, l, p, begin.Add(time.Millisecond)), open(t, l, Serving, begin)
@@ -35,7 +35,7 @@
 
 		_, ok := l.Open(&Holder{}, begin.Add(sendStillTime/2))
 		is.True(!ok) // nobody has stood still for long
-		evicted, ok := l.Open(&Holder{}, begin.Add(2*sendStillTime))
+		evicted, ok := l.Open(&Holder{}, begin.Add(ReadStillTime+time.Second))
 		is.True(ok)
 		is.Equal(evicted, later)
 		is.True(evicted.Evicted())
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -37,10 +37,14 @@
 	callerConnShare = 0.45
 )
 
-// sendStillTime is how long a client that is to send must have made no progress before its connection is ended in favor
-// of another. Requests are sent at once, so that only a slow network or a client that doesn't mean to end its request
-// takes as long.
-const sendStillTime = time.Second
+const (
+	// sendStillTime is how long a client that is to send must have made no progress before its connection is ended in
+	// favor of another. Requests are sent at once, so that only a slow network or a client that doesn't mean to end
+	// its request takes as long.
+	sendStillTime = time.Second
+	// ReadStillTime is the same for a client that is to read its answer.
+	ReadStillTime = 2 * time.Second
+)
 
 // progressBytes is how much of a body must arrive for the connection to have made progress. A single byte is none:
 // a client could hold its place with one a second.
--- a/intake/tracker.go
+++ b/intake/tracker.go
@@ -145,6 +145,9 @@
 	}
 	t.metrics.stalled.Inc()
 	t.logEnded()
+	if h.phase == Writing {
+		_ = c.SetWriteDeadline(pastDeadline)
+	}
 	_ = c.SetReadDeadline(pastDeadline)
 	if own, ok := c.(*Conn); ok {
 		own.end()
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/knapweedgw/knapweedgw/lab/standin"
 )
 
 const (
@@ -191,6 +193,25 @@
 	})
 }
 
+// Guards against large answers that nobody reads, which hold their connections and are kept until they are written.
+func TestCrowdOfUnreadLargeAnswers(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		const requests, answerBytes, window = 8, 1_000_000, 4 << 10
+		path := fmt.Sprintf("%s?%s=%d", f.path, standin.AnswerBytes, answerBytes)
+		f.press(t, crowdSize, func(w io.Writer) error {
+			if err := w.(*net.TCPConn).SetReadBuffer(window); err != nil {
+				return err
+			}
+			for range requests {
+				if err := writeAll(w, f.headWithKey(http.MethodPost, path, f.key, "Content-Length: 1\r\n\r\na")); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+}
+
 // Guards against clients that connect and send nothing.
 func TestCrowdOfSilentConnections(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -174,7 +174,11 @@
 	if x.router.conns.IsClosing() {
 		return problem.New(problem.NodeStopping, problem.NotRun, "").WithRetryAfter(stopRetryAfter)
 	}
-	return x.admit()
+	if err := x.admit(); err != nil {
+		return err
+	}
+	x.intake.Join(x.workspace)
+	return nil
 }
 
 // admit matches the request's route and authorizes it by the newest configuration.
--- a/router/forward.go
+++ b/router/forward.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -31,7 +30,8 @@
 	// first step of an engine.
 	minRemaining = 60 * time.Millisecond
 	// maxBufferedAnswer is how much of an unstreamed answer is read before any of it is
-	// delivered, in bytes. Larger answers are delivered as they arrive.
+	// delivered, in bytes. Larger answers, and those for which there is no room, are delivered as
+	// they arrive.
 	maxBufferedAnswer = 1 << 20
 	// maxHeldFailure is the largest answer of a failed target that is held while the request is
 	// retried, in bytes. Each retried request in progress holds one. A larger answer is
@@ -402,12 +402,12 @@
 func (x *exchange) targetError(ctx context.Context, a assignment, resp *http.Response) *failure {
 	x.router.pool.observe(a.member, health.Failed)
 	x.received.Start(resp, false)
-	body, err := io.ReadAll(io.LimitReader(&x.received, maxHeldFailure+1))
+	body, whole, err := x.intake.ReadAnswer(&x.received, maxHeldFailure)
 	fail := &failure{progress: retry.Sent, reason: problem.TargetFailed, cause: errOrStatus(err, resp)}
 	switch {
 	case err != nil || x.answerBegun || impliesNotRun(resp.StatusCode):
 		return fail
-	case len(body) > maxHeldFailure:
+	case !whole:
 		return x.relayUnbuffered(ctx, a, resp, body)
 	}
 	x.releasePlace(fail) // before endAnswer, which reports an answer
--- a/router/relay.go
+++ b/router/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -39,8 +38,8 @@
 // never takes a truncated answer for a complete one.
 func (x *exchange) relayBuffered(ctx context.Context, a assignment, resp *http.Response) *failure {
 	x.received.Start(resp, false)
-	body, err := io.ReadAll(io.LimitReader(&x.received, maxBufferedAnswer+1))
-	if err == nil && len(body) > maxBufferedAnswer {
+	body, whole, err := x.intake.ReadAnswer(&x.received, maxBufferedAnswer)
+	if err == nil && !whole {
 		return x.relayUnbuffered(ctx, a, resp, body)
 	}
 	if fail := x.endAnswer(ctx, a); fail != nil {
