Keep hashes of a chat's messages instead of the messages

What callers saw: the process took 2.5 GB for 200 whole chats of 1 MB, each within the limits, whose messages were `{}`.

Cause: the messages were decoded to a slice of raw messages: 24 bytes and an allocation for each three bytes of the body, doubled as the slice grew. Only their number, the first two and the hashes of the first 32 are used.

Why this works: the array, which the decoder has validated, is walked in place, and only what is used is kept. What may be as long as the body, the opening and the cache key, counts once more toward the bytes kept for callers.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -7,6 +7,7 @@
 	restful "github.com/emicklei/go-restful/v3"
 
 	"github.com/knapweedgw/knapweedgw/admission"
+	"github.com/knapweedgw/knapweedgw/intake"
 	"github.com/knapweedgw/knapweedgw/problem"
 	"github.com/knapweedgw/knapweedgw/routing"
 )
@@ -14,10 +15,10 @@
 // chatRequest is the part of an OpenAI chat completion request that the gateway reads. The body
 // is forwarded unchanged.
 type chatRequest struct {
-	Model          string            `json:"model"`
-	Messages       []json.RawMessage `json:"messages"`
-	Stream         bool              `json:"stream"`
-	PromptCacheKey string            `json:"prompt_cache_key"`
+	Model          string   `json:"model"`
+	Messages       messages `json:"messages"`
+	Stream         bool     `json:"stream"`
+	PromptCacheKey string   `json:"prompt_cache_key"`
 }
 
 type modelList struct {
@@ -47,6 +48,10 @@
 	if err != nil {
 		return err
 	}
+	// What is decoded of it is at most as long: the model, the key of the cache or the opening.
+	if !intake.Of(c.w, c.req).Acquire(int64(len(body))) {
+		return nodeFull()
+	}
 	chat, err := parseChat(body)
 	if err != nil {
 		return err
@@ -60,13 +65,13 @@
 		admission: admission.Request{
 			ID: c.id, Chat: c.chat, Workspace: c.workspace,
 			Priority: priority(c.req.Header.Get(HeaderPriority)), Pool: model,
-			Returning: len(chat.Messages) > openingMessages,
+			Returning: chat.Messages.count > openingMessages,
 		},
 		method:     http.MethodPost,
 		path:       chatPath,
 		body:       body,
 		chat:       true,
-		messages:   chat.Messages,
+		parts:      chat.Messages.shared,
 		stream:     chat.Stream,
 		repeatable: true,
 	}
@@ -84,16 +89,12 @@
 	if chat.Model == "" {
 		return chat, problem.New(problem.BadRequest, problem.NotRun, "\"model\" is missing")
 	}
-	if len(chat.Messages) == 0 {
+	if chat.Messages.count == 0 {
 		return chat, problem.New(problem.BadRequest, problem.NotRun, "\"messages\" is empty")
 	}
 	return chat, nil
 }
 
-// openingMessages is the largest number of messages of a chat without a reply so far: the
-// system's and the caller's first.
-const openingMessages = 2
-
 // chatKey returns the routing key of a chat, a hash of its workspace and the caller's chat ID.
 // Without a chat ID it uses prompt_cache_key, else the chat's opening messages, which stay the
 // same in later requests of the chat. The same ID in different workspaces gives different keys.
@@ -103,9 +104,7 @@
 		name = chat.PromptCacheKey
 	}
 	if name == "" {
-		for _, m := range chat.Messages[:min(openingMessages, len(chat.Messages))] {
-			name += string(m)
-		}
+		name = chat.Messages.opening
 	}
 	return routing.Hash(c.workspace.Team + "/" + c.workspace.Name + "/" + name)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -32,10 +32,10 @@
 	path       string // with the caller's escaping
 	query      string
 	body       []byte
-	chat       bool              // a chat completion, for a model engine
-	messages   []json.RawMessage // of the chat, in order
-	stream     bool              // the caller requested a stream
-	repeatable bool              // the request may run more than once
+	chat       bool     // a chat completion, for a model engine
+	parts      []uint64 // hashes of the messages that other chats may share
+	stream     bool     // the caller requested a stream
+	repeatable bool     // the request may run more than once
 	// gate is called right before the first byte is sent and returns false to prevent sending;
 	// nil for no gate.
 	gate func() bool
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -38,24 +38,11 @@
 			Caller: c.workspace.Team + "/" + c.workspace.Name, Method: f.method,
 			Host: f.admission.Pool.Name, URI: f.path + "?" + f.query, Body: f.body,
 		}
-		return quarantine.NewKeys(request.Fingerprint(), f.admission.Pool.Name, f.promptParts())
+		return quarantine.NewKeys(request.Fingerprint(), f.admission.Pool.Name, f.parts)
 	}
 	return &guardedRequest{Attempts: g.guard.NewAttempts(c.id, identify), guard: g.guard}
 }
 
-// promptParts returns the hashes of the messages that other chats may share: all but the last.
-func (f forwardRequest) promptParts() []uint64 {
-	if len(f.messages) == 0 {
-		return nil
-	}
-	shared := f.messages[:len(f.messages)-1]
-	hashes := make([]uint64, len(shared))
-	for i, m := range shared {
-		hashes[i] = routing.Hash(string(m))
-	}
-	return hashes
-}
-
 // begin returns a refusal if the guard forbids the request to run now. After a nil error the
 // caller must call End.
 func (r *guardedRequest) begin() error {
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -22,6 +22,7 @@
 	overBytes    = 2 * crowdMaxBody
 )
 
+// Guards against bodies whose length is announced, and that stop just before their end: memory is allocated for bytes
 // that never arrive, and nobody ends the request.
 func TestCrowdOfAnnouncedBodies(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
@@ -256,6 +257,18 @@
 	})
 }
 
+// Guards against whole bodies within the limits whose decoded form is many times as large.
+func TestCrowdOfManyMessages(t *testing.T) {
+	f := startServeFront(t)
+	const size = 1 << 20
+	body := `{"model":"` + model + `","messages":[{}` + strings.Repeat(",{}", size/len(",{}")) + `]}`
+	head := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	f.press(t, crowdSize, func(w io.Writer) error {
+		return writeAll(w, f.headWithKey(http.MethodPost, f.chatPath, f.key, head), body)
+	})
+}
+
+// Guards against limits that a slow client within them meets: a body of the largest size in tiny chunks, with pauses,
 // is served.
 func TestSlowLargestBodyIsServed(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
@@ -277,6 +290,7 @@
 	})
 }
 
+// Guards against a refusal that is lost since the connection is reset while its client still sends: the client reads
 // it once it has sent all.
 func TestRefusalReachesASendingClient(t *testing.T) {
 	forEachFront(t, func(t *testing.T, f *crowdFront) {
@@ -292,6 +306,7 @@
 	})
 }
 
+// Guards against a refusal that waits for the rest of a body that never comes: the HTTP library reads on before it
 // sends the header.
 func TestRefusalDoesNotWaitForABody(t *testing.T) {
 	f := startServeFront(t)
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -45,8 +45,8 @@
 	return f
 }
 
-// maxParts is how many of a prompt's parts are considered, the first ones. It bounds what one request adds to a Table.
-const maxParts = 32
+// MaxParts is how many of a prompt's parts are considered, the first ones. It bounds what one request adds to a Table.
+const MaxParts = 32
 
 // Keys identify a request and the prompt parts that it shares with others.
 type Keys struct {
@@ -56,7 +56,7 @@
 
 // NewKeys returns the keys of a request whose prompt has the given parts, by their hashes and in order, at a service.
 func NewKeys(request Fingerprint, service string, parts []uint64) Keys {
-	k := Keys{Request: request, Parts: make([]Fingerprint, min(len(parts), maxParts))}
+	k := Keys{Request: request, Parts: make([]Fingerprint, min(len(parts), MaxParts))}
 	for i := range k.Parts {
 		k.Parts[i] = PartFingerprint(service, parts[i])
 	}
