Decide anew about a request once its body has arrived

Since the key of a large body is looked at before the body is kept, a request is admitted twice. The second decision kept what the first had found: a request whose key was removed while its body arrived, on a route that needs none, went to its target as that workspace's.

Why this works: admission begins without a route, workspace and deadline each time.

TestKeyRemovedWhileABodyArrives failed before: the target was told tenant-one.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -181,8 +181,10 @@
 	return nil
 }
 
-// admit matches the request's route and authorizes it by the newest configuration.
+// admit matches the request's route and authorizes it by the newest configuration. What an earlier call found no
+// longer counts.
 func (x *exchange) admit() error {
+	x.route, x.service, x.workspace, x.deadline = nil, "", "", time.Time{}
 	x.catalog = x.router.replica.Catalog()
 	_, position := x.router.replica.Versions()
 	x.era, x.revision = store.EraOf(position), store.RevisionOf(position)
