Drop a request whose header ended as its connection was evicted

A header that has stalled for a second may end at the moment at which its connection is ended for another. A request without a body was then served on a connection that could no longer be read, and canceled as if its caller had left, at worst while a target was at work on it. It is dropped before anything is passed on instead; its caller sees a closed connection and nothing was run. Found by reading; the moment is too short for a test against a process.

--- a/intake/request.go
+++ b/intake/request.go
@@ -45,6 +45,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		q := t.begin(w, r)
 		defer q.finish()
+		if q.isEvicted() {
+			panic(http.ErrAbortHandler) // the header's end crossed the eviction; nothing was passed on
+		}
 		next.ServeHTTP(w, r)
 	})
 }
