End requests that nobody sends to the end when a node stops

The platform's front is bounded by its grace time (5.3 s of 5).

Cause: the server's shutdown waits for all connections that aren't idle, also those whose client has stopped sending.

Their requests are refused and weren't run; callers that go on sending, and requests that were received, are waited for as before.

cd lab && go test ./fleettest -run TestCrowdBesideAStop -v

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -128,6 +128,17 @@
 	h.evicted = h.phase != Idle
 }
 
+// EvictStalled evicts all connections whose client is to send and has made no progress for long enough. It returns them.
+func (l *Ledger) EvictStalled(now time.Time) []*Holder {
+	var evicted []*Holder
+	all := func(*Holder) bool { return true }
+	for h := stillest(l.sending, now.Add(-sendStillTime), all); h != nil; h = stillest(l.sending, now.Add(-sendStillTime), all) {
+		l.evict(h)
+		evicted = append(evicted, h)
+	}
+	return evicted
+}
+
 // reopen takes back the eviction of an idle connection, whatever the limit is.
 func (l *Ledger) reopen(h *Holder, now time.Time) {
 	l.conns++
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -199,3 +199,17 @@
 		}
 	}
 }
+
+// Guards against a stop that waits for clients which stand still, and against one that ends others.
+func TestStalledSendersAreEvictedAtAStop(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(Limits{})
+	header, body := open(t, l, Header, begin), open(t, l, Body, begin)
+	quick := open(t, l, Body, begin.Add(sendStillTime))
+	others := []*Holder{open(t, l, Serving, begin), open(t, l, Writing, begin), open(t, l, Idle, begin)}
+	is.Equal(l.EvictStalled(begin.Add(sendStillTime)), []*Holder{header, body})
+	is.True(!quick.Evicted())
+	for _, h := range others {
+		is.True(!h.Evicted())
+	}
+}
--- a/intake/tracker.go
+++ b/intake/tracker.go
@@ -154,6 +154,15 @@
 	}
 }
 
+// EndStalled ends all connections whose client is to send and stands still. A node that stops calls it from time to time.
+func (t *Tracker) EndStalled() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.ledger.EvictStalled(t.now()) {
+		t.end(h)
+	}
+}
+
 // logEnded writes a line on ended connections, at most one per logInterval. The caller must hold t.mu.
 func (t *Tracker) logEnded() {
 	t.ended++
--- a/lab/fleettest/crowd_clients_test.go
+++ b/lab/fleettest/crowd_clients_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -337,3 +338,21 @@
 	}
 	return resp.StatusCode, string(raw)
 }
+
+// Guards against a stop that waits for clients which never end their requests.
+func TestCrowdBesideAStop(t *testing.T) {
+	forEachFront(t, func(t *testing.T, f *crowdFront) {
+		c := &crowd{}
+		defer c.close()
+		for range crowdSize {
+			if conn := c.add(f.addr); conn != nil {
+				_ = writeAll(conn, f.head(http.MethodPost, "Content-Length: 2\r\n\r\na")) // fails if it is refused
+			}
+		}
+		f.awaitRest()
+		f.signal(syscall.SIGTERM)
+		if code := f.exitCode(t); code != 0 {
+			t.Fatalf("exit code %d:\n%s", code, f.tail())
+		}
+	})
+}
