Drop a body once it can't be sent again

Cause: a body counted until its request ended, though a stream that may not go on elsewhere never needs it after its target has begun to answer.

Why this works: once a target's answer has been accepted, a failure can only be one after which the retry policy allows no other attempt, unless the route may be repeated and has attempts left. The body is then dropped, if it is large and the transport has sent and closed it, which drops its own reference too. An attempt without its body fails before anything is sent.

--- a/intake/request.go
+++ b/intake/request.go
@@ -38,6 +38,8 @@
 	r       *http.Request
 	// whole means that the request was completely received.
 	whole bool
+	// bodyBytes is the number of bytes granted for the body.
+	bodyBytes int64
 }
 
 // Handler returns a handler that accounts for each request while next serves it.
@@ -127,7 +129,7 @@
 		return nil, q.readError(err)
 	}
 	_ = q.rc.SetReadDeadline(time.Time{})
-	q.whole = true
+	q.whole, q.bodyBytes = true, int64(cap(body))
 	if !q.beginServing() {
 		return nil, ErrTooSlow
 	}
@@ -188,6 +190,14 @@
 	return q.tracker.acquire(q.holder, n)
 }
 
+// DropBody gives back what was granted for the body, which is no longer kept.
+func (q *Request) DropBody() {
+	if q != nil {
+		q.release(q.bodyBytes)
+		q.bodyBytes = 0
+	}
+}
+
 // release gives back n granted bytes.
 func (q *Request) release(n int64) {
 	q.withLedger(func(l *Ledger, _ time.Time) { l.Release(q.holder, n) })
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -44,6 +44,9 @@
 
 	call CallerHeader
 	body []byte
+	// sent is the body of the last attempt. bodyDropped means that body was dropped.
+	sent        *sentBody
+	bodyDropped bool
 	// read means that the request was completely read.
 	read    bool
 	catalog *catalog.Catalog
--- a/router/forward.go
+++ b/router/forward.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/url"
@@ -293,12 +292,16 @@
 
 // targetRequest builds the request for a target, with the caller's method, path and body.
 func (x *exchange) targetRequest(ctx context.Context, a assignment) (*http.Request, error) {
+	if x.bodyDropped {
+		return nil, errBodyDropped
+	}
+	x.sent = newSentBody(x.body)
 	req := &http.Request{
 		Method: x.req.Method, URL: targetURL(a.target.Addr, x.req), Host: x.req.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header:        make(http.Header, len(x.req.Header)+4),
 		ContentLength: int64(len(x.body)),
-		Body:          upstream.NonReplayableBody(bytes.NewReader(x.body)),
+		Body:          upstream.NonReplayableBody(x.sent),
 	}
 	left, _ := x.remaining()
 	s := TargetHeader{
@@ -353,6 +356,7 @@
 		return x.targetError(ctx, a, resp)
 	}
 	x.router.pool.observe(a.member, health.Answered)
+	x.dropBody()
 	x.succeeded = resp.StatusCode < http.StatusMultipleChoices
 	return x.relay(ctx, a, resp)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -131,11 +131,22 @@
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
-// NonReplayableBody wraps the body of a request so that the transport cannot repeat the request.
-func NonReplayableBody(body io.Reader) io.ReadCloser { return io.NopCloser(readerOnly{body}) }
+// NonReplayableBody wraps the body of a request so that the transport cannot repeat the request. Closing it closes
+// body, if that is an io.Closer.
+func NonReplayableBody(body io.Reader) io.ReadCloser {
+	if c, ok := body.(io.Closer); ok {
+		return readCloser{readerOnly{body}, c}
+	}
+	return io.NopCloser(readerOnly{body})
+}
 
 type readerOnly struct{ io.Reader }
 
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
 // IsDial reports whether a request failed because no connection could be opened.
 func IsDial(err error) bool {
 	var op *net.OpError
