--- a/config/config.go
+++ b/config/config.go
@@ -84,7 +84,7 @@
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.Int64Var(&c.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "largest request body in bytes")
 	fs.DurationVar(&c.BodyTimeout, "body-timeout", defaultBodyTimeout, "time a caller has to send header and body")
-	fs.IntVar(&c.MemoryMB, "memory-mb", defaultMemoryMB, "memory that the process may use, in MB: a third for callers' connections, a fifth for what is kept of their requests; 0 for no limit")
+	fs.IntVar(&c.MemoryMB, "memory-mb", defaultMemoryMB, "memory that the process may use, in MB: a third for callers' connections, three tenths for what is kept of their requests; 0 for no limit")
 	fs.IntVar(&c.MaxFDs, "max-fds", defaultMaxFDs, "file descriptors that the process may open: 45% of all but 300 for callers' connections; 0 for no limit")
 	fs.IntVar(&c.MaxAttempts, "max-attempts", defaultMaxAttempts, "most targets tried for one request")
 	fs.Float64Var(&c.RetryShare, "retry-share", defaultRetryShare, "most retries a request, on average: the fleet's load grows by this share at most")
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -52,8 +52,8 @@
 // is ended if another needs the room. It is a pure data structure on the time that its caller passes; it is not safe
 // for concurrent use.
 //
-// The bytes of a group are bounded by those that are still free (the dynamic thresholds of Choudhury and Hahne), so
-// that one group alone gets half of them and some are always left for another.
+// The bytes of a group are bounded by groupFactor times those that are still free (the dynamic thresholds of Choudhury and
+// Hahne), so that one group alone gets two thirds of them and some are always left for another.
 type Ledger struct {
 	limits Limits
 	conns  int
@@ -209,13 +209,16 @@
 	return evicted, true
 }
 
+// groupFactor is how many times the bytes that are free one group may take.
+const groupFactor = 2
+
 // fits reports whether a connection may be charged more bytes. One that is the only one to hold any may take all.
 func (l *Ledger) fits(h *Holder, more int64) bool {
 	if l.limits.Bytes == 0 || more <= 0 {
 		return true
 	}
 	left := l.limits.Bytes - l.bytes - more
-	return left >= 0 && (l.groups[h.group]+more <= left || l.bytes == h.charged)
+	return left >= 0 && (l.groups[h.group]+more <= groupFactor*left || l.bytes == h.charged)
 }
 
 // Release takes back n granted bytes.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -11,7 +11,7 @@
 	// connMemoryShare bounds what connections take before anything is kept for their requests.
 	connMemoryShare = 1.0 / 3
 	// byteShare bounds the bytes that are kept for callers' requests.
-	byteShare = 1.0 / 5
+	byteShare = 0.3
 )
 
 // What one connection takes, in bytes.
